--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of the load policy on a virtual clock."""
--- /dev/null
+++ b/goldcresthaven/aio.py
@@ -0,0 +1,168 @@
+"""Typed access to curio, so that no other module depends on its details.
+
+curio is unmaintained and has no type annotations. Drivers use these few
+functions instead, which keeps a later replacement to one module.
+"""
+
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Coroutine
+from contextlib import asynccontextmanager
+from datetime import timedelta
+import signal
+import socket
+from typing import Any
+from typing import cast
+from typing import Protocol
+
+import curio
+from curio import network
+from curio import task as curio_task
+
+from goldcresthaven import errors
+
+Cancelled = curio.CancelledError
+
+LISTEN_BACKLOG = 512
+
+
+class Socket(Protocol):
+    """The part of curio's socket that drivers use."""
+
+    async def recv(self, maxsize: int) -> bytes: ...
+
+    async def sendall(self, data: bytes) -> None: ...
+
+    async def close(self) -> None: ...
+
+
+class Task(Protocol):
+    """A running task."""
+
+    async def cancel(self) -> bool: ...
+
+    async def join(self) -> Any: ...
+
+    @property
+    def terminated(self) -> bool: ...
+
+
+class Event:
+    """A flag that tasks wait for."""
+
+    def __init__(self) -> None:
+        self._event = curio.Event()
+
+    def is_set(self) -> bool:
+        return bool(self._event.is_set())
+
+    def clear(self) -> None:
+        self._event.clear()
+
+    async def set(self) -> None:
+        await self._event.set()
+
+    async def wait(self) -> None:
+        await self._event.wait()
+
+
+def run(main: Callable[..., Awaitable[None]], *args: Any) -> None:
+    """Run an async function until it returns.
+
+    ContextTask gives each task its own context variables; with curio's
+    default tasks eliot's action context leaks from one request into
+    another.
+    """
+    with curio.Kernel(taskcls=curio_task.ContextTask) as kernel:
+        kernel.run(main, *args)
+
+
+async def spawn(coro: Coroutine[Any, Any, Any]) -> Task:
+    """Start a task in the background; its result is not collected."""
+    return cast(Task, await curio.spawn(coro, daemon=True))
+
+
+async def sleep(duration: timedelta) -> None:
+    await curio.sleep(max(duration.total_seconds(), 0.0))
+
+
+@asynccontextmanager
+async def timeout(duration: timedelta) -> AsyncIterator[None]:
+    """Limit a block's duration.
+
+    Raises DeadlineExceeded when the block did not finish in time.
+    """
+    seconds = max(duration.total_seconds(), 0.0)
+    try:
+        async with curio.timeout_after(seconds):
+            yield
+    except curio.TaskTimeout:
+        raise errors.DeadlineExceeded(
+            f'no result within {seconds:.3f} s',
+            remedy='retry later or raise the deadline',
+        ) from None
+
+
+async def connect(host: str, port: int) -> Socket:
+    """Open a TCP connection.
+
+    Raises ConnectionFailed; nothing has been sent then.
+    """
+    try:
+        sock = await curio.open_connection(host, port)
+    except OSError as exc:
+        raise errors.ConnectionFailed(
+            f'cannot connect to {host}:{port}: {exc}',
+            remedy='check that the process is up and reachable',
+        ) from exc
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return cast(Socket, sock)
+
+
+class Listener:
+    """A listening TCP socket that starts one task per connection."""
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        port: int,
+        handler: Callable[[Socket], Coroutine[Any, Any, None]],
+    ) -> None:
+        self._handler = handler
+        self._sock = network.tcp_server_socket(
+            host, port, backlog=LISTEN_BACKLOG, reuse_address=True
+        )
+        self._task: Task | None = None
+
+    @property
+    def port(self) -> int:
+        return int(self._sock.getsockname()[1])
+
+    async def start(self) -> None:
+        self._task = await spawn(self._accept())
+
+    async def stop(self) -> None:
+        """Stop accepting; connections already accepted go on."""
+        if self._task is not None:
+            await self._task.cancel()
+        await self._sock.close()
+
+    async def _accept(self) -> None:
+        while True:
+            client, _ = await self._sock.accept()
+            client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            await spawn(self._serve(client))
+
+    async def _serve(self, client: Any) -> None:
+        try:
+            await self._handler(client)
+        finally:
+            await client.close()
+
+
+async def wait_for_signal(*numbers: signal.Signals) -> None:
+    """Return when one of the signals arrives."""
+    event = curio.SignalEvent(*numbers)
+    await event.wait()
--- /dev/null
+++ b/goldcresthaven/clock.py
@@ -0,0 +1,64 @@
+"""Clocks, passed in wherever a decision depends on time.
+
+The core never reads the system clock itself, so that tests and benchmarks
+drive the same code on a virtual clock.
+"""
+
+from datetime import datetime
+from datetime import timedelta
+from datetime import timezone
+import time
+from typing import Protocol
+
+EPOCH = datetime(2026, 1, 1, tzinfo=timezone.utc)
+
+
+class Clock(Protocol):
+    """Source of wall time and of elapsed time."""
+
+    def now(self) -> datetime:
+        """Return the wall time in UTC, for people and timelines only."""
+
+    def elapsed(self) -> timedelta:
+        """Return the time since an arbitrary fixed point.
+
+        It never goes back and continues while the VM is suspended, so it
+        is safe for leases and deadlines.
+        """
+
+
+class SystemClock:
+    """The clock of the VM.
+
+    Elapsed time is CLOCK_BOOTTIME: CLOCK_MONOTONIC stops while the VM is
+    suspended, and a holder that resumes would then trust a lease that
+    ended long ago.
+    """
+
+    def now(self) -> datetime:
+        return datetime.now(timezone.utc)
+
+    def elapsed(self) -> timedelta:
+        return timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
+
+
+class ManualClock:
+    """A clock that moves only when told to.
+
+    ``rate`` scales each advance, which models a clock that drifts.
+    """
+
+    def __init__(self, *, start: datetime = EPOCH, rate: float = 1.0) -> None:
+        self._start = start
+        self._elapsed = timedelta()
+        self._rate = rate
+
+    def now(self) -> datetime:
+        return self._start + self._elapsed
+
+    def elapsed(self) -> timedelta:
+        return self._elapsed
+
+    def advance(self, by: timedelta) -> None:
+        """Move the clock forward by ``by`` times its rate."""
+        self._elapsed += by * self._rate
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and the upstreams, for tests."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Unit and process tests."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Development tools: the local fleet and the capacity measurements."""
