--- /dev/null
+++ b/goldcresthaven/presets.py
@@ -0,0 +1,206 @@
+"""The deployment document: pools, routes, presets and which is in force.
+
+Each version of the document is one row of the configuration log. The
+classes are checked when a document is read, so the rest of the program
+can rely on them.
+"""
+
+from datetime import timedelta
+from enum import Enum
+import re
+from typing import Annotated
+from typing import Any
+
+import pydantic
+
+from goldcresthaven import ids
+from goldcresthaven import outcomes
+
+_DURATION = re.compile(r'(\d+(?:\.\d+)?)(ms|s|min|h)')
+_UNIT_SECONDS = {'ms': 0.001, 's': 1.0, 'min': 60.0, 'h': 3600.0}
+_SIZE = re.compile(r'(\d+)(B|KiB|MiB)')
+_UNIT_BYTES = {'B': 1, 'KiB': 1 << 10, 'MiB': 1 << 20}
+
+
+def parse_duration(value: Any) -> timedelta:
+    """Return the duration written as a number and a unit, as in ``250ms``.
+
+    Raises ValueError when the unit is missing or not ms, s, min or h.
+    """
+    if isinstance(value, timedelta):
+        return value
+    match = _DURATION.fullmatch(str(value))
+    if match is None:
+        raise ValueError(
+            f'{value!r} is not a duration; write a number with the unit '
+            'ms, s, min or h, as in 250ms'
+        )
+    return timedelta(seconds=float(match[1]) * _UNIT_SECONDS[match[2]])
+
+
+def format_duration(value: timedelta) -> str:
+    """Return a duration that ``parse_duration`` reads back."""
+    ms = round(value / timedelta(milliseconds=1), 3)
+    return f'{ms / 1000:g}s' if ms >= 1000 else f'{ms:g}ms'
+
+
+def parse_size(value: Any) -> int:
+    """Return the number of bytes written with a unit, as in ``64KiB``.
+
+    Raises ValueError when the unit is missing or not B, KiB or MiB.
+    """
+    if isinstance(value, int):
+        raise ValueError(
+            f'{value} has no unit; write B, KiB or MiB, as in 64KiB'
+        )
+    match = _SIZE.fullmatch(str(value))
+    if match is None:
+        raise ValueError(
+            f'{value!r} is not a size; write a number with the unit '
+            'B, KiB or MiB, as in 64KiB'
+        )
+    return int(match[1]) * _UNIT_BYTES[match[2]]
+
+
+Duration = Annotated[
+    timedelta,
+    pydantic.BeforeValidator(parse_duration),
+    pydantic.PlainSerializer(format_duration),
+]
+Size = Annotated[
+    int,
+    pydantic.BeforeValidator(parse_size),
+    pydantic.PlainSerializer(lambda value: f'{value}B'),
+]
+
+
+class Model(pydantic.BaseModel):
+    """Base of all checked settings: immutable, unknown keys rejected."""
+
+    model_config = pydantic.ConfigDict(frozen=True, extra='forbid')
+
+
+class Dedup(Enum):
+    """Who stops the second run of a repeated non-idempotent request."""
+
+    UPSTREAM = 'upstream'
+    STORE = 'store'
+    NONE = 'none'
+
+
+class Pool(Model):
+    """Upstreams that offer the same service.
+
+    In a keyed pool each key has one owner. ``slots`` and ``connections``
+    are limits per endpoint over all entry processes together. ``fenced``
+    says that the upstreams enforce leases and epochs.
+    """
+
+    name: ids.PoolName
+    keyed: bool
+    slots: int = pydantic.Field(ge=1)
+    connections: int = pydantic.Field(ge=1)
+    shards: int = pydantic.Field(default=0, ge=0)
+    fenced: bool = True
+    dedup: Dedup = Dedup.UPSTREAM
+
+
+class Route(Model):
+    """Requests that share a path prefix and optionally methods.
+
+    ``key_segment`` is the index of the path segment that holds the key,
+    counted from 0 after the leading slash: in ``/catalogue/oak-net`` the
+    key is segment 1. The first matching route wins.
+    """
+
+    prefix: str
+    methods: tuple[str, ...] = ()
+    pool: ids.PoolName
+    rank: outcomes.Rank
+    key_segment: int | None = pydantic.Field(default=None, ge=0)
+    idempotent: bool
+
+
+class RankPolicy(Model):
+    """Service of one rank under a preset.
+
+    ``target`` is the response time aimed at, ``deadline`` the longest time
+    that a request may take, ``floor`` the share of slot time owed to the
+    rank while it has work waiting.
+    """
+
+    target: Duration
+    deadline: Duration
+    floor: float = pydantic.Field(ge=0.0, le=1.0)
+    queue_length: int = pydantic.Field(default=256, ge=1)
+    queue_bytes: Size = 4 << 20
+
+
+class Preset(Model):
+    """Settings that an operator switches as one."""
+
+    name: ids.PresetName
+    urgent: RankPolicy
+    standard: RankPolicy
+    bulk: RankPolicy
+    bulk_cap: int | None = pydantic.Field(default=None, ge=1)
+    claim_term: Duration = timedelta(seconds=10)
+    claim_grace: Duration = timedelta(minutes=10)
+    imbalance_limit: float = pydantic.Field(default=1.15, ge=1.0)
+    retry_ratio: float = pydantic.Field(default=0.1, ge=0.0, le=1.0)
+    slow_start: Duration = timedelta(seconds=10)
+
+    def rank(self, rank: outcomes.Rank) -> RankPolicy:
+        match rank:
+            case outcomes.Rank.URGENT:
+                return self.urgent
+            case outcomes.Rank.STANDARD:
+                return self.standard
+            case outcomes.Rank.BULK:
+                return self.bulk
+
+
+class Document(Model):
+    """One version of the whole configuration."""
+
+    pools: tuple[Pool, ...]
+    routes: tuple[Route, ...]
+    presets: tuple[Preset, ...]
+    in_force: ids.PresetName
+    drained: tuple[ids.UpstreamId, ...] = ()
+    lost_zones: tuple[ids.ZoneId, ...] = ()
+
+    @property
+    def preset(self) -> Preset:
+        """The preset in force."""
+        return next(p for p in self.presets if p.name == self.in_force)
+
+    def pool(self, name: ids.PoolName) -> Pool:
+        return next(p for p in self.pools if p.name == name)
+
+    @pydantic.model_validator(mode='after')
+    def _check_references(self) -> 'Document':
+        names = [p.name for p in self.presets]
+        if len(set(names)) != len(names):
+            raise ValueError('two presets share a name; rename one')
+        if self.in_force not in names:
+            raise ValueError(
+                f'in_force names the preset {self.in_force!r}, which does '
+                f'not exist; use one of {sorted(names)}'
+            )
+        keyed = {p.name: p.keyed for p in self.pools}
+        for route in self.routes:
+            _check_route(route, keyed)
+        return self
+
+
+def _check_route(route: Route, keyed: dict[ids.PoolName, bool]) -> None:
+    if route.pool not in keyed:
+        raise ValueError(
+            f'route {route.prefix!r} names the pool {route.pool!r}, which '
+            f'does not exist; use one of {sorted(keyed)}'
+        )
+    if keyed[route.pool] and route.key_segment is None:
+        raise ValueError(
+            f'route {route.prefix!r} goes to a keyed pool; set key_segment'
+        )
