Prove outcomes and test the request path against hostile input

Listener.stop accepts the connections that still wait in the backlog, because closing the socket would reset them. A refreshed map no longer delays the request by a fixed 100 ms.

--- a/goldcresthaven/aio.py
+++ b/goldcresthaven/aio.py
@@ -168,6 +168,8 @@
         handler: Callable[[Socket], Coroutine[Any, Any, None]],
     ) -> None:
         self._handler = handler
+        self._open = 0
+        self._quiet = Event()
         self._sock = network.tcp_server_socket(
             host, port, backlog=LISTEN_BACKLOG, reuse_address=True
         )
@@ -181,11 +183,25 @@
         self._task = await spawn(self._accept())
 
     async def stop(self) -> None:
-        """Stop accepting; connections already accepted go on."""
-        if self._task is not None:
-            await self._task.cancel()
+        """Stop accepting; connections already accepted go on.
+
+        Closing the socket resets connections that wait to be accepted, so
+        these are accepted first.
+        """
+        if self._task is None:
+            return
+        await self._task.cancel()
+        self._task = None
+        while (client := self._accept_now()) is not None:
+            await self._start(client)
         await self._sock.close()
 
+    async def wait_closed(self) -> None:
+        """Return when all accepted connections have ended."""
+        while self._open:
+            self._quiet.clear()
+            await self._quiet.wait()
+
     async def _accept(self) -> None:
         while True:
             try:
@@ -195,7 +211,18 @@
                 # exception here would end the task and with it all service.
                 await sleep(ACCEPT_PAUSE)
                 continue
-            await spawn(self._serve(client))
+            await self._start(client)
+
+    def _accept_now(self) -> Any:
+        try:
+            raw, _ = self._sock._socket.accept()
+        except OSError:
+            return None
+        return curio_io.Socket(raw)
+
+    async def _start(self, client: Any) -> None:
+        self._open += 1
+        await spawn(self._serve(client))
 
     async def _serve(self, client: Any) -> None:
         try:
@@ -204,7 +231,9 @@
         except OSError:
             return
         finally:
+            self._open -= 1
             await client.close()
+            await self._quiet.set()
 
 
 class SignalWaiter:
--- a/goldcresthaven/caller_server.py
+++ b/goldcresthaven/caller_server.py
@@ -56,7 +56,6 @@
         self._in_flight = 0
         self._draining = False
         self._stopped = False
-        self._idle = aio.Event()
 
     @property
     def in_flight(self) -> int:
@@ -73,17 +72,14 @@
         """Turn readiness off and ask callers to close their connections."""
         self._draining = True
 
-    async def finish(self) -> None:
-        """Return when all requests in flight have been answered.
+    def stop_idle(self) -> None:
+        """Close connections as they become idle.
 
-        Idle connections are closed; call this once new connections are no
-        longer accepted.
+        Call this once new connections are no longer accepted; the others
+        end after the request in flight.
         """
         self._draining = True
         self._stopped = True
-        while self._connections:
-            self._idle.clear()
-            await self._idle.wait()
 
     async def serve(self, sock: aio.Socket) -> None:
         """Answer the requests of one connection."""
@@ -94,7 +90,6 @@
         finally:
             self._connections -= 1
             await conn.close()
-            await self._idle.set()
 
     async def _serve(self, conn: http_io.CallerConn) -> None:
         crowded = self._connections > MAX_CALLER_CONNECTIONS
@@ -115,7 +110,7 @@
                 async with aio.timeout(IDLE_CHECK):
                     return await conn.wait_for_byte()
             except errors.DeadlineExceeded:
-                if self._stopped:
+                if self._stopped and not conn.has_input():
                     return False
         return False
 
@@ -135,7 +130,8 @@
             conn=conn,
             head=head,
             request_id=request_id,
-            closing=self._draining or crowded,
+            closing=crowded,
+            is_draining=lambda: self._draining,
         )
         try:
             _check(head)
@@ -324,7 +320,7 @@
             *extra,
         )
         unread = not call.body_ended
-        if call.closing or unread:
+        if call.ends_connection() or unread:
             headers = (*headers, ('connection', 'close'))
         head = http_io.ResponseHead(status=status, headers=headers)
         await _send_quietly(call.conn, head, json.dumps(body).encode())
--- a/goldcresthaven/entry.py
+++ b/goldcresthaven/entry.py
@@ -44,7 +44,7 @@
     store = store_client.StoreClient(
         address=members.Address.parse(cfg.platform), clock=clock
     )
-    views = follower.Follower(store=store, copy=replica.Replica())
+    views = follower.Follower(store=store, copy=replica.Replica(), clock=clock)
     conns = upstream_pool.UpstreamPool()
     server = caller_server.CallerServer(
         views=views,
@@ -81,7 +81,8 @@
     # Callers that the load balancer still sends are served meanwhile.
     await aio.sleep(cfg.stop_delay)
     await listener.stop()
-    await parts.server.finish()
+    parts.server.stop_idle()
+    await listener.wait_closed()
     await parts.follower.stop()
     await parts.conns.close()
     await parts.store.close()
--- a/goldcresthaven/follower.py
+++ b/goldcresthaven/follower.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 
 from goldcresthaven import aio
+from goldcresthaven import clock as clock_module
 from goldcresthaven import dispatch
 from goldcresthaven import errors
 from goldcresthaven import ids
@@ -22,29 +23,32 @@
     """Polls the logs and the membership list; serves ``dispatch.Views``."""
 
     def __init__(
-        self, *, store: store_client.StoreClient, copy: replica.Replica
+        self,
+        *,
+        store: store_client.StoreClient,
+        copy: replica.Replica,
+        clock: clock_module.Clock,
     ) -> None:
         self._store = store
         self._copy = copy
+        self._clock = clock
+        self._next_refresh = timedelta()
         self._task: aio.Task | None = None
-        self._refreshing = False
 
     def current(self) -> dispatch.View | None:
         return self._copy.current()
 
     async def refresh(self, routed: routing.Routed, epoch: ids.Epoch) -> None:
-        """Read the map log now, unless another request just does so."""
-        if self._refreshing:
+        """Read the map log now, unless another request has just done so."""
+        now = self._clock.elapsed()
+        if now < self._next_refresh:
             await aio.sleep(REFRESH_INTERVAL)
             return
-        self._refreshing = True
+        self._next_refresh = now + REFRESH_INTERVAL
         try:
             await self._poll_map()
-            await aio.sleep(REFRESH_INTERVAL)
-        except errors.StoreUnavailable:
+        except errors.Error:
             return
-        finally:
-            self._refreshing = False
 
     async def start(self) -> None:
         self._task = await aio.spawn(self._run())
--- a/goldcresthaven/forwarding.py
+++ b/goldcresthaven/forwarding.py
@@ -4,6 +4,7 @@
 same memory whatever its size.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -51,7 +52,8 @@
     can be sent again; ``body_ended`` says that there is no more. ``body_lost``
     is set once a later part was read, after which no repeat is possible.
     ``relayed`` is set once part of a response went to the caller.
-    ``closing`` makes the response ask the caller to close the connection.
+    ``closing`` makes the response ask the caller to close the connection;
+    ``is_draining`` does so too, and can change while the call runs.
     """
 
     conn: http_io.CallerConn
@@ -62,8 +64,12 @@
     body_lost: bool = False
     relayed: bool = False
     closing: bool = False
+    is_draining: Callable[[], bool] = lambda: False
     body_bytes: int = 0
 
+    def ends_connection(self) -> bool:
+        return self.closing or self.is_draining()
+
     async def read_first(self) -> None:
         """Read up to 64 KiB of the body.
 
@@ -302,7 +308,7 @@
     added = list(own)
     if http_io.find(head.headers, 'transfer-encoding') is not None:
         added.append(('transfer-encoding', 'chunked'))
-    if call.closing:
+    if call.ends_connection():
         added.append(('connection', 'close'))
     return http_io.ResponseHead(status=head.status, headers=(*kept, *added))
 
--- a/goldcresthaven/http_io.py
+++ b/goldcresthaven/http_io.py
@@ -152,6 +152,10 @@
         """Return whether the other side closed, as far as is known."""
         return self.closed or aio.peek(self._sock) == b''
 
+    def has_input(self) -> bool:
+        """Return whether bytes have arrived that were not read yet."""
+        return bool(self._buf) or bool(aio.peek(self._sock))
+
     async def wait_for_byte(self) -> bool:
         """Wait until a message begins; False when the peer closed."""
         if self._buf:
@@ -357,6 +361,7 @@
     """The client side of a connection."""
 
     _role = h11.CLIENT
+    _method = ''
 
     def begin(self) -> None:
         """Prepare for the next exchange on this connection."""
@@ -364,6 +369,7 @@
 
     async def send_head(self, head: RequestHead, first: bytes = b'') -> None:
         """Send the head, together with the first piece of the body."""
+        self._method = head.method
         request = h11.Request(
             method=head.method,
             target=head.target,
@@ -420,7 +426,7 @@
     def _check_framing(self, event: h11.Response) -> None:
         names = {name for name, _ in event.headers}
         framed = names & {b'content-length', b'transfer-encoding'}
-        empty = event.status_code in (204, 304)
+        empty = event.status_code in (204, 304) or self._method == 'HEAD'
         if not framed and not empty:
             # The end of such a body is the end of the connection, so a
             # response cut short would look complete.
--- a/goldcresthaven/routing.py
+++ b/goldcresthaven/routing.py
@@ -14,6 +14,7 @@
 MAX_IDEMPOTENCY_KEY = 256
 
 _SEPARATOR = re.compile(r'[?#]')
+_SLASH = re.compile(r'[/\\]')
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -109,7 +110,9 @@
     servers decode before they resolve.
     """
     parts = (
-        part for s in segments for part in urllib.parse.unquote(s).split('/')
+        part
+        for segment in segments
+        for part in _SLASH.split(urllib.parse.unquote(segment))
     )
     return any(part in ('.', '..') for part in parts)
 
--- a/goldcresthaven/store_client.py
+++ b/goldcresthaven/store_client.py
@@ -66,7 +66,10 @@
         detail = 'no answer'
         while self._clock.elapsed() < stop:
             try:
-                status, data = await self._call('POST', '/v1/transact', body)
+                left = stop - self._clock.elapsed()
+                status, data = await self._call(
+                    'POST', '/v1/transact', body, min(left, self._timeout)
+                )
             except errors.ConnectionFailed as exc:
                 detail = str(exc)
             except errors.StoreUnavailable as exc:
@@ -121,12 +124,12 @@
         self, method: str, path: str, body: bytes = b''
     ) -> tuple[int, bytes]:
         try:
-            return await self._call(method, path, body)
+            return await self._call(method, path, body, self._timeout)
         except errors.ConnectionFailed as exc:
             raise _unavailable(str(exc)) from exc
 
     async def _call(
-        self, method: str, path: str, body: bytes
+        self, method: str, path: str, body: bytes, limit: timedelta
     ) -> tuple[int, bytes]:
         """Exchange one request.
 
@@ -143,7 +146,7 @@
             ),
         )
         try:
-            async with aio.timeout(self._timeout):
+            async with aio.timeout(limit):
                 response, data = await http_io.fetch(
                     conn, head, body, limit=MAX_RESPONSE_BYTES
                 )
--- /dev/null
+++ b/tests/rig.py
@@ -0,0 +1,312 @@
+"""An entry's request path in this process, with scripted upstreams.
+
+Everything runs in one kernel over loopback sockets.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Coroutine
+from dataclasses import dataclass
+from dataclasses import field
+from datetime import timedelta
+from typing import Any
+
+from goldcresthaven import aio
+from goldcresthaven import caller_server
+from goldcresthaven import clock as clock_module
+from goldcresthaven import dedup
+from goldcresthaven import dispatch
+from goldcresthaven import forwarding
+from goldcresthaven import ids
+from goldcresthaven import members
+from goldcresthaven import presets
+from goldcresthaven import routing
+from goldcresthaven import shards
+from goldcresthaven import tables
+from goldcresthaven import upstream_pool
+from tools import http_client
+
+HOST = '127.0.0.1'
+TEST_LIMIT = timedelta(seconds=30)
+CHECKS = 500
+CHECK_PAUSE = timedelta(milliseconds=10)
+
+Script = Callable[[aio.Socket], Coroutine[Any, Any, None]]
+
+KEYED = ids.PoolName('keyed')
+FREE = ids.PoolName('free')
+STORED = ids.PoolName('stored')
+
+
+_listeners: list[aio.Listener] = []
+_pools: list[upstream_pool.UpstreamPool] = []
+
+
+async def listen(handler: Script) -> aio.Listener:
+    """Listen until the test ends."""
+    listener = aio.Listener(host=HOST, port=0, handler=handler)
+    await listener.start()
+    _listeners.append(listener)
+    return listener
+
+
+def run(test: Callable[[], Awaitable[None]]) -> None:
+    """Run an async test with a limit on its duration."""
+
+    async def limited() -> None:
+        try:
+            async with aio.timeout(TEST_LIMIT):
+                await test()
+        finally:
+            while _listeners:
+                await _listeners.pop().stop()
+            while _pools:
+                await _pools.pop().close()
+
+    aio.run(limited)
+
+
+async def wait_for(condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds; fails after a bounded number of checks."""
+    for _ in range(CHECKS):
+        if condition():
+            return
+        await aio.sleep(CHECK_PAUSE)
+    raise AssertionError('the condition did not become true')
+
+
+def make_document(deadline: str = '2s') -> presets.Document:
+    rank = {'target': '500ms', 'deadline': deadline, 'floor': 0.3}
+    raw = {
+        'pools': [
+            {'name': KEYED, 'keyed': True, 'slots': 4, 'connections': 8},
+            {
+                'name': FREE,
+                'keyed': False,
+                'slots': 4,
+                'connections': 8,
+                'dedup': 'none',
+            },
+            {
+                'name': STORED,
+                'keyed': False,
+                'slots': 4,
+                'connections': 8,
+                'dedup': 'store',
+            },
+        ],
+        'routes': [
+            {
+                'prefix': '/keyed/',
+                'pool': KEYED,
+                'rank': 'standard',
+                'key_segment': 1,
+                'idempotent': True,
+            },
+            {
+                'prefix': '/pay/',
+                'pool': FREE,
+                'rank': 'urgent',
+                'idempotent': False,
+            },
+            {
+                'prefix': '/book/',
+                'pool': STORED,
+                'rank': 'urgent',
+                'idempotent': False,
+            },
+            {
+                'prefix': '/free/',
+                'pool': FREE,
+                'rank': 'bulk',
+                'idempotent': True,
+            },
+        ],
+        'presets': [
+            {'name': 'ordinary', 'urgent': rank, 'standard': rank}
+            | {'bulk': rank}
+        ],
+        'in_force': 'ordinary',
+    }
+    return presets.Document.model_validate(raw)
+
+
+@dataclass(kw_only=True)
+class FixedViews:
+    """A view that only the test changes."""
+
+    view: dispatch.View | None
+    on_refresh: Callable[[], None] = lambda: None
+
+    def current(self) -> dispatch.View | None:
+        return self.view
+
+    async def refresh(self, routed: routing.Routed, epoch: ids.Epoch) -> None:
+        self.on_refresh()
+
+
+@dataclass(kw_only=True)
+class NoStore:
+    """A store that never answers."""
+
+    async def transact(
+        self, txn: tables.Transaction, *, limit: timedelta
+    ) -> tables.Result:
+        return tables.Ambiguous(detail='no store')
+
+
+@dataclass(kw_only=True)
+class Scripted:
+    """An upstream that runs one script for each connection."""
+
+    listener: aio.Listener
+    connections: int = 0
+    received: list[bytes] = field(default_factory=list)
+
+    @property
+    def address(self) -> members.Address:
+        return members.Address(host=HOST, port=self.listener.port)
+
+
+async def start_scripted(
+    script: Callable[[Scripted, aio.Socket], Coroutine[Any, Any, None]],
+) -> Scripted:
+    async def handle(sock: aio.Socket) -> None:
+        upstream.connections += 1
+        await script(upstream, sock)
+
+    upstream = Scripted(listener=await listen(handle))
+    return upstream
+
+
+async def read_head(upstream: Scripted, sock: aio.Socket) -> bytes:
+    """Read from a caller until a blank line and keep what was read."""
+    data = b''
+    while b'\r\n\r\n' not in data:
+        piece = await sock.recv(65536)
+        if not piece:
+            break
+        data += piece
+    upstream.received.append(data)
+    return data
+
+
+def answering(*responses: bytes, close: bool = True) -> Any:
+    """Return a script that answers each request with the next response."""
+
+    async def script(upstream: Scripted, sock: aio.Socket) -> None:
+        for response in responses:
+            if not await read_head(upstream, sock):
+                return
+            await sock.sendall(response)
+        while not close and await sock.recv(65536):
+            pass
+
+    return script
+
+
+@dataclass(kw_only=True)
+class Rig:
+    """A running request path."""
+
+    server: caller_server.CallerServer
+    listener: aio.Listener
+    views: FixedViews
+    conns: upstream_pool.UpstreamPool
+
+    @property
+    def address(self) -> members.Address:
+        return members.Address(host=HOST, port=self.listener.port)
+
+    async def ask(
+        self, method: str, target: str, **more: Any
+    ) -> http_client.Answer:
+        return await http_client.ask_once(self.address, method, target, **more)
+
+    async def raw(self, data: bytes) -> bytes:
+        """Send bytes and return everything until the connection closes."""
+        sock = await aio.connect(HOST, self.listener.port)
+        await sock.sendall(data)
+        return await read_all(sock)
+
+
+async def read_all(sock: aio.Socket) -> bytes:
+    parts = []
+    try:
+        while piece := await sock.recv(65536):
+            parts.append(piece)
+    except OSError:
+        pass
+    await sock.close()
+    return b''.join(parts)
+
+
+async def start(
+    upstreams: dict[str, members.Address],
+    *,
+    deadline: str = '2s',
+    store: dedup.Store | None = None,
+    conns: upstream_pool.UpstreamPool | None = None,
+) -> Rig:
+    """Start a request path; keys of 'keyed' belong to the first upstream."""
+    clock = clock_module.SystemClock()
+    views = FixedViews(view=make_view(upstreams, deadline))
+    conns = conns or upstream_pool.UpstreamPool()
+    _pools.append(conns)
+    server = caller_server.CallerServer(
+        views=views,
+        gate=dispatch.LocalGate(views=views, clock=clock),
+        records=dedup.Records(store=store or NoStore()),
+        forwarder=forwarding.Forwarder(conns=conns, clock=clock),
+        clock=clock,
+    )
+    listener = await listen(server.serve)
+    return Rig(server=server, listener=listener, views=views, conns=conns)
+
+
+def make_view(
+    upstreams: dict[str, members.Address], deadline: str = '2s'
+) -> dispatch.View:
+    names = list(upstreams)
+    owner = ids.UpstreamId(names[0]) if names else None
+    whole = shards.Shard(
+        shard_id=ids.ShardId('keyed/0'),
+        pool=KEYED,
+        low=0,
+        high=shards.HASH_SPACE,
+        owner=owner,
+    )
+    change = shards.MapChange(
+        version=ids.MapVersion(1), txn=ids.TxnId('t'), shards=(whole,)
+    )
+    listed = {}
+    for name, address in upstreams.items():
+        pool, _, _ = name.partition('-')
+        listed[ids.UpstreamId(name)] = members.Member(
+            vm=ids.VmId(name),
+            zone=ids.ZoneId('a'),
+            role=members.Role.UPSTREAM,
+            state=members.MemberState.LIVE,
+            address=address,
+            pool=ids.PoolName(pool),
+        )
+    return dispatch.View(
+        config_version=ids.ConfigVersion(1),
+        document=make_document(deadline),
+        shard_map=shards.ShardMap().apply(change),
+        upstreams=listed,
+    )
+
+
+def done(body: bytes, *extra: bytes) -> bytes:
+    """Return a complete response of an upstream."""
+    lines = [b'HTTP/1.1 200 OK', b'Content-Length: %d' % len(body), *extra]
+    return b'\r\n'.join(lines) + b'\r\n\r\n' + body
+
+
+def reason_of(response: bytes) -> str | None:
+    """Return X-Reason from the bytes of a response."""
+    for line in response.split(b'\r\n'):
+        if line.lower().startswith(b'x-reason:'):
+            return line.split(b':', 1)[1].strip().decode()
+    return None
--- /dev/null
+++ b/tests/test_caller_server.py
@@ -0,0 +1,450 @@
+"""Tests of the request path against hostile and failing counterparts."""
+
+from datetime import timedelta
+import unittest
+from unittest import mock
+
+from goldcresthaven import aio
+from goldcresthaven import errors
+from goldcresthaven import http_io
+from goldcresthaven import members
+from tests import rig
+from tools import http_client
+
+DEAD = members.Address(host=rig.HOST, port=1)
+GET = b'GET /free/x HTTP/1.1\r\nHost: a\r\n'
+POST = b'POST /free/x HTTP/1.1\r\nHost: a\r\n'
+
+# (what is wrong, the request, the expected status)
+MALFORMED = (
+    (
+        'both length and coding',
+        POST + b'Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n',
+        400,
+    ),
+    (
+        'two different lengths',
+        POST + b'Content-Length: 4\r\nContent-Length: 5\r\n\r\n',
+        400,
+    ),
+    (
+        'the same length twice',
+        POST + b'Content-Length: 4\r\ncontent-length: 4\r\n\r\nabcd',
+        400,
+    ),
+    ('a list of lengths', POST + b'Content-Length: 4, 4\r\n\r\nabcd', 400),
+    ('a signed length', POST + b'Content-Length: +4\r\n\r\nabcd', 400),
+    ('two hosts', GET + b'Host: b\r\n\r\n', 400),
+    ('no host', b'GET /free/x HTTP/1.1\r\n\r\n', 400),
+    ('bare line feeds', b'GET /free/x HTTP/1.1\nHost: a\n\r\n\r\n', 400),
+    ('a folded header', GET + b'X: a\r\n b\r\n\r\n', 400),
+    ('a space before the colon', GET + b'X : a\r\n\r\n', 400),
+    ('a null byte', GET + b'X: \0\r\n\r\n', 400),
+    (
+        'another coding',
+        POST + b'Transfer-Encoding: gzip, chunked\r\n\r\n',
+        501,
+    ),
+    (
+        'two codings',
+        POST + b'Transfer-Encoding: chunked\r\nTransfer-Encoding: x\r\n\r\n',
+        400,
+    ),
+    (
+        'a malformed chunk',
+        POST + b'Transfer-Encoding: chunked\r\n\r\nzz\r\n',
+        400,
+    ),
+    ('no request', b'\x16\x03\x01\x02\x00\r\n\r\n', 400),
+    ('HTTP/1.0', b'GET /free/x HTTP/1.0\r\nHost: a\r\n\r\n', 505),
+    ('a long head', GET + b'X: ' + b'a' * (33 << 10) + b'\r\n\r\n', 431),
+    ('an endless head', GET + b'X: ' + b'a' * (40 << 10), 431),
+    ('a long body', POST + b'Content-Length: 999999999999\r\n\r\n', 413),
+    ('a tunnel', b'CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n', 405),
+    (
+        'two deadlines',
+        GET + b'X-Deadline-Ms: 1\r\nX-Deadline-Ms: 2\r\n\r\n',
+        400,
+    ),
+)
+
+# (what is wrong, the response, the expected status, the expected reason)
+BAD_RESPONSES = (
+    ('nothing', b'', 502, 'connection-lost'),
+    ('half a head', b'HTTP/1.1 200 OK\r\nContent-', 502, 'connection-lost'),
+    ('no HTTP', b'hello\r\n\r\n', 502, 'bad-response'),
+    (
+        'both length and coding',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n',
+        502,
+        'bad-response',
+    ),
+    (
+        'two lengths',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n',
+        502,
+        'bad-response',
+    ),
+    ('no length', b'HTTP/1.1 200 OK\r\n\r\nabc', 502, 'bad-response'),
+    (
+        'a long head',
+        b'HTTP/1.1 200 OK\r\nX: ' + b'a' * (33 << 10) + b'\r\n\r\n',
+        502,
+        'bad-response',
+    ),
+    (
+        'endless interim responses',
+        b'HTTP/1.1 102 P\r\n\r\n' * 20,
+        502,
+        'bad-response',
+    ),
+    (
+        'the response to another request',
+        rig.done(b'secret', b'X-Request-Id: other'),
+        502,
+        'bad-response',
+    ),
+)
+
+TRUNCATED = (
+    b'HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nabc',
+    b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n',
+    b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nzz',
+)
+
+
+class CallerSideTest(unittest.TestCase):
+    def test_malformed_requests_are_refused(self) -> None:
+        """Guards against request smuggling and unbounded input."""
+
+        async def test() -> None:
+            upstream = await rig.start_scripted(rig.answering(rig.done(b'')))
+            path = await rig.start({'free-a': upstream.address})
+            for name, request, status in MALFORMED:
+                with self.subTest(name):
+                    answer = await path.raw(request)
+                    first = answer.split(b'\r\n', 1)[0]
+                    self.assertIn(b' %d ' % status, first)
+                    self.assertIn(b'x-outcome: not-run', answer)
+                    self.assertIn(b'x-request-id: ', answer)
+            self.assertEqual(0, upstream.connections)
+
+        rig.run(test)
+
+    def test_slow_senders_time_out(self) -> None:
+        """Guards against callers that hold a connection with few bytes."""
+
+        async def test() -> None:
+            path = await rig.start({'free-a': DEAD})
+            for part in (b'GET /fr', POST + b'Content-Length: 5\r\n\r\nab'):
+                answer = await path.raw(part)
+                self.assertIn(b'HTTP/1.1 408 ', answer)
+                self.assertIn(b'x-outcome: not-run', answer)
+
+        short = timedelta(milliseconds=50)
+        with (
+            mock.patch.object(http_io, 'HEAD_TIMEOUT', short),
+            mock.patch.object(http_io, 'BODY_PIECE_TIMEOUT', short),
+        ):
+            rig.run(test)
+
+    def test_truncated_request_reaches_no_upstream(self) -> None:
+        """Guards against running a request whose body never arrived."""
+
+        async def test() -> None:
+            upstream = await rig.start_scripted(rig.answering(rig.done(b'')))
+            path = await rig.start({'free-a': upstream.address})
+            sock = await aio.connect(rig.HOST, path.address.port)
+            await sock.sendall(POST + b'Content-Length: 9\r\n\r\nabc')
+            await sock.close()
+            await rig.wait_for(lambda: path.server.connections == 0)
+            self.assertEqual(0, upstream.connections)
+
+        rig.run(test)
+
+    def test_pipelined_requests_get_their_own_answers(self) -> None:
+        """Guards against answers in another order than the requests."""
+
+        async def test() -> None:
+            upstream = await rig.start_scripted(
+                rig.answering(rig.done(b'first'), rig.done(b'second'))
+            )
+            path = await rig.start({'free-a': upstream.address})
+            last = GET + b'Connection: close\r\n\r\n'
+            answer = await path.raw(GET + b'\r\n' + last)
+            self.assertLess(answer.index(b'first'), answer.index(b'second'))
+            self.assertEqual(2, answer.count(b'x-outcome: done'))
+            self.assertEqual(1, upstream.connections)
+
+        rig.run(test)
+
+    def test_hop_and_own_headers_are_not_passed_on(self) -> None:
+        """Guards against callers who choose their shard or framing."""
+
+        async def test() -> None:
+            upstream = await rig.start_scripted(rig.answering(rig.done(b'')))
+            path = await rig.start({'keyed-a': upstream.address})
+            sent = (
+                ('connection', 'x-secret'),
+                ('x-secret', '1'),
+                ('x-shard', 'keyed/7'),
+                ('x-deadline-ms', '700'),
+            )
+            await path.ask('GET', '/keyed/k', headers=sent)
+            head = upstream.received[0].lower()
+            self.assertNotIn(b'x-secret', head)
+            self.assertIn(b'x-shard: keyed/0\r\n', head)
+            self.assertNotIn(b'keyed/7', head)
+            left = int(head.split(b'x-deadline-ms: ')[1].split(b'\r\n')[0])
+            self.assertLessEqual(left, 700)
+
+        rig.run(test)
+
+    def test_caller_that_leaves_ends_an_idempotent_exchange(self) -> None:
+        """Guards against work for callers who have disconnected."""
+
+        async def test() -> None:
+            closed = aio.Event()
+
+            async def script(upstream: rig.Scripted, sock: aio.Socket) -> None:
+                await rig.read_head(upstream, sock)
+                if not await sock.recv(1):
+                    await closed.set()
+
+            upstream = await rig.start_scripted(script)
+            path = await rig.start({'free-a': upstream.address})
+            sock = await aio.connect(rig.HOST, path.address.port)
+            await sock.sendall(GET + b'\r\n')
+            await rig.wait_for(lambda: bool(upstream.received))
+            await sock.close()
+            await closed.wait()
+            await rig.wait_for(lambda: path.server.connections == 0)
+            self.assertEqual(0, path.conns.open_count(upstream.address))
+
+        rig.run(test)
+
+
+class UpstreamSideTest(unittest.TestCase):
+    def test_bad_responses_are_unknown(self) -> None:
+        """Guards against taking a broken response for a complete one."""
+
+        async def test() -> None:
+            for name, response, status, reason in BAD_RESPONSES:
+                upstream = await rig.start_scripted(rig.answering(response))
+                path = await rig.start({'free-a': upstream.address})
+                headers = (('idempotency-key', name),)
+                with self.subTest(name):
+                    answer = await path.ask('POST', '/pay/', headers=headers)
+                    self.assertEqual(status, answer.status)
+                    self.assertEqual('unknown', answer.outcome)
+                    self.assertEqual(reason, answer.reason)
+                    self.assertEqual(1, upstream.connections)
+                    self.assertNotIn(b'secret', answer.body)
+
+        rig.run(test)
+
+    def test_truncated_response_looks_truncated(self) -> None:
+        """Guards against a short response that the caller takes as whole."""
+
+        async def test() -> None:
+            for response in TRUNCATED:
+                upstream = await rig.start_scripted(rig.answering(response))
+                path = await rig.start({'free-a': upstream.address})
+                with self.subTest(response):
+                    with self.assertRaises(errors.ConnectionLost):
+                        await path.ask('GET', '/free/x')
+
+        rig.run(test)
+
+    def test_late_response_is_given_to_nobody(self) -> None:
+        """Guards against reuse of a connection after a timeout."""
+
+        async def test() -> None:
+            async def script(upstream: rig.Scripted, sock: aio.Socket) -> None:
+                first = upstream.connections == 1
+                await rig.read_head(upstream, sock)
+                if first:
+                    await aio.sleep(timedelta(milliseconds=200))
+                await sock.sendall(rig.done(b'late' if first else b'own'))
+                await sock.recv(65536)
+
+            upstream = await rig.start_scripted(script)
+            path = await rig.start({'free-a': upstream.address})
+            limit = (('x-deadline-ms', '60'),)
+            late = await path.ask('GET', '/free/1', headers=limit)
+            self.assertEqual(504, late.status)
+            self.assertEqual('unknown', late.outcome)
+            own = await path.ask('GET', '/free/2')
+            self.assertEqual(b'own', own.body)
+
+        rig.run(test)
+
+    def test_bytes_between_exchanges_end_reuse(self) -> None:
+        """Guards against a second response taken for the next answer."""
+
+        async def test() -> None:
+            async def script(upstream: rig.Scripted, sock: aio.Socket) -> None:
+                await rig.read_head(upstream, sock)
+                await sock.sendall(rig.done(b'one') + rig.done(b'two'))
+                await sock.recv(65536)
+
+            upstream = await rig.start_scripted(script)
+            path = await rig.start({'free-a': upstream.address})
+            for _ in range(3):
+                answer = await path.ask('GET', '/free/x')
+                self.assertEqual(b'one', answer.body)
+            self.assertEqual(3, upstream.connections)
+
+        rig.run(test)
+
+    def test_refusal_is_proof_and_is_repeated_elsewhere(self) -> None:
+        """Guards against refused payments that nobody runs, or runs twice."""
+
+        async def test() -> None:
+            refusal = (
+                b'HTTP/1.1 503 Busy\r\nX-Outcome: not-run\r\n'
+                b'X-Reason: queue-full\r\nContent-Length: 0\r\n\r\n'
+            )
+            busy = await rig.start_scripted(rig.answering(refusal))
+            free = await rig.start_scripted(rig.answering(rig.done(b'ok')))
+            path = await rig.start(
+                {'free-a': busy.address, 'free-b': free.address}
+            )
+            key = (('idempotency-key', 'k'),)
+            answer = await path.ask('POST', '/pay/', headers=key)
+            self.assertEqual('done', answer.outcome)
+            self.assertEqual(1, len(free.received))
+
+        rig.run(test)
+
+    def test_payment_is_sent_once_after_a_timeout(self) -> None:
+        """Guards against a payment repeated without proof."""
+
+        async def test() -> None:
+            upstream = await rig.start_scripted(rig.answering(close=False))
+            path = await rig.start({'free-a': upstream.address})
+            headers = (('idempotency-key', 'k'), ('x-deadline-ms', '80'))
+            answer = await path.ask('POST', '/pay/', headers=headers)
+            self.assertEqual((504, 'unknown'), (answer.status, answer.outcome))
+            self.assertEqual(1, upstream.connections)
+            again = await path.ask('POST', '/pay/', headers=headers)
+            self.assertEqual((409, 'unknown'), (again.status, again.outcome))
+            self.assertEqual('already-sent', again.reason)
+
+        rig.run(test)
+
+    def test_unreachable_upstream_is_not_run(self) -> None:
+        """Guards against "unknown" for a request that was never sent."""
+
+        async def test() -> None:
+            path = await rig.start({'free-a': DEAD})
+            key = (('idempotency-key', 'k'),)
+            for _ in range(2):
+                answer = await path.ask('POST', '/pay/', headers=key)
+                self.assertEqual('not-run', answer.outcome)
+                self.assertEqual('connect-failed', answer.reason)
+                self.assertIsNotNone(
+                    http_io.find(answer.headers, 'retry-after')
+                )
+
+        rig.run(test)
+
+    def test_new_owner_is_asked_after_421(self) -> None:
+        """Guards against a stale map that refuses or repeats requests."""
+
+        async def test() -> None:
+            refusal = (
+                b'HTTP/1.1 421 Not owner\r\nX-Owner-Epoch: 4\r\n'
+                b'Content-Length: 0\r\n\r\n'
+            )
+            old = await rig.start_scripted(rig.answering(refusal))
+            new = await rig.start_scripted(rig.answering(rig.done(b'new')))
+            path = await rig.start({'keyed-a': old.address})
+            both = {'keyed-b': new.address, 'keyed-a': old.address}
+
+            def move() -> None:
+                path.views.view = rig.make_view(both)
+
+            path.views.on_refresh = move
+            answer = await path.ask('GET', '/keyed/k')
+            self.assertEqual(b'new', answer.body)
+            self.assertEqual(1, len(old.received))
+
+        rig.run(test)
+
+
+class OwnAnswersTest(unittest.TestCase):
+    def test_typed_answers(self) -> None:
+        """Guards against responses without outcome, reason or id."""
+        cases = (
+            ('GET', '/nowhere', 404, 'no-route'),
+            ('GET', '/keyed/', 400, 'key-missing'),
+            ('GET', '/free/../pay/', 400, 'bad-request'),
+            ('GET', '/free/%2e%2e/pay/', 400, 'bad-request'),
+            ('GET', '*', 400, 'bad-request'),
+            ('POST', '/pay/', 400, 'idempotency-key-missing'),
+            ('GET', '/keyed/k', 503, 'no-owner'),
+            ('GET', '/free/x', 503, 'no-upstream'),
+            ('GET', '/health', 200, 'ok'),
+            ('GET', '/ready', 200, 'ok'),
+        )
+
+        async def test() -> None:
+            path = await rig.start({})
+            caller = http_client.Caller(path.address)
+            for method, target, status, reason in cases:
+                with self.subTest(target):
+                    answer = await caller.ask(method, target)
+                    self.assertEqual(status, answer.status)
+                    self.assertEqual(reason, answer.reason)
+                    self.assertIsNotNone(answer.outcome)
+                    self.assertIsNotNone(
+                        http_io.find(answer.headers, 'x-request-id')
+                    )
+            await caller.close()
+
+        rig.run(test)
+
+    def test_not_ready_without_configuration(self) -> None:
+        """Guards against serving under no or an old configuration."""
+
+        async def test() -> None:
+            path = await rig.start({})
+            path.views.view = None
+            ready = await path.ask('GET', '/ready')
+            self.assertEqual(503, ready.status)
+            answer = await path.ask('GET', '/free/x')
+            self.assertEqual('not-ready', answer.reason)
+
+        rig.run(test)
+
+    def test_stop_finishes_what_was_accepted(self) -> None:
+        """Guards against a shutdown that cuts off requests in flight."""
+
+        async def test() -> None:
+            release = aio.Event()
+
+            async def script(upstream: rig.Scripted, sock: aio.Socket) -> None:
+                await rig.read_head(upstream, sock)
+                await release.wait()
+                await sock.sendall(rig.done(b'whole'))
+
+            upstream = await rig.start_scripted(script)
+            path = await rig.start({'free-a': upstream.address})
+            running = await aio.spawn(path.ask('GET', '/free/x'))
+            await rig.wait_for(lambda: bool(upstream.received))
+            path.server.drain()
+            ready = await path.ask('GET', '/ready')
+            self.assertEqual(503, ready.status)
+            await path.listener.stop()
+            path.server.stop_idle()
+            self.assertEqual(1, path.server.in_flight)
+            await release.set()
+            await path.listener.wait_closed()
+            answer = await running.join()
+            self.assertEqual(b'whole', answer.body)
+            connection = http_io.find(answer.headers, 'connection')
+            self.assertEqual('close', connection)
+
+        rig.run(test)
--- /dev/null
+++ b/tests/test_retries.py
@@ -0,0 +1,138 @@
+"""Tests of the proofs behind the three outcomes, and of retries."""
+
+from datetime import timedelta
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from goldcresthaven import ids
+from goldcresthaven import outcomes
+from goldcresthaven import retries
+
+UP = ids.UpstreamId('u')
+F = retries.Failure
+R = outcomes.Reason
+
+# (failure, bytes written, status, X-Outcome, result, reason)
+CASES = (
+    (None, 10, 200, None, outcomes.Done, None),
+    (None, 10, 500, None, outcomes.Done, None),
+    (None, 10, 503, None, outcomes.Done, None),
+    (None, 10, 503, 'unknown', outcomes.Done, None),
+    (None, 10, 409, 'not-run', outcomes.Done, None),
+    (None, 10, 503, 'not-run', outcomes.NotRun, R.SHED),
+    (None, 10, 421, None, outcomes.NotRun, R.NOT_OWNER),
+    (F.TRUNCATED, 10, 421, None, outcomes.NotRun, R.NOT_OWNER),
+    (F.CONNECT, 0, None, None, outcomes.NotRun, R.CONNECT_FAILED),
+    (F.LOST, 0, None, None, outcomes.NotRun, R.CONNECT_FAILED),
+    (F.DEADLINE, 0, None, None, outcomes.NotRun, R.DEADLINE_PASSED),
+    (F.CALLER_GONE, 0, None, None, outcomes.NotRun, R.CALLER_GONE),
+    (F.BAD_BODY, 0, None, None, outcomes.NotRun, R.BAD_REQUEST),
+    (F.LOST, 1, None, None, outcomes.Unknown, R.CONNECTION_LOST),
+    (F.DEADLINE, 1, None, None, outcomes.Unknown, R.TIMEOUT),
+    (F.MALFORMED, 1, None, None, outcomes.Unknown, R.BAD_RESPONSE),
+    (F.TRUNCATED, 1, 200, None, outcomes.Unknown, R.TRUNCATED),
+    (F.CALLER_GONE, 1, None, None, outcomes.Unknown, R.CALLER_GONE),
+    (F.BAD_BODY, 1, None, None, outcomes.Unknown, R.BAD_REQUEST),
+)
+
+
+def make(
+    failure: F | None,
+    written: int,
+    status: int | None = None,
+    x_outcome: str | None = None,
+) -> retries.Attempt:
+    return retries.Attempt(
+        upstream=UP,
+        bytes_written=written,
+        status=status,
+        x_outcome=x_outcome,
+        failure=failure,
+    )
+
+
+def situation(
+    idempotent: bool, *, replayable: bool = True, attempts: int = 1
+) -> retries.Situation:
+    return retries.Situation(
+        idempotent=idempotent,
+        replayable=replayable,
+        attempts=attempts,
+        remaining=timedelta(seconds=1),
+    )
+
+
+class ClassifyTest(unittest.TestCase):
+    def test_table(self) -> None:
+        """Guards against a timeout or reset taken for a proof."""
+        for failure, written, status, x_outcome, kind, reason in CASES:
+            with self.subTest(failure=failure, status=status):
+                attempt = make(failure, written, status, x_outcome)
+                result = retries.classify(attempt)
+                self.assertIsInstance(result, kind)
+                found = getattr(result, 'reason', None)
+                self.assertEqual(reason, found)
+
+    @given(
+        st.sampled_from([f for f in F if f is not F.CONNECT]),
+        st.integers(min_value=1, max_value=1 << 20),
+        st.one_of(st.none(), st.integers(min_value=100, max_value=599)),
+    )
+    def test_sent_without_refusal_is_never_not_run(
+        self, failure: F, written: int, status: int | None
+    ) -> None:
+        """Guards against "not run" for a request that may have run."""
+        result = retries.classify(make(failure, written, status))
+        if status != 421:
+            self.assertIsInstance(result, outcomes.Unknown)
+
+    def test_refused_repeat_does_not_clear_a_doubt(self) -> None:
+        """Guards against "not run" after an earlier unknown attempt."""
+        earlier = [make(F.LOST, 5)]
+        last = outcomes.NotRun(reason=R.NO_UPSTREAM)
+        self.assertIsInstance(retries.final(earlier, last), outcomes.Unknown)
+        refused = [make(None, 5, 421)]
+        self.assertIs(last, retries.final(refused, last))
+
+
+class RetryTest(unittest.TestCase):
+    def test_non_idempotent_work_needs_a_proof(self) -> None:
+        """Guards against a second payment."""
+        for failure, written, status, x_outcome, kind, _ in CASES:
+            attempt = make(failure, written, status, x_outcome)
+            allowed = retries.may_retry(
+                attempt, situation(False), retries.RetryBudget()
+            )
+            if allowed:
+                self.assertIs(kind, outcomes.NotRun)
+
+    def test_what_ends_retries(self) -> None:
+        """Guards against endless, late or partial repeats."""
+        lost = make(F.LOST, 1)
+        cases = (
+            (lost, situation(True), True),
+            (lost, situation(False), False),
+            (lost, situation(True, replayable=False), False),
+            (lost, situation(True, attempts=3), False),
+            (make(F.DEADLINE, 1), situation(True), False),
+            (make(F.CALLER_GONE, 1), situation(True), False),
+            (make(None, 1, 500), situation(True), False),
+        )
+        for attempt, where, expected in cases:
+            with self.subTest(attempt=attempt, where=where):
+                budget = retries.RetryBudget()
+                found = retries.may_retry(attempt, where, budget)
+                self.assertEqual(expected, found)
+
+    @given(st.integers(min_value=0, max_value=2000))
+    def test_budget_limits_the_share_of_retries(self, requests: int) -> None:
+        """Guards against retries that multiply an overload."""
+        budget = retries.RetryBudget(tokens=10.0)
+        spent = 0
+        for _ in range(requests):
+            budget.earn(0.1)
+            while budget.spend():
+                spent += 1
+        self.assertLessEqual(spent, 10 + requests * 0.1)
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,68 @@
+"""Tests of the way from a request to its owner."""
+
+from datetime import timedelta
+import unittest
+
+from goldcresthaven import ids
+from goldcresthaven import members
+from goldcresthaven import outcomes
+from goldcresthaven import routing
+from tests import rig
+
+VIEW = rig.make_view({'keyed-a': members.Address(host='h', port=1)})
+NOW = timedelta(seconds=100)
+
+
+def ask(
+    target: str, deadline_ms: str | None = None
+) -> routing.Routed | outcomes.NotRun:
+    return routing.route(
+        routing.Ask(
+            method='GET',
+            target=target,
+            deadline_ms=deadline_ms,
+            idempotency_key='k',
+        ),
+        request_id=ids.RequestId('r'),
+        document=VIEW.document,
+        shard_map=VIEW.shard_map,
+        arrived=NOW,
+    )
+
+
+class RoutingTest(unittest.TestCase):
+    def test_spellings_of_a_key_have_one_owner(self) -> None:
+        """Guards against two owners of one key through encoding."""
+        found = set()
+        for target in ('/keyed/oak', '/keyed/%6Fak', '/keyed/oak/x?a=b'):
+            routed = ask(target)
+            assert isinstance(routed, routing.Routed)
+            found.add((routed.key, routed.key_hash, routed.owner))
+        self.assertEqual(1, len(found))
+
+    def test_deadline_is_the_shorter_one(self) -> None:
+        """Guards against callers who extend the preset's deadline."""
+        cases = ((None, 2000), ('5', 5), ('999999999999', 2000), ('0', 0))
+        for text, expected in cases:
+            routed = ask('/free/x', text)
+            assert isinstance(routed, routing.Routed)
+            left = routed.deadline - NOW
+            self.assertEqual(timedelta(milliseconds=expected), left)
+
+    def test_odd_deadlines_and_paths_are_refused(self) -> None:
+        """Guards against requests that mean something else upstream."""
+        cases = (
+            ('/free/x', '-1'),
+            ('/free/x', '1.5'),
+            ('/free/x', '\u0661'),
+            ('/free/x', ''),
+            ('/keyed/../pay/x', None),
+            ('/keyed/a%2f..%2fb', None),
+            ('/keyed/..%5cb', None),
+            ('http://other/free/x', None),
+        )
+        for target, deadline in cases:
+            with self.subTest(target=target, deadline=deadline):
+                result = ask(target, deadline)
+                assert isinstance(result, outcomes.NotRun)
+                self.assertEqual(400, result.status)
