Send SIGTERM once to each process of the local fleet

Cause: the launcher terminated all processes and then each of them again; the second signal could arrive after the interpreter had reset its signal handlers. Ruled out: a missing handler, since a process stopped alone ended with 0.

--- a/tools/processes.py
+++ b/tools/processes.py
@@ -31,15 +31,26 @@
     name: str
     popen: subprocess.Popen[bytes]
     hello: Mapping[str, Any]
+    _terminated: bool = False
 
     def send(self, number: signal.Signals) -> None:
         self.popen.send_signal(number)
 
+    def terminate(self) -> None:
+        """Send SIGTERM, once.
+
+        A second SIGTERM while the interpreter shuts down, after it has
+        reset its signal handlers, would end the process with -15.
+        """
+        if self._terminated or self.popen.poll() is not None:
+            return
+        self._terminated = True
+        self.popen.send_signal(signal.SIGCONT)
+        self.popen.terminate()
+
     def stop(self) -> int:
         """End the process with SIGTERM; return its exit code."""
-        if self.popen.poll() is None:
-            self.popen.send_signal(signal.SIGCONT)
-            self.popen.terminate()
+        self.terminate()
         try:
             code = self.popen.wait(STOP_SECONDS)
         except subprocess.TimeoutExpired:
