Check settings files, configuration changes and operator calls

The operator needs every fault of a file at once, with its line and what to do. The data models accept every document that the program can run with, so that a row of an older release stays readable; the stricter contradictions are in config_checks and refuse a new document only.

A pydantic validator on the whole document was ruled out for contradictions: it runs only when every field is valid and has no line.

--- /dev/null
+++ b/goldcresthaven/operator_views.py
@@ -0,0 +1,307 @@
+"""What a process tells the operator, as data classes.
+
+The entry process fills them in, ``operator_api`` sends them as JSON, and
+the command line reads them back. Times are UTC; durations are in
+milliseconds, as the unit in the name says.
+"""
+
+from dataclasses import dataclass
+from datetime import datetime
+from enum import Enum
+from typing import Annotated
+from typing import Any
+from typing import TypeVar
+
+import pydantic
+
+from goldcresthaven import errors
+from goldcresthaven import ids
+from goldcresthaven import presets
+from goldcresthaven import problems
+
+T = TypeVar('T')
+
+# Bounds the memory and the bytes of one merged timeline.
+MAX_EVENTS = 5000
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Health:
+    """The process responds; the balancer need not replace its VM."""
+
+    alive: bool = True
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Readiness:
+    """Whether the balancer may send callers here, and why not."""
+
+    ready: bool
+    reason: str = ''
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Claim:
+    """A claim as this process knows it.
+
+    ``state`` is one word such as held, extended, lost or other;
+    ``expires_in_ms`` is set only for a claim that this process holds.
+    """
+
+    domain: ids.DomainId
+    epoch: ids.Epoch
+    holder: ids.VmId | None
+    state: str
+    expires_in_ms: int | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Upstream:
+    """An upstream as this process sees it.
+
+    ``state`` is one word such as up, slow-start, open (circuit breaker),
+    draining or lost.
+    """
+
+    upstream: ids.UpstreamId
+    pool: ids.PoolName
+    zone: ids.ZoneId
+    state: str
+    domain: ids.DomainId | None = None
+    reason: str = ''
+    slots: int = 0
+    slots_in_use: int = 0
+    connections: int = 0
+    reported_load: float | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Peer:
+    """Another entry process; versions are None when it did not respond."""
+
+    vm: ids.VmId
+    zone: ids.ZoneId
+    reachable: bool
+    ready: bool = False
+    config_version: ids.ConfigVersion | None = None
+    map_version: ids.MapVersion | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Queue:
+    """Requests that wait in this process for one pool and rank."""
+
+    pool: ids.PoolName
+    rank: str
+    length: int
+    size_bytes: int
+    oldest_ms: int = 0
+    refused: int = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Local:
+    """The part of the status that a process knows without its peers."""
+
+    vm: ids.VmId
+    zone: ids.ZoneId
+    boot: ids.BootId
+    readiness: Readiness
+    config_version: ids.ConfigVersion | None
+    map_version: ids.MapVersion
+    preset: ids.PresetName | None
+    store: str
+    memory_bytes: int
+    claims: tuple[Claim, ...] = ()
+    upstreams: tuple[Upstream, ...] = ()
+    queues: tuple[Queue, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Status:
+    """The status of one process and what its peers report.
+
+    ``behind`` are peers that have applied an older configuration,
+    ``unreachable`` those that did not respond.
+    """
+
+    local: Local
+    peers: tuple[Peer, ...]
+    behind: tuple[ids.VmId, ...]
+    unreachable: tuple[ids.VmId, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class KeyExplanation:
+    """Where a key's requests go, or why they are refused."""
+
+    pool: ids.PoolName
+    key: str
+    key_hash: str
+    map_version: ids.MapVersion
+    served: bool
+    explanation: str
+    advice: str
+    shard: ids.ShardId | None = None
+    owner: ids.UpstreamId | None = None
+    owner_state: str | None = None
+    domain: ids.DomainId | None = None
+    epoch: ids.Epoch | None = None
+    holder: ids.VmId | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Attempt:
+    """One attempt of a request at one upstream."""
+
+    upstream: ids.UpstreamId
+    started: datetime
+    duration_ms: float
+    result: str
+    reason: str = ''
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Request:
+    """A finished request; it holds no key, header or body of the caller.
+
+    ``outcome`` is done, not-run or unknown.
+    """
+
+    request: ids.RequestId
+    process: ids.VmId
+    received: datetime
+    duration_ms: float
+    outcome: str
+    reason: str
+    status: int
+    rank: str | None = None
+    pool: ids.PoolName | None = None
+    key_hash: str | None = None
+    shard: ids.ShardId | None = None
+    epoch: ids.Epoch | None = None
+    config_version: ids.ConfigVersion | None = None
+    queued_ms: float = 0.0
+    detail: str = ''
+    attempts: tuple[Attempt, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RequestExplanation:
+    """What became of a request, as far as any process remembers.
+
+    ``request`` is None when no process that responded remembers it.
+    """
+
+    request: Request | None
+    explanation: str
+    unreachable: tuple[ids.VmId, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Event:
+    """One event of the timeline.
+
+    ``at`` and ``counter`` are the hybrid logical clock: events sorted by
+    (at, counter, process) have causes before effects.
+    """
+
+    at: datetime
+    counter: int
+    process: ids.VmId
+    kind: str
+    detail: str = ''
+    request: ids.RequestId | None = None
+    key_hash: str | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Timeline:
+    """Events in causal order and the processes that did not respond.
+
+    ``truncated`` says that older events matched and were left out.
+    """
+
+    events: tuple[Event, ...]
+    unreachable: tuple[ids.VmId, ...] = ()
+    truncated: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TimelineQuery:
+    """Which events are wanted; None means all."""
+
+    key_hash: str | None = None
+    request: ids.RequestId | None = None
+    process: ids.VmId | None = None
+    after: pydantic.AwareDatetime | None = None
+    before: pydantic.AwareDatetime | None = None
+    limit: Annotated[int, pydantic.Field(ge=1, le=MAX_EVENTS)] = 500
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Configuration:
+    """The configuration that a process has applied."""
+
+    version: ids.ConfigVersion
+    txn: ids.TxnId
+    author: str
+    change: str
+    document: presets.Document
+
+
+class ChangeState(Enum):
+    """What became of a change."""
+
+    DRY_RUN = 'dry-run'
+    ACCEPTED = 'accepted'
+    CONFLICT = 'conflict'
+    NOT_ACCEPTED = 'not-accepted'
+    STILL_UNKNOWN = 'still-unknown'
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ChangeResult:
+    """What became of a change and what the operator should do.
+
+    ``difference`` is what the change does to the document. In a conflict
+    ``other_author`` and ``other_change`` say who did what first.
+    """
+
+    state: ChangeState
+    version: ids.ConfigVersion | None
+    advice: str
+    difference: tuple[str, ...] = ()
+    detail: str = ''
+    other_author: str = ''
+    other_change: str = ''
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Refusal:
+    """The call was refused; nothing was done."""
+
+    problem: str
+    remedy: str
+
+
+def encode(view: object) -> bytes:
+    """Return a view as JSON text."""
+    adapter: pydantic.TypeAdapter[Any] = pydantic.TypeAdapter(type(view))
+    return adapter.dump_json(view)
+
+
+def decode(kind: type[T], body: bytes) -> T:
+    """Return the view that JSON text holds.
+
+    Raises ProtocolError when the text is not such a view. Unknown keys are
+    ignored, so that a newer process can be asked.
+    """
+    try:
+        return pydantic.TypeAdapter(kind).validate_json(body)
+    except pydantic.ValidationError as exc:
+        found = problems.as_text(problems.from_validation(exc))
+        raise errors.ProtocolError(
+            f'the entry process sent an unreadable response: {found}',
+            remedy='use the command line of the same release',
+        ) from None
--- a/goldcresthaven/presets.py
+++ b/goldcresthaven/presets.py
@@ -5,6 +5,7 @@
 can rely on them.
 """
 
+from collections.abc import Iterator
 from datetime import timedelta
 from enum import Enum
 import re
@@ -15,10 +16,12 @@
 
 from goldcresthaven import ids
 from goldcresthaven import outcomes
+from goldcresthaven import problems
 
-_DURATION = re.compile(r'(\d+(?:\.\d+)?)(ms|s|min|h)')
+# The digits are bounded because timedelta overflows at about 1e9 days.
+_DURATION = re.compile(r'(\d{1,9}(?:\.\d{1,9})?)(ms|s|min|h)')
 _UNIT_SECONDS = {'ms': 0.001, 's': 1.0, 'min': 60.0, 'h': 3600.0}
-_SIZE = re.compile(r'(\d+)(B|KiB|MiB)')
+_SIZE = re.compile(r'(\d{1,12})(B|KiB|MiB)')
 _UNIT_BYTES = {'B': 1, 'KiB': 1 << 10, 'MiB': 1 << 20}
 
 
@@ -29,6 +32,10 @@
     """
     if isinstance(value, timedelta):
         return value
+    if isinstance(value, (int, float)):
+        raise ValueError(
+            f'{value} has no unit; write ms, s, min or h, as in 250ms'
+        )
     match = _DURATION.fullmatch(str(value))
     if match is None:
         raise ValueError(
@@ -40,8 +47,14 @@
 
 def format_duration(value: timedelta) -> str:
     """Return a duration that ``parse_duration`` reads back."""
-    ms = round(value / timedelta(milliseconds=1), 3)
-    return f'{ms / 1000:g}s' if ms >= 1000 else f'{ms:g}ms'
+    if value >= timedelta(seconds=1):
+        return _decimal(value.total_seconds(), 6) + 's'
+    return _decimal(value / timedelta(milliseconds=1), 3) + 'ms'
+
+
+def _decimal(number: float, places: int) -> str:
+    text = f'{number:.{places}f}'
+    return text.rstrip('0').rstrip('.')
 
 
 def parse_size(value: Any) -> int:
@@ -77,7 +90,9 @@
 class Model(pydantic.BaseModel):
     """Base of all checked settings: immutable, unknown keys rejected."""
 
-    model_config = pydantic.ConfigDict(frozen=True, extra='forbid')
+    model_config = pydantic.ConfigDict(
+        frozen=True, extra='forbid', allow_inf_nan=False
+    )
 
 
 class Dedup(Enum):
@@ -180,27 +195,72 @@
 
     @pydantic.model_validator(mode='after')
     def _check_references(self) -> 'Document':
-        names = [p.name for p in self.presets]
-        if len(set(names)) != len(names):
-            raise ValueError('two presets share a name; rename one')
-        if self.in_force not in names:
-            raise ValueError(
-                f'in_force names the preset {self.in_force!r}, which does '
-                f'not exist; use one of {sorted(names)}'
-            )
-        keyed = {p.name: p.keyed for p in self.pools}
-        for route in self.routes:
-            _check_route(route, keyed)
+        found = reference_problems(
+            pools=dict(enumerate(self.pools)),
+            routes=dict(enumerate(self.routes)),
+            presets=dict(enumerate(self.presets)),
+            in_force=self.in_force,
+        )
+        if found:
+            raise ValueError(problems.as_text(found))
         return self
 
 
-def _check_route(route: Route, keyed: dict[ids.PoolName, bool]) -> None:
+def reference_problems(
+    *,
+    pools: dict[int, Pool],
+    routes: dict[int, Route],
+    presets: dict[int, Preset],
+    in_force: ids.PresetName | None,
+) -> tuple[problems.Problem, ...]:
+    """Return names that are ambiguous or refer to nothing.
+
+    The items are given by their index in the document, so that the valid
+    items of a partly invalid document can be checked too.
+    """
+    found = list(_repeated('pools', {i: p.name for i, p in pools.items()}))
+    found += _repeated('presets', {i: p.name for i, p in presets.items()})
+    names = [p.name for p in presets.values()]
+    if in_force is not None and in_force not in names:
+        found.append(
+            problems.Problem(
+                path=('in_force',),
+                problem=f'the preset {in_force!r} does not exist',
+                remedy=f'use {problems.listed(names)}',
+            )
+        )
+    keyed = {p.name: p.keyed for p in pools.values()}
+    for i, route in routes.items():
+        found += _route_problems(i, route, keyed)
+    return tuple(found)
+
+
+def _repeated(
+    section: str, names: dict[int, str]
+) -> Iterator[problems.Problem]:
+    seen: dict[str, int] = {}
+    for i, name in names.items():
+        first = seen.setdefault(name, i)
+        if first != i:
+            yield problems.Problem(
+                path=(section, i, 'name'),
+                problem=f'{section}[{first}] has the name {name!r} too',
+                remedy='rename or remove one of them',
+            )
+
+
+def _route_problems(
+    i: int, route: Route, keyed: dict[ids.PoolName, bool]
+) -> Iterator[problems.Problem]:
     if route.pool not in keyed:
-        raise ValueError(
-            f'route {route.prefix!r} names the pool {route.pool!r}, which '
-            f'does not exist; use one of {sorted(keyed)}'
+        yield problems.Problem(
+            path=('routes', i, 'pool'),
+            problem=f'the pool {route.pool!r} does not exist',
+            remedy=f'use {problems.listed(list(keyed))}',
         )
-    if keyed[route.pool] and route.key_segment is None:
-        raise ValueError(
-            f'route {route.prefix!r} goes to a keyed pool; set key_segment'
+    elif keyed[route.pool] and route.key_segment is None:
+        yield problems.Problem(
+            path=('routes', i, 'key_segment'),
+            problem=f'the pool {route.pool!r} is keyed and this is missing',
+            remedy='set key_segment to the path segment that holds the key',
         )
--- /dev/null
+++ b/goldcresthaven/settings.py
@@ -0,0 +1,283 @@
+"""Settings files: YAML text to checked settings.
+
+A deployment file holds the configuration document, which is stored once
+in the platform. A process settings file holds what differs by VM. Both
+are checked whole, and all problems of a file are reported together, each
+with its line, field and remedy.
+
+Example::
+
+    cfg = settings.parse_process(text, file='/etc/goldcresthaven.yaml')
+"""
+
+from collections.abc import Iterable
+from datetime import timedelta
+import ipaddress
+import pathlib
+from typing import Annotated
+from typing import Any
+from typing import TypeVar
+
+import pydantic
+
+from goldcresthaven import config_checks
+from goldcresthaven import errors
+from goldcresthaven import ids
+from goldcresthaven import members
+from goldcresthaven import presets
+from goldcresthaven import problems
+from goldcresthaven import yaml_text
+
+MAX_BYTES = yaml_text.MAX_BYTES
+
+_MAX_PORT = 65_535
+
+M = TypeVar('M', bound=presets.Model)
+
+
+def parse_address(value: Any) -> members.Address:
+    """Return the address written as an IPv4 number and a port.
+
+    Raises ValueError for a host name: a process must be able to start
+    while name resolution is down.
+    """
+    if isinstance(value, members.Address):
+        return value
+    host, _, port = str(value).rpartition(':')
+    try:
+        ipaddress.IPv4Address(host)
+        number = int(port)
+    except ValueError:
+        number = 0
+    if not 0 < number <= _MAX_PORT:
+        raise ValueError(
+            f'{value!r} is not an address; write an IPv4 number and a port, '
+            'as in 10.0.0.5:8080'
+        )
+    return members.Address(host=host, port=number)
+
+
+def parse_file(value: Any) -> pathlib.Path:
+    """Return the absolute path of a file.
+
+    Raises ValueError for a relative path, whose meaning would depend on
+    the directory in which the process was started.
+    """
+    if not isinstance(value, (str, pathlib.Path)):
+        raise ValueError(f'{value!r} is not a path; write /directory/file')
+    path = pathlib.Path(value)
+    if not path.is_absolute():
+        raise ValueError(
+            f'{str(value)!r} is a relative path; write it from / on'
+        )
+    return path
+
+
+Address = Annotated[
+    members.Address,
+    pydantic.PlainValidator(parse_address),
+    pydantic.PlainSerializer(str),
+]
+File = Annotated[
+    pathlib.Path,
+    pydantic.PlainValidator(parse_file),
+    pydantic.PlainSerializer(str),
+]
+ZERO = timedelta()
+
+
+class Limits(presets.Model):
+    """Bounds on the memory of one process."""
+
+    caller_connections: int = pydantic.Field(default=4096, ge=1)
+    header_size: presets.Size = 32 << 10
+    recent_requests: int = pydantic.Field(default=4096, ge=0)
+    timeline_events: int = pydantic.Field(default=8192, ge=1)
+    log_lines_per_second: int = pydantic.Field(default=200, ge=1)
+
+
+class ProcessSettings(presets.Model):
+    """What differs by VM; everything else is in the configuration.
+
+    ``balancer_delay`` is the time from readiness off until the balancer
+    has stopped sending new connections.
+    """
+
+    vm: ids.VmId = pydantic.Field(min_length=1)
+    zone: ids.ZoneId = pydantic.Field(min_length=1)
+    caller_address: Address
+    peer_address: Address
+    operator_address: Address
+    platform_address: Address
+    keys_file: File
+    statsd_address: Address | None = None
+    balancer_delay: presets.Duration = timedelta(seconds=5)
+    limits: Limits = Limits()
+
+
+def parse_process(text: str, *, file: str) -> ProcessSettings:
+    """Return the settings of one process.
+
+    Raises InvalidSettings with every problem of the text.
+    """
+    loaded = yaml_text.load(text)
+    cfg, found = _validate(ProcessSettings, loaded)
+    if cfg is not None:
+        found += _process_problems(cfg)
+    _raise_any(loaded, found, file)
+    assert cfg is not None
+    return cfg
+
+
+def parse_deployment(text: str, *, file: str) -> presets.Document:
+    """Return the configuration document of a deployment file.
+
+    Raises InvalidSettings with every problem of the text. Contradictions
+    among the valid items are reported even when other items are invalid.
+    """
+    loaded = yaml_text.load(text)
+    document, found = _validate(presets.Document, loaded)
+    # The document's own check of references has no path; the positioned
+    # check below finds the same problems again.
+    found = [p for p in found if p.path]
+    found += _contradictions(loaded.data)
+    _raise_any(loaded, found, file)
+    assert document is not None
+    return document
+
+
+def is_deployment(text: str) -> bool:
+    """Say whether a file looks like a deployment file."""
+    data = yaml_text.load(text).data
+    return isinstance(data, dict) and ('pools' in data or 'presets' in data)
+
+
+def _validate(
+    model: type[M], loaded: yaml_text.Loaded
+) -> tuple[M | None, list[problems.Problem]]:
+    if loaded.data is None and loaded.faults:
+        return None, []
+    try:
+        return model.model_validate(loaded.data), []
+    except pydantic.ValidationError as exc:
+        return None, list(problems.from_validation(exc))
+
+
+def _contradictions(data: Any) -> tuple[problems.Problem, ...]:
+    if not isinstance(data, dict):
+        if data is None:
+            return ()
+        problem = 'the file holds no mapping of keys to values'
+        remedy = 'write a mapping with pools, routes, presets and in_force'
+        return (problems.Problem(path=(), problem=problem, remedy=remedy),)
+    pools = _valid_items(presets.Pool, data.get('pools'))
+    choices = _valid_items(presets.Preset, data.get('presets'))
+    named = data.get('in_force')
+    found = config_checks.check_items(
+        pools=pools,
+        routes=_valid_items(presets.Route, data.get('routes')),
+        presets_=choices,
+        in_force=ids.PresetName(named) if isinstance(named, str) else None,
+    )
+    # A reference to an item that is itself invalid is not a second problem.
+    invalid = _names(data.get('pools')) - {p.name for p in pools.values()}
+    invalid |= _names(data.get('presets')) - {p.name for p in choices.values()}
+    return tuple(p for p in found if not _refers_to(data, p.path, invalid))
+
+
+def _names(items: Any) -> set[str]:
+    if not isinstance(items, list):
+        return set()
+    named = [i.get('name') for i in items if isinstance(i, dict)]
+    return {name for name in named if isinstance(name, str)}
+
+
+def _refers_to(data: Any, path: problems.Path, names: set[str]) -> bool:
+    if path == ('in_force',):
+        return data['in_force'] in names
+    if path[0] == 'routes' and path[-1] == 'pool':
+        return data['routes'][path[1]]['pool'] in names
+    return False
+
+
+def _valid_items(model: type[M], items: Any) -> dict[int, M]:
+    result: dict[int, M] = {}
+    if not isinstance(items, list):
+        return result
+    for i, item in enumerate(items):
+        try:
+            result[i] = model.model_validate(item)
+        except pydantic.ValidationError:
+            continue
+    return result
+
+
+def _process_problems(cfg: ProcessSettings) -> list[problems.Problem]:
+    found = []
+    listening = {
+        'caller_address': cfg.caller_address,
+        'peer_address': cfg.peer_address,
+        'operator_address': cfg.operator_address,
+    }
+    used: dict[int, str] = {}
+    for name, address in listening.items():
+        other = used.setdefault(address.port, name)
+        if other != name and _overlap(listening[other], address):
+            found.append(
+                problems.Problem(
+                    path=(name,),
+                    problem=f'{address} is the address of {other} too',
+                    remedy='use another port',
+                )
+            )
+    for name in ('peer_address', 'platform_address', 'statsd_address'):
+        target = getattr(cfg, name)
+        if target is not None and _unspecified(target):
+            found.append(
+                problems.Problem(
+                    path=(name,),
+                    problem=f'{target} cannot be connected to',
+                    remedy='write the IP number of its network interface',
+                )
+            )
+    return found
+
+
+def _unspecified(address: members.Address) -> bool:
+    return ipaddress.IPv4Address(address.host).is_unspecified
+
+
+def _overlap(one: members.Address, two: members.Address) -> bool:
+    same = one.host == two.host
+    return same or _unspecified(one) or _unspecified(two)
+
+
+def _raise_any(
+    loaded: yaml_text.Loaded, found: Iterable[problems.Problem], file: str
+) -> None:
+    # The check of a value that YAML could not read says nothing new.
+    unread = {f.path for f in loaded.faults if f.unread}
+    faults = {
+        errors.Fault(
+            file=file,
+            line=loaded.line(p.path),
+            field=p.field,
+            problem=p.problem,
+            remedy=p.remedy,
+        )
+        for p in found
+        if p.path not in unread
+    }
+    for fault in loaded.faults:
+        faults.add(
+            errors.Fault(
+                file=file,
+                line=fault.line,
+                field=problems.field_name(fault.path),
+                problem=fault.problem,
+                remedy=fault.remedy,
+            )
+        )
+    if faults:
+        ordered = sorted(faults, key=lambda f: (f.line, f.field, f.problem))
+        raise errors.InvalidSettings(tuple(ordered))
--- /dev/null
+++ b/goldcresthaven/yaml_text.py
@@ -0,0 +1,201 @@
+"""YAML text to plain data, with the line of each value.
+
+PyYAML alone accepts duplicate keys, expands aliases without bound and
+forgets the lines. Everything here is bounded: the size of the text, the
+nesting, and the number of values after aliases have been expanded.
+"""
+
+from dataclasses import dataclass
+from typing import Any
+
+import yaml
+
+from goldcresthaven import problems
+
+MAX_BYTES = 256 << 10
+MAX_DEPTH = 16
+MAX_VALUES = 20_000
+
+_TAG = 'tag:yaml.org,2002:'
+_SCALARS = frozenset(
+    _TAG + name
+    for name in ('str', 'int', 'float', 'bool', 'null', 'timestamp', 'merge')
+)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Fault:
+    """A problem of the YAML itself; ``line`` counts from 1.
+
+    ``unread`` says that the value at ``path`` could not be read.
+    """
+
+    path: problems.Path
+    line: int
+    problem: str
+    remedy: str
+    unread: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Loaded:
+    """Plain data and the line of each path within it.
+
+    ``data`` is None when the text could not be read at all.
+    """
+
+    data: Any
+    lines: dict[problems.Path, int]
+    faults: tuple[Fault, ...] = ()
+
+    def line(self, path: problems.Path) -> int:
+        """Return the line of a path or of its closest known parent."""
+        while path and path not in self.lines:
+            path = path[:-1]
+        return self.lines.get(path, 1)
+
+
+class _TooMuch(Exception):
+    """The text goes over one of the limits."""
+
+    def __init__(self, problem: str, remedy: str, line: int) -> None:
+        super().__init__(problem)
+        self.problem = problem
+        self.remedy = remedy
+        self.line = line
+
+
+def load(text: str) -> Loaded:
+    """Return the data of one YAML document."""
+    if len(text.encode(errors='replace')) > MAX_BYTES:
+        return _failed(
+            f'the text is longer than {MAX_BYTES >> 10} KiB',
+            'split it or remove what is not needed',
+            1,
+        )
+    try:
+        _check_depth(text)
+        node = yaml.compose(text, Loader=yaml.SafeLoader)
+        return _Builder().build(node)
+    except _TooMuch as exc:
+        return _failed(exc.problem, exc.remedy, exc.line)
+    except yaml.MarkedYAMLError as exc:
+        mark = exc.problem_mark or exc.context_mark
+        line = mark.line + 1 if mark is not None else 1
+        problem = f'the YAML is malformed: {exc.problem or exc.context}'
+        return _failed(problem, 'correct the syntax on or before it', line)
+    except yaml.YAMLError as exc:
+        problem = f'the YAML is malformed: {exc}'
+        return _failed(problem, 'save the file as UTF-8 text', 1)
+
+
+def _failed(problem: str, remedy: str, line: int) -> Loaded:
+    fault = Fault(path=(), line=line, problem=problem, remedy=remedy)
+    return Loaded(data=None, lines={(): line}, faults=(fault,))
+
+
+def _check_depth(text: str) -> None:
+    """Refuse deep nesting before the recursive composer sees it."""
+    depth = 0
+    for event in yaml.parse(text, Loader=yaml.SafeLoader):
+        if isinstance(event, yaml.CollectionStartEvent):
+            depth += 1
+        elif isinstance(event, yaml.CollectionEndEvent):
+            depth -= 1
+        if depth > MAX_DEPTH:
+            raise _TooMuch(
+                f'the values are nested over {MAX_DEPTH} levels deep',
+                'remove the needless levels',
+                event.start_mark.line + 1 if event.start_mark else 1,
+            )
+
+
+class _Builder:
+    """Turns the nodes of one document into data."""
+
+    def __init__(self) -> None:
+        self._lines: dict[problems.Path, int] = {}
+        self._faults: list[Fault] = []
+        self._values = 0
+        self._scalars = yaml.constructor.SafeConstructor()
+
+    def build(self, node: yaml.Node | None) -> Loaded:
+        if node is None:
+            return _failed('the file is empty', 'write the settings', 1)
+        data = self._value(node, ())
+        self._lines[()] = 1
+        return Loaded(data=data, lines=self._lines, faults=tuple(self._faults))
+
+    def _value(self, node: yaml.Node, path: problems.Path) -> Any:
+        line = node.start_mark.line + 1
+        self._lines.setdefault(path, line)
+        self._values += 1
+        if self._values > MAX_VALUES or len(path) > MAX_DEPTH:
+            raise _TooMuch(
+                f'there are over {MAX_VALUES} values or {MAX_DEPTH} levels '
+                'once aliases are expanded',
+                'write the values out or remove the aliases',
+                line,
+            )
+        match node:
+            case yaml.MappingNode():
+                return self._mapping(node, path)
+            case yaml.SequenceNode():
+                return [
+                    self._value(item, (*path, i))
+                    for i, item in enumerate(node.value)
+                ]
+            case _:
+                return self._scalar(node, path)
+
+    def _mapping(
+        self, node: yaml.MappingNode, path: problems.Path
+    ) -> dict[str, Any]:
+        result: dict[str, Any] = {}
+        for key_node, value_node in node.value:
+            line = key_node.start_mark.line + 1
+            key = str(key_node.value)
+            if not isinstance(key_node, yaml.ScalarNode):
+                self._fault(path, line, 'a key is not text', 'use a name')
+                continue
+            if key in result:
+                first = self._lines[(*path, key)]
+                problem = f'the key is repeated, line {first} has it too'
+                remedy = 'remove one of them'
+                self._fault((*path, key), line, problem, remedy)
+                continue
+            self._lines[(*path, key)] = line
+            result[key] = self._value(value_node, (*path, key))
+        return result
+
+    def _scalar(self, node: yaml.Node, path: problems.Path) -> Any:
+        if node.tag not in _SCALARS:
+            self._unread(path, node, f'the tag {node.tag} is unknown')
+            return None
+        if node.tag in (_TAG + 'timestamp', _TAG + 'merge'):
+            return node.value
+        try:
+            return self._scalars.construct_object(node)
+        except (ValueError, yaml.YAMLError):
+            self._unread(path, node, 'the value cannot be read')
+            return None
+
+    def _unread(
+        self, path: problems.Path, node: yaml.Node, problem: str
+    ) -> None:
+        self._faults.append(
+            Fault(
+                path=path,
+                line=node.start_mark.line + 1,
+                problem=problem,
+                remedy='remove the tag or put the value in quotes',
+                unread=True,
+            )
+        )
+
+    def _fault(
+        self, path: problems.Path, line: int, problem: str, remedy: str
+    ) -> None:
+        self._faults.append(
+            Fault(path=path, line=line, problem=problem, remedy=remedy)
+        )
