Add the operator's command line and its client

The command line is a short-lived process, so its client uses blocking sockets with one deadline per call. A response lost after a change was sent is reported as still unknown, not as a failure: the process may have stored the change. Every change names the version it was made for.

--- /dev/null
+++ b/goldcresthaven/cli_session.py
@@ -0,0 +1,231 @@
+"""What the commands share: options, exit codes, errors and the client."""
+
+from collections.abc import Callable
+from enum import IntEnum
+import functools
+import getpass
+import importlib
+import pathlib
+from typing import Annotated
+from typing import Any
+from typing import ParamSpec
+
+import typer
+
+from goldcresthaven import cli_text
+from goldcresthaven import config_changes
+from goldcresthaven import errors
+from goldcresthaven import members
+from goldcresthaven import operator_api
+from goldcresthaven import operator_client
+from goldcresthaven import operator_views as views
+from goldcresthaven import settings
+
+P = ParamSpec('P')
+
+
+class Exit(IntEnum):
+    """Exit codes, the same for all commands."""
+
+    DONE = 0
+    ABORTED = 1
+    USAGE = 2
+    REFUSED = 3
+    CONFLICT = 4
+    NOT_ACCEPTED = 5
+    STILL_UNKNOWN = 6
+    UNREACHABLE = 7
+    NOT_AUTHENTICATED = 8
+    NOT_FOUND = 9
+
+
+EXIT_MEANINGS = {
+    Exit.DONE: 'done',
+    Exit.ABORTED: 'the operator declined, or an internal error',
+    Exit.USAGE: 'the command line is wrong',
+    Exit.REFUSED: 'a file, change or call is invalid; nothing was done',
+    Exit.CONFLICT: 'another change was stored first; this one was not',
+    Exit.NOT_ACCEPTED: 'the change was not stored and will not be',
+    Exit.STILL_UNKNOWN: 'the change was sent; it may have been stored',
+    Exit.UNREACHABLE: 'the entry process did not respond',
+    Exit.NOT_AUTHENTICATED: 'the signature was refused',
+    Exit.NOT_FOUND: 'nobody that responded remembers the request',
+}
+EXIT_HELP = 'Exit codes:\n\n\b\n' + '\n'.join(
+    f'{code.value}  {meaning}' for code, meaning in EXIT_MEANINGS.items()
+)
+
+_CHANGE_EXITS = {
+    views.ChangeState.DRY_RUN: Exit.DONE,
+    views.ChangeState.ACCEPTED: Exit.DONE,
+    views.ChangeState.CONFLICT: Exit.CONFLICT,
+    views.ChangeState.NOT_ACCEPTED: Exit.NOT_ACCEPTED,
+    views.ChangeState.STILL_UNKNOWN: Exit.STILL_UNKNOWN,
+}
+
+EntryOption = Annotated[
+    str,
+    typer.Option(
+        '--entry',
+        envvar='GOLDCRESTHAVEN_ENTRY',
+        metavar='HOST:PORT',
+        help='Operator address of any entry process.',
+    ),
+]
+KeysOption = Annotated[
+    pathlib.Path | None,
+    typer.Option(
+        '--keys-file',
+        envvar='GOLDCRESTHAVEN_KEYS_FILE',
+        help='File with the shared keys that sign a change.',
+    ),
+]
+AuthorOption = Annotated[
+    str | None,
+    typer.Option(
+        '--author',
+        envvar='GOLDCRESTHAVEN_AUTHOR',
+        help='Name stored with a change; the login name by default.',
+    ),
+]
+JsonOption = Annotated[
+    bool, typer.Option('--json', help='Print JSON in place of text.')
+]
+DryRunOption = Annotated[
+    bool,
+    typer.Option('--dry-run', help='Print the difference, store nothing.'),
+]
+
+
+def load_signer(keys_file: pathlib.Path, author: str) -> operator_api.Signer:
+    """Return the signer of the operator's calls.
+
+    ``auth`` is imported here, as most commands do not sign.
+    """
+    auth: Any = importlib.import_module('goldcresthaven.auth')
+    signer: operator_api.Signer = auth.operator_signer(
+        keys_file=keys_file, author=author
+    )
+    return signer
+
+
+def client(
+    entry: str,
+    keys_file: pathlib.Path | None = None,
+    author: str | None = None,
+) -> operator_client.OperatorClient:
+    """Return a client; it signs when a keys file is given."""
+    signer = None
+    if keys_file is not None:
+        signer = load_signer(keys_file, author or getpass.getuser())
+    return operator_client.OperatorClient(
+        entry=parse_entry(entry), signer=signer
+    )
+
+
+def parse_entry(text: str) -> members.Address:
+    """Return the address given by --entry.
+
+    Raises BadParameter, which typer reports as wrong usage.
+    """
+    try:
+        return settings.parse_address(text)
+    except ValueError as exc:
+        raise typer.BadParameter(str(exc), param_hint='--entry') from None
+
+
+def reported(command: Callable[P, None]) -> Callable[P, None]:
+    """Make a command print our errors and exit with their code."""
+
+    @functools.wraps(command)
+    def wrapped(*args: P.args, **kwargs: P.kwargs) -> None:
+        try:
+            command(*args, **kwargs)
+        except errors.Error as exc:
+            typer.echo(f'error: {exc}', err=True)
+            raise typer.Exit(_exit_of(exc)) from None
+
+    return wrapped
+
+
+def _exit_of(exc: errors.Error) -> Exit:
+    match exc:
+        case errors.AuthError():
+            return Exit.NOT_AUTHENTICATED
+        case errors.ConnectionFailed() | errors.ConnectionLost():
+            return Exit.UNREACHABLE
+        case errors.ProtocolError():
+            return Exit.UNREACHABLE
+        case _:
+            return Exit.REFUSED
+
+
+def show(view: object, text: str, *, as_json: bool) -> None:
+    """Print a view as text or as JSON."""
+    typer.echo(views.encode(view).decode() if as_json else text)
+
+
+def read_configuration(
+    calls: operator_client.OperatorClient,
+) -> views.Configuration:
+    return calls.get(views.Configuration, '/v1/config')
+
+
+def send_change(
+    calls: operator_client.OperatorClient,
+    change: config_changes.Change,
+    *,
+    expected: int,
+    dry_run: bool,
+) -> views.ChangeResult:
+    """Send a change that was made for the version ``expected``.
+
+    A response that was lost leaves the result unknown: the process may
+    have stored the change.
+    """
+    body = {
+        'change': config_changes.encode(change),
+        'expected': expected,
+        'dry_run': dry_run,
+    }
+    try:
+        return calls.post(views.ChangeResult, '/v1/config/changes', body)
+    except errors.ConnectionLost as exc:
+        if dry_run:
+            raise
+        return views.ChangeResult(
+            state=views.ChangeState.STILL_UNKNOWN,
+            version=None,
+            detail=exc.problem,
+            advice='run `goldcresthaven preset show` at another process; '
+            'repeating the command is safe, as only one of the two can be '
+            'stored',
+        )
+
+
+def change_from(
+    calls: operator_client.OperatorClient,
+    change: config_changes.Change,
+    version: int,
+    *,
+    dry_run: bool,
+    as_json: bool,
+) -> None:
+    """Change a version, print what came of it and exit with its code."""
+    result = send_change(calls, change, expected=version, dry_run=dry_run)
+    show(result, cli_text.change(result), as_json=as_json)
+    code = _CHANGE_EXITS[result.state]
+    if code is not Exit.DONE:
+        raise typer.Exit(code)
+
+
+def change_newest(
+    calls: operator_client.OperatorClient,
+    change: config_changes.Change,
+    *,
+    dry_run: bool,
+    as_json: bool,
+) -> None:
+    """Change the version that the entry process has applied."""
+    version = read_configuration(calls).version
+    change_from(calls, change, version, dry_run=dry_run, as_json=as_json)
--- /dev/null
+++ b/goldcresthaven/operator_client.py
@@ -0,0 +1,159 @@
+"""Blocking HTTP client of the command line.
+
+The command line is a short-lived process of its own, so it uses plain
+blocking sockets. Every wait is bounded by one deadline for each call.
+"""
+
+from datetime import timedelta
+import json
+import socket
+from typing import Any
+from typing import TypeVar
+import urllib.parse
+
+import h11
+
+from goldcresthaven import clock
+from goldcresthaven import errors
+from goldcresthaven import members
+from goldcresthaven import operator_api
+from goldcresthaven import operator_views as views
+
+TIMEOUT = timedelta(seconds=15)
+
+_MAX_BODY = 16 << 20
+_CHUNK = 64 << 10
+_SHORTEST_WAIT = timedelta(milliseconds=1)
+
+T = TypeVar('T')
+
+
+class OperatorClient:
+    """Calls the operator endpoints of one entry process."""
+
+    def __init__(
+        self,
+        *,
+        entry: members.Address,
+        signer: operator_api.Signer | None = None,
+        timeout: timedelta = TIMEOUT,
+        timer: clock.Clock | None = None,
+    ) -> None:
+        self._entry = entry
+        self._signer = signer
+        self._timeout = timeout
+        self._clock = timer or clock.SystemClock()
+
+    def get(self, kind: type[T], path: str, **params: str | None) -> T:
+        """Read a view.
+
+        Raises CallRefused, ConnectionFailed, ConnectionLost or
+        ProtocolError.
+        """
+        given = {k: v for k, v in params.items() if v is not None}
+        query = urllib.parse.urlencode(given)
+        target = f'{path}?{query}' if query else path
+        return self._call(kind, 'GET', target, b'')
+
+    def post(self, kind: type[T], path: str, body: dict[str, Any]) -> T:
+        """Send a write.
+
+        Raises what ``get`` raises; after ConnectionLost the write may have
+        been done.
+        """
+        return self._call(kind, 'POST', path, json.dumps(body).encode())
+
+    def _call(self, kind: type[T], method: str, target: str, body: bytes) -> T:
+        headers = [
+            ('Host', str(self._entry)),
+            ('Content-Length', str(len(body))),
+            ('Connection', 'close'),
+        ]
+        if method != 'GET' and self._signer is not None:
+            proof = self._signer.sign(method=method, target=target, body=body)
+            headers.append(('Authorization', proof))
+        request = h11.Request(method=method, target=target, headers=headers)
+        status, answer = self._exchange(request, body)
+        return _decode(kind, status, answer)
+
+    def _exchange(
+        self, request: h11.Request, body: bytes
+    ) -> tuple[int, bytes]:
+        end = self._clock.elapsed() + self._timeout
+        with self._connect() as sock:
+            conn = h11.Connection(our_role=h11.CLIENT)
+            try:
+                sock.sendall(_request_bytes(conn, request, body))
+                return self._receive(conn, sock, end)
+            except (OSError, h11.RemoteProtocolError) as exc:
+                raise errors.ConnectionLost(
+                    f'{self._entry} did not send a complete response: {exc}',
+                    remedy='check the process with `goldcresthaven status`, '
+                    'or name another with --entry',
+                ) from exc
+
+    def _connect(self) -> socket.socket:
+        address = (self._entry.host, self._entry.port)
+        try:
+            return socket.create_connection(
+                address, timeout=self._timeout.total_seconds()
+            )
+        except OSError as exc:
+            raise errors.ConnectionFailed(
+                f'cannot connect to the entry process {self._entry}: {exc}',
+                remedy='check that it runs, or name another with --entry',
+            ) from exc
+
+    def _receive(
+        self, conn: h11.Connection, sock: socket.socket, end: timedelta
+    ) -> tuple[int, bytes]:
+        status = 0
+        body = bytearray()
+        while True:
+            match conn.next_event():
+                case h11.NEED_DATA:
+                    left = max(end - self._clock.elapsed(), _SHORTEST_WAIT)
+                    sock.settimeout(left.total_seconds())
+                    conn.receive_data(sock.recv(_CHUNK))
+                case h11.Response() as response:
+                    status = response.status_code
+                case h11.Data() as data:
+                    body += data.data
+                    _check_length(body)
+                case h11.EndOfMessage():
+                    return status, bytes(body)
+
+
+def _request_bytes(
+    conn: h11.Connection, request: h11.Request, body: bytes
+) -> bytes:
+    events = (request, h11.Data(data=body), h11.EndOfMessage())
+    return b''.join(conn.send(event) or b'' for event in events)
+
+
+def _check_length(body: bytearray) -> None:
+    if len(body) > _MAX_BODY:
+        raise errors.ProtocolError(
+            f'the response is longer than {_MAX_BODY >> 20} MiB',
+            remedy='narrow the query',
+        )
+
+
+def _decode(kind: type[T], status: int, body: bytes) -> T:
+    if _is_refusal(body):
+        refusal = views.decode(views.Refusal, body)
+        if status == 401:
+            raise errors.AuthError(refusal.problem, remedy=refusal.remedy)
+        raise errors.CallRefused(
+            refusal.problem, remedy=refusal.remedy, status=status
+        )
+    return views.decode(kind, body)
+
+
+def _is_refusal(body: bytes) -> bool:
+    """Tell a refusal from a view; a view has no ``remedy``."""
+    try:
+        data = json.loads(body)
+    except ValueError:
+        return False
+    return isinstance(data, dict) and {'problem', 'remedy'} == set(data)
--- a/goldcresthaven/operator_views.py
+++ b/goldcresthaven/operator_views.py
@@ -10,6 +10,7 @@
 from enum import Enum
 from typing import Annotated
 from typing import Any
+from typing import ClassVar
 from typing import TypeVar
 
 import pydantic
@@ -231,6 +232,9 @@
 class TimelineQuery:
     """Which events are wanted; None means all."""
 
+    __pydantic_config__: ClassVar[pydantic.ConfigDict] = pydantic.ConfigDict(
+        extra='forbid'
+    )
     key_hash: str | None = None
     request: ids.RequestId | None = None
     process: ids.VmId | None = None
@@ -250,6 +254,15 @@
     document: presets.Document
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PresetList:
+    """All presets and the name of the one in force."""
+
+    version: ids.ConfigVersion
+    in_force: ids.PresetName
+    presets: tuple[presets.Preset, ...]
+
+
 class ChangeState(Enum):
     """What became of a change."""
 
--- a/goldcresthaven/problems.py
+++ b/goldcresthaven/problems.py
@@ -28,6 +28,9 @@
     'tuple_type': 'write a list',
     'model_type': 'write a mapping of keys to values',
     'model_attributes_type': 'write a mapping of keys to values',
+    'datetime_parsing': 'write a time such as 2026-01-31T10:00:00Z',
+    'datetime_from_date_parsing': 'write a time such as 2026-01-31T10:00:00Z',
+    'timezone_aware': 'add the time zone, for example Z for UTC',
     'dataclass_type': 'write a mapping of keys to values',
 }
 _SEPARATOR = '; '
