--- a/goldcresthaven/cli.py
+++ b/goldcresthaven/cli.py
@@ -51,7 +51,7 @@
 
 def main() -> None:
     """Run the command line."""
-    app()
+    app(prog_name='goldcresthaven')
 
 
 @app.command()
