Let the store in memory check the row version of a condition

A trial that replaced ABSENT by version 1 in the configuration log's condition passed all tests, because the test's store looked only at whether the row exists. It now compares versions, and the same trial fails ten cases.

--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -48,8 +48,11 @@
     def apply(self, tx: tables.Transaction) -> tables.Result:
         for condition in tx.conditions:
             assert isinstance(condition, tables.VersionIs)
-            if condition.key in self.rows:
-                return tables.Conflict(rows=(self.rows[condition.key],))
+            row = self.rows.get(condition.key)
+            version = row.version if row is not None else tables.ABSENT
+            if version != condition.version:
+                rows = (row,) if row is not None else ()
+                return tables.Conflict(rows=rows)
         for write in tx.writes:
             row = tables.Row(key=write.key, version=1, value=write.value)
             self.rows[write.key] = row
