--- a/goldcresthaven/aio.py
+++ b/goldcresthaven/aio.py
@@ -4,14 +4,13 @@
 functions instead, which keeps a later replacement to one module.
 """
 
-from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Coroutine
-from contextlib import asynccontextmanager
 from datetime import timedelta
 import signal
 import socket
+from types import TracebackType
 from typing import Any
 from typing import cast
 from typing import Protocol
@@ -93,21 +92,35 @@
     await curio.sleep(max(duration.total_seconds(), 0.0))
 
 
-@asynccontextmanager
-async def timeout(duration: timedelta) -> AsyncIterator[None]:
+class timeout:
     """Limit a block's duration.
 
-    Raises DeadlineExceeded when the block did not finish in time.
+    Raises DeadlineExceeded when the block did not finish in time. It is a
+    class because curio rejects async generators, which contextlib would
+    need, in a task that is dropped.
     """
-    seconds = max(duration.total_seconds(), 0.0)
-    try:
-        async with curio.timeout_after(seconds):
-            yield
-    except curio.TaskTimeout:
-        raise errors.DeadlineExceeded(
-            f'no result within {seconds:.3f} s',
-            remedy='retry later or raise the deadline',
-        ) from None
+
+    def __init__(self, duration: timedelta) -> None:
+        self._seconds = max(duration.total_seconds(), 0.0)
+        self._inner = curio.timeout_after(self._seconds)
+
+    async def __aenter__(self) -> None:
+        await self._inner.__aenter__()
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        value: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        try:
+            # curio swallows no exception here; it returns False or raises.
+            await self._inner.__aexit__(kind, value, trace)
+        except curio.TaskTimeout:
+            raise errors.DeadlineExceeded(
+                f'no result within {self._seconds:.3f} s',
+                remedy='retry later or raise the deadline',
+            ) from None
 
 
 async def connect(host: str, port: int) -> Socket:
--- a/goldcresthaven/entry.py
+++ b/goldcresthaven/entry.py
@@ -69,14 +69,15 @@
     bound = members.Address(host=address.host, port=listener.port)
     print(json.dumps({'vm': cfg.vm, 'listen': str(bound)}), flush=True)
     await stop.wait()
-    await _stop(parts, listener, cfg)
+    await shut_down(parts, listener, cfg)
 
 
-async def _stop(
+async def shut_down(
     parts: Parts,
     listener: aio.Listener,
     cfg: process_settings.ProcessSettings,
 ) -> None:
+    """Stop without interrupting a request in flight."""
     parts.server.drain()
     # Callers that the load balancer still sends are served meanwhile.
     await aio.sleep(cfg.stop_delay)
--- /dev/null
+++ b/proofs/at_most_once.py
@@ -0,0 +1,140 @@
+"""Promise 5: a payment is executed at most once.
+
+Two entry processes share a store that loses answers and is down at times.
+The caller repeats each payment through the other entry until it is done or
+known to have been sent. The naive variant keeps no records and repeats a
+payment after a timeout.
+"""
+
+from datetime import timedelta
+import random
+
+from goldcresthaven import caller_server
+from goldcresthaven import clock as clock_module
+from goldcresthaven import dedup
+from goldcresthaven import errors
+from goldcresthaven import forwarding
+from goldcresthaven import ids
+from goldcresthaven import members
+from goldcresthaven import outcomes
+from goldcresthaven import retries
+from goldcresthaven import routing
+from goldcresthaven import store_client
+from proofs import failing_upstream
+from proofs import report
+from standins import platform
+from standins import server
+from tools import rig
+
+PAYMENTS = 3
+REPEATS = 4
+SEEDS = range(15)
+STORE_TIMEOUT = timedelta(milliseconds=20)
+
+
+class NaiveRecords(dedup.Records):
+    """Lets every request through."""
+
+    async def reserve(
+        self, routed: routing.Routed, *, limit: timedelta
+    ) -> dedup.Reserved | outcomes.NotRun | outcomes.Unknown:
+        return dedup.Reserved(txn=ids.TxnId('naive'))
+
+    async def release(
+        self, reserved: dedup.Reserved, *, limit: timedelta
+    ) -> None:
+        return
+
+
+class NaiveServer(caller_server.CallerServer):
+    """Tries three times whatever happened."""
+
+    async def _attempts(
+        self, call: forwarding.Call, routed: routing.Routed
+    ) -> outcomes.Outcome:
+        outcome: outcomes.Outcome = outcomes.NotRun(
+            reason=outcomes.Reason.NO_UPSTREAM
+        )
+        for _ in range(retries.MAX_ATTEMPTS):
+            result = await self._attempt(call, routed, [])
+            if isinstance(result, outcomes.NotRun):
+                return result
+            outcome = retries.classify(result)
+            if call.relayed or isinstance(outcome, outcomes.Done):
+                break
+        return outcome
+
+
+class Run:
+    """One seeded run of either variant."""
+
+    def __init__(self, seed: int, *, naive: bool) -> None:
+        self._rng = random.Random(seed)
+        self._seed = seed
+        self._naive = naive
+        self._platform = platform.Platform()
+        self._failing = failing_upstream.FailingUpstream(self._rng)
+
+    async def violated(self) -> bool:
+        upstream = await rig.start_scripted(self._failing.script)
+        listener = await rig.listen(server.serve_with(self._platform.handle))
+        store = store_client.StoreClient(
+            address=members.Address(host=rig.HOST, port=listener.port),
+            clock=clock_module.SystemClock(),
+            request_timeout=STORE_TIMEOUT,
+        )
+        entries = [await self._entry(upstream, store) for _ in range(2)]
+        for number in range(PAYMENTS):
+            await self._pay(entries, f'{self._seed}-{number}')
+        await self._failing.thaw()
+        await store.close()
+        return any(n > 1 for n in self._failing.runs.values())
+
+    async def _entry(
+        self, upstream: rig.Scripted, store: store_client.StoreClient
+    ) -> rig.Rig:
+        ours = caller_server.CallerServer
+        return await rig.start(
+            {'stored-a': upstream.address},
+            records=NaiveRecords(store=store) if self._naive else None,
+            store=store,
+            server_type=NaiveServer if self._naive else ours,
+        )
+
+    async def _pay(self, entries: list[rig.Rig], key: str) -> None:
+        headers = (
+            ('idempotency-key', key),
+            ('x-deadline-ms', failing_upstream.DEADLINE_MS),
+        )
+        for number in range(REPEATS):
+            faults = self._platform.faults
+            faults.lose_answers = self._rng.choice((0, 0, 1))
+            faults.down = self._rng.random() < 0.1
+            entry = entries[number % len(entries)]
+            try:
+                answer = await entry.ask('POST', '/book/x', headers=headers)
+            except errors.Error:
+                continue
+            if answer.outcome == 'done':
+                return
+
+
+def check(seed: int, *, naive: bool) -> bool:
+    """Return whether some payment was executed twice."""
+    found: list[bool] = []
+
+    async def run() -> None:
+        found.append(await Run(seed, naive=naive).violated())
+
+    rig.run(run)
+    return found[0]
+
+
+def proof() -> report.Proof:
+    return report.Proof(
+        number=5,
+        name='at-most-once',
+        naive=lambda seed: check(seed, naive=True),
+        ours=lambda seed: check(seed, naive=False),
+        seeds=SEEDS,
+    )
--- /dev/null
+++ b/proofs/whole_answer.py
@@ -0,0 +1,124 @@
+"""Promise 3: a caller gets its own complete response and no other.
+
+The upstream sends responses late, twice or cut short, and never echoes the
+request id. The naive variant returns every connection to its pool.
+"""
+
+import random
+
+from goldcresthaven import aio
+from goldcresthaven import errors
+from goldcresthaven import http_io
+from goldcresthaven import members
+from goldcresthaven import upstream_pool
+from proofs import report
+from tools import rig
+
+REQUESTS = 6
+LATE_DEADLINE = '40'
+KINDS = ('good', 'late', 'twice', 'cut')
+SEEDS = range(25)
+
+
+class NaivePool(upstream_pool.UpstreamPool):
+    """Reuses a connection whatever became of its last exchange."""
+
+    async def take(
+        self, address: members.Address, *, limit: int
+    ) -> http_io.UpstreamConn:
+        endpoint = self._endpoints.get(address)
+        if endpoint is None or not endpoint.idle:
+            return await super().take(address, limit=limit)
+        conn = endpoint.idle.pop()
+        conn.begin()
+        return conn
+
+    async def give_back(
+        self, address: members.Address, conn: http_io.UpstreamConn
+    ) -> None:
+        self._endpoints[address].idle.append(conn)
+
+
+class Upstream:
+    """Answers each request with its own path, in a seeded manner."""
+
+    def __init__(self, kinds: list[str]) -> None:
+        self._kinds = kinds
+        self._held: tuple[aio.Socket, bytes] | None = None
+
+    async def script(self, upstream: rig.Scripted, sock: aio.Socket) -> None:
+        try:
+            while head := await rig.read_head(upstream, sock):
+                if not await self._answer(head, sock):
+                    return
+        except OSError:
+            return
+
+    async def _answer(self, head: bytes, sock: aio.Socket) -> bool:
+        path = head.split(b' ')[1]
+        kind = self._kinds[int(path.rsplit(b'/', 1)[1])]
+        if self._held is not None:
+            # The late response leaves just before the next one.
+            late_sock, late = self._held
+            self._held = None
+            await _send_quietly(late_sock, late)
+        response = rig.done(path)
+        match kind:
+            case 'late':
+                self._held = sock, response
+            case 'twice':
+                await sock.sendall(response * 2)
+            case 'cut':
+                await sock.sendall(response[:-2])
+                return False
+            case _:
+                await sock.sendall(response)
+        return True
+
+
+async def _send_quietly(sock: aio.Socket, data: bytes) -> None:
+    try:
+        await sock.sendall(data)
+    except (OSError, AttributeError):
+        # The socket was closed meanwhile, which is what should happen.
+        return
+
+
+async def _violated(seed: int, pool: upstream_pool.UpstreamPool) -> bool:
+    rng = random.Random(seed)
+    kinds = [rng.choice(KINDS) for _ in range(REQUESTS)] + ['good']
+    upstream = await rig.start_scripted(Upstream(kinds).script)
+    path = await rig.start({'free-a': upstream.address}, conns=pool)
+    for number, kind in enumerate(kinds):
+        target = f'/free/{number}'
+        limit = LATE_DEADLINE if kind == 'late' else '2000'
+        try:
+            answer = await path.ask(
+                'GET', target, headers=(('x-deadline-ms', limit),)
+            )
+        except errors.Error:
+            continue
+        if answer.outcome == 'done' and answer.body != target.encode():
+            return True
+    return False
+
+
+def check(seed: int, pool: upstream_pool.UpstreamPool) -> bool:
+    """Return whether some caller got a response that is not its own."""
+    found: list[bool] = []
+
+    async def run() -> None:
+        found.append(await _violated(seed, pool))
+
+    rig.run(run)
+    return found[0]
+
+
+def proof() -> report.Proof:
+    return report.Proof(
+        number=3,
+        name='whole-answer',
+        naive=lambda seed: check(seed, NaivePool()),
+        ours=lambda seed: check(seed, upstream_pool.UpstreamPool()),
+        seeds=SEEDS,
+    )
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -8,8 +8,8 @@
 from goldcresthaven import errors
 from goldcresthaven import http_io
 from goldcresthaven import members
-from tests import rig
 from tools import http_client
+from tools import rig
 
 DEAD = members.Address(host=rig.HOST, port=1)
 GET = b'GET /free/x HTTP/1.1\r\nHost: a\r\n'
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,277 @@
+"""Process tests: real signals, real sockets, a real store outage."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import json
+
+from goldcresthaven import aio
+from goldcresthaven import errors
+from goldcresthaven import http_io
+from goldcresthaven import members
+from tests import fleet_case
+from tools import http_client
+from tools import rig
+
+SLOW_MS = 60_000
+STOP_SECONDS = 30
+STREAM_BYTES = 64 << 20
+# The two directions of a streamed body need a few pieces of 64 KiB; the
+# rest is allowance for the allocator.
+MAX_GROWTH_KIB = 8 << 10
+
+
+def pay(key: str, deadline_ms: int | None = None) -> http_io.Headers:
+    headers = (('idempotency-key', key),)
+    if deadline_ms is None:
+        return headers
+    return (*headers, ('x-deadline-ms', str(deadline_ms)))
+
+
+def memory_kib(pid: int, name: str) -> int:
+    """Return VmRSS, the memory now, or VmHWM, its peak."""
+    with open(f'/proc/{pid}/status') as status:
+        line = next(s for s in status if s.startswith(name))
+    return int(line.split()[1])
+
+
+class UpstreamLossTest(fleet_case.FleetCase):
+    async def _busy(self, name: str, count: int = 1) -> None:
+        async def busy() -> bool:
+            return await self.in_use(name) == count
+
+        await self.until(busy)
+
+    def _run(self, test: Callable[[members.Address], Awaitable[None]]) -> None:
+        entry = self.start_entry()
+
+        async def main() -> None:
+            await self.publish('30s')
+            address = fleet_case.address_of(entry)
+            await self.until_served(address)
+            await test(address)
+
+        rig.run(main)
+
+    def test_killed_in_the_middle(self) -> None:
+        """Guards against "not run" after an upstream died at work."""
+        upstream = self.start_upstream('free-a')
+
+        async def test(entry: members.Address) -> None:
+            await self._slow_down('free-a')
+            asking = await aio.spawn(
+                http_client.ask_once(entry, 'POST', '/pay/', headers=pay('k'))
+            )
+            await self._busy('free-a')
+            upstream.send(fleet_case.KILL)
+            answer = await asking.join()
+            self.assertEqual(502, answer.status)
+            self.assertEqual('unknown', answer.outcome)
+            self.assertEqual('connection-lost', answer.reason)
+
+        self._run(test)
+
+    def test_frozen_and_resumed(self) -> None:
+        """Guards against a late response, and against a second run."""
+        upstream = self.start_upstream('free-a')
+
+        async def test(entry: members.Address) -> None:
+            upstream.send(fleet_case.STOP)
+            answer = await http_client.ask_once(
+                entry, 'POST', '/pay/', headers=pay('k', 300)
+            )
+            self.assertEqual(504, answer.status)
+            self.assertEqual('unknown', answer.outcome)
+            upstream.send(fleet_case.CONTINUE)
+
+            async def ran() -> bool:
+                return await self.executions('free-a', 'k') == 1
+
+            await self.until(ran)
+            for number in range(5):
+                target = f'/free/{number}'
+                own = await http_client.ask_once(entry, 'GET', target)
+                self.assertEqual(target, own.json()['target'])
+            again = await http_client.ask_once(
+                entry, 'POST', '/pay/', headers=pay('k')
+            )
+            self.assertEqual('already-sent', again.reason)
+            self.assertEqual(1, await self.executions('free-a', 'k'))
+
+        self._run(test)
+
+    def test_connection_cut_by_caller(self) -> None:
+        """Guards against slots kept for callers that have left."""
+        # The stand-in does not notice the cut, so only the entry's own
+        # four slots may matter.
+        self.start_upstream('free-a', slots=100)
+
+        async def test(entry: members.Address) -> None:
+            await self._slow_down('free-a')
+            for number in range(1, 5):
+                sock = await aio.connect(entry.host, entry.port)
+                await sock.sendall(b'GET /free/x HTTP/1.1\r\nHost: a\r\n\r\n')
+                await self._busy('free-a', number)
+                await sock.close()
+            await self._slow_down('free-a', 1)
+            own = await http_client.ask_once(
+                entry, 'GET', '/free/x', headers=(('x-deadline-ms', '2000'),)
+            )
+            self.assertEqual('done', own.outcome)
+
+        self._run(test)
+
+    def test_not_owner_runs_nothing(self) -> None:
+        """Guards against an upstream without a lease serving a key."""
+        self.start_upstream('keyed-a', keyed=True)
+        self.start_upstream('free-a')
+
+        async def test(entry: members.Address) -> None:
+            answer = await http_client.ask_once(entry, 'GET', '/keyed/k')
+            self.assertEqual('not-run', answer.outcome)
+            self.assertEqual('not-owner', answer.reason)
+
+        self._run(test)
+
+    def test_streaming_needs_bounded_memory(self) -> None:
+        """Guards against bodies collected in the entry's memory."""
+        self.start_upstream('free-a')
+        entry = self.start_entry('streaming')
+
+        async def test(_: members.Address) -> None:
+            address = fleet_case.address_of(entry)
+            await self.until_served(address)
+            before = memory_kib(entry.popen.pid, 'VmRSS')
+            await self._download(address)
+            await self._upload(address)
+            growth = memory_kib(entry.popen.pid, 'VmHWM') - before
+            self.assertLess(growth, MAX_GROWTH_KIB)
+
+        self._run(test)
+
+    async def _slow_down(self, name: str, service_ms: int = SLOW_MS) -> None:
+        await http_client.post_json(
+            self.listed[name].address,
+            '/behaviour',
+            {'service_ms': service_ms},
+        )
+
+    async def _download(self, entry: members.Address) -> None:
+        sock = await aio.connect(entry.host, entry.port)
+        conn = http_io.UpstreamConn(sock)
+        target = f'/free/x?size={STREAM_BYTES}'
+        await conn.send_head(
+            http_io.RequestHead(
+                method='GET', target=target, headers=(('host', 'a'),)
+            )
+        )
+        await conn.finish()
+        await conn.read_head()
+        size = 0
+        while piece := await conn.read_piece():
+            size += len(piece)
+        self.assertEqual(STREAM_BYTES, size)
+        await conn.close()
+
+    async def _upload(self, entry: members.Address) -> None:
+        sock = await aio.connect(entry.host, entry.port)
+        conn = http_io.UpstreamConn(sock)
+        headers = (('host', 'a'), ('content-length', str(STREAM_BYTES)))
+        await conn.send_head(
+            http_io.RequestHead(
+                method='POST', target='/free/x', headers=headers
+            )
+        )
+        piece = bytes(http_io.PIECE_BYTES)
+        for _ in range(STREAM_BYTES // len(piece)):
+            await conn.send_piece(piece)
+        await conn.finish()
+        await conn.read_head()
+        body = await conn.read_piece()
+        self.assertEqual(STREAM_BYTES, json.loads(body)['received'])
+        await conn.close()
+
+
+class StoreLossTest(fleet_case.FleetCase):
+    def test_store_down_and_losing_answers(self) -> None:
+        """Guards against payments without record and against old settings."""
+        self.start_upstream('free-a')
+        self.start_upstream('stored-a')
+        entry = fleet_case.address_of(self.start_entry())
+
+        async def book(key: str) -> http_client.Answer:
+            return await http_client.ask_once(
+                entry, 'POST', '/book/', headers=pay(key)
+            )
+
+        async def test() -> None:
+            await self.publish()
+            await self.until_served(entry)
+            await self.set_faults(lose_answers=1)
+            first = await book('lost-answer')
+            self.assertEqual('done', first.outcome)
+            again = await book('lost-answer')
+            self.assertEqual('already-sent', again.reason)
+            await self.set_faults(down=True)
+            refused = await book('down')
+            self.assertEqual('not-run', refused.outcome)
+            free = await http_client.ask_once(entry, 'GET', '/free/x')
+            self.assertEqual('done', free.outcome)
+            await self.set_faults()
+            served = await book('down')
+            self.assertEqual('done', served.outcome)
+            for key in ('lost-answer', 'down'):
+                runs = await self.executions('stored-a', key)
+                self.assertEqual(1, runs)
+
+        rig.run(test)
+
+
+class StopTest(fleet_case.FleetCase):
+    def test_sigterm_cuts_nothing_off(self) -> None:
+        """Guards against a planned shutdown that interrupts requests."""
+        self.start_upstream('free-a', service_ms=1500)
+        entry = self.start_entry()
+        address = fleet_case.address_of(entry)
+
+        async def test() -> None:
+            await self.publish('10s')
+            await self.until_served(address)
+            asking = [
+                await aio.spawn(
+                    http_client.ask_once(address, 'GET', f'/free/{n}')
+                )
+                for n in range(3)
+            ]
+
+            async def all_run() -> bool:
+                return await self.in_use('free-a') == 3
+
+            await self.until(all_run)
+            entry.send(fleet_case.TERMINATE)
+
+            async def not_ready() -> bool:
+                answer = await http_client.ask_once(address, 'GET', '/ready')
+                return answer.status == 503
+
+            await self.until(not_ready)
+            during = await http_client.ask_once(address, 'GET', '/free/new')
+            self.assertEqual('done', during.outcome)
+            connection = http_io.find(during.headers, 'connection')
+            self.assertEqual('close', connection)
+            for task in asking:
+                answer = await task.join()
+                self.assertEqual('done', answer.outcome)
+
+            async def gone() -> bool:
+                try:
+                    sock = await aio.connect(address.host, address.port)
+                except errors.ConnectionFailed:
+                    return True
+                await sock.close()
+                return False
+
+            await self.until(gone)
+
+        rig.run(test)
+        # A second signal while the interpreter ends would change the code.
+        self.assertEqual(0, entry.popen.wait(STOP_SECONDS))
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -7,7 +7,7 @@
 from goldcresthaven import members
 from goldcresthaven import outcomes
 from goldcresthaven import routing
-from tests import rig
+from tools import rig
 
 VIEW = rig.make_view({'keyed-a': members.Address(host='h', port=1)})
 NOW = timedelta(seconds=100)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -15,7 +15,7 @@
 from goldcresthaven import tables
 from standins import platform
 from standins import server
-from tests import rig
+from tools import rig
 
 SHORT = timedelta(milliseconds=300)
 
--- a/tests/rig.py
+++ b/tools/rig.py
@@ -213,6 +213,7 @@
     listener: aio.Listener
     views: FixedViews
     conns: upstream_pool.UpstreamPool
+    accepted: list[aio.Socket] = field(default_factory=list)
 
     @property
     def address(self) -> members.Address:
@@ -247,21 +248,36 @@
     deadline: str = '2s',
     store: dedup.Store | None = None,
     conns: upstream_pool.UpstreamPool | None = None,
+    records: dedup.Records | None = None,
+    server_type: type[caller_server.CallerServer] = (
+        caller_server.CallerServer
+    ),
 ) -> Rig:
     """Start a request path; keys of 'keyed' belong to the first upstream."""
     clock = clock_module.SystemClock()
     views = FixedViews(view=make_view(upstreams, deadline))
     conns = conns or upstream_pool.UpstreamPool()
     _pools.append(conns)
-    server = caller_server.CallerServer(
+    server = server_type(
         views=views,
         gate=dispatch.LocalGate(views=views, clock=clock),
-        records=dedup.Records(store=store or NoStore()),
+        records=records or dedup.Records(store=store or NoStore()),
         forwarder=forwarding.Forwarder(conns=conns, clock=clock),
         clock=clock,
     )
-    listener = await listen(server.serve)
-    return Rig(server=server, listener=listener, views=views, conns=conns)
+    accepted: list[aio.Socket] = []
+
+    async def serve(sock: aio.Socket) -> None:
+        accepted.append(sock)
+        await server.serve(sock)
+
+    return Rig(
+        server=server,
+        listener=await listen(serve),
+        views=views,
+        conns=conns,
+        accepted=accepted,
+    )
 
 
 def make_view(
