Add peer messages, their checked decoding and authentication

Messages are arrays of fields in order, so that a new field is one line with a default at the end and processes of adjacent releases still understand each other. Encoding by field name was ruled out: it would repeat every name in each slot message (22 bytes for one demand now).

The CBOR library decodes built-in tags (regular expressions, decimals) and ignores bytes after the item; both are refused, as are indefinite lengths.

A credential is bound to its target and purpose, and one made before the verifier started is refused, because nonces do not survive a restart. Signing every message was ruled out for now: peers share a private network and the connection itself is authenticated in both directions.

--- /dev/null
+++ b/goldcresthaven/auth.py
@@ -0,0 +1,306 @@
+"""HMAC-SHA256 authentication of peers and operators.
+
+A credential names its key, actor, target, time and nonce and is bound to
+its purpose and to the content that it covers. The target keeps one
+recorded credential from being used at another process. A credential is
+accepted once, and only if it was made after the verifier started: nonces
+are kept in memory, so after a restart older ones could not be recognised.
+
+The keys file is YAML; the first key signs and both are accepted::
+
+    keys:
+      - id: "2026-12"
+        secret: base64 of at least 32 bytes
+      - id: "2026-06"
+        secret: ...
+"""
+
+import base64
+import binascii
+from collections import OrderedDict
+from dataclasses import dataclass
+from dataclasses import field
+from datetime import datetime
+from datetime import timedelta
+from enum import Enum
+import hashlib
+import hmac
+from typing import Any
+
+import yaml
+
+from goldcresthaven import clock
+from goldcresthaven import codec
+from goldcresthaven import errors
+from goldcresthaven import messages
+
+MIN_SECRET_BYTES = 32
+MAX_KEYS = 2
+NONCE_BYTES = 16
+# Wall clocks of VMs may differ by this much; also bounds how long a nonce
+# is remembered.
+REPLAY_WINDOW = timedelta(seconds=30)
+# A nonce is kept for twice the window: 270 credentials a second.
+MAX_NONCES = 16_384
+_MS = timedelta(milliseconds=1)
+_UNIX = datetime.fromisoformat('1970-01-01T00:00:00+00:00')
+_SCHEME = 'goldcresthaven-hmac-sha256'
+
+
+class Purpose(Enum):
+    """What a credential is for; one cannot be used as the other."""
+
+    PEER = 'peer'
+    OPERATOR = 'operator'
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Key:
+    """A shared key; the secret is kept out of ``repr`` and of logs."""
+
+    key_id: str
+    secret: bytes = field(repr=False)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class KeyRing:
+    """The accepted keys; the first one signs."""
+
+    keys: tuple[Key, ...]
+
+    def find(self, key_id: str) -> Key | None:
+        return next((k for k in self.keys if k.key_id == key_id), None)
+
+
+def parse_keys(text: str, *, source: str = 'keys_file') -> KeyRing:
+    """Return the keys written in a keys file.
+
+    Raises SettingsError; its message never contains a secret.
+    """
+    try:
+        document = yaml.safe_load(text)
+    except yaml.YAMLError:
+        # The parser's message quotes the line, which may hold a secret.
+        raise _bad_keys(source, 'is not valid YAML') from None
+    if not isinstance(document, dict) or set(document) != {'keys'}:
+        raise _bad_keys(source, 'must contain "keys" and nothing else')
+    items = document['keys']
+    if not isinstance(items, list) or not 1 <= len(items) <= MAX_KEYS:
+        raise _bad_keys(source, f'must list 1 to {MAX_KEYS} keys')
+    keys = tuple(_parse_key(item, i, source) for i, item in enumerate(items))
+    if len({k.key_id for k in keys}) != len(keys):
+        raise _bad_keys(source, 'lists two keys with the same id')
+    return KeyRing(keys=keys)
+
+
+def _parse_key(item: Any, index: int, source: str) -> Key:
+    where = f'keys[{index}]'
+    if not isinstance(item, dict) or set(item) != {'id', 'secret'}:
+        raise _bad_keys(source, f'{where} must have "id" and "secret"')
+    key_id, secret = item['id'], item['secret']
+    if not isinstance(key_id, str) or not 1 <= len(key_id) <= 32:
+        raise _bad_keys(source, f'{where}.id must be 1 to 32 characters')
+    if not key_id.isascii() or not key_id.isprintable() or ' ' in key_id:
+        raise _bad_keys(source, f'{where}.id must be printable ASCII')
+    try:
+        raw = base64.b64decode(str(secret), validate=True)
+    except (binascii.Error, ValueError):
+        raise _bad_keys(source, f'{where}.secret is not base64') from None
+    if len(raw) < MIN_SECRET_BYTES:
+        raise _bad_keys(
+            source, f'{where}.secret has fewer than {MIN_SECRET_BYTES} bytes'
+        )
+    return Key(key_id=key_id, secret=raw)
+
+
+def _bad_keys(source: str, problem: str) -> errors.SettingsError:
+    return errors.SettingsError(
+        f'{source} {problem}',
+        remedy='write it as the doc comment of goldcresthaven.auth shows',
+    )
+
+
+def _mac(
+    key: Key, purpose: Purpose, credential: messages.Credential, body: bytes
+) -> bytes:
+    parts = (
+        _SCHEME.encode(),
+        purpose.value.encode(),
+        credential.key_id.encode(),
+        credential.actor.encode(),
+        credential.target.encode(),
+        str(credential.time_ms).encode(),
+        credential.nonce,
+        credential.challenge,
+        hashlib.sha256(body).digest(),
+    )
+    # Lengths in front, so that two different lists never give one text.
+    text = b''.join(len(p).to_bytes(4, 'big') + p for p in parts)
+    return hmac.digest(key.secret, text, 'sha256')
+
+
+def create(
+    ring: KeyRing,
+    *,
+    purpose: Purpose,
+    actor: str,
+    target: str,
+    now: datetime,
+    nonce: bytes,
+    challenge: bytes = b'',
+    body: bytes = b'',
+) -> messages.Credential:
+    """Return a credential made with the first key of the ring.
+
+    ``nonce`` is NONCE_BYTES random bytes, never used before.
+    """
+    key = ring.keys[0]
+    unsigned = messages.Credential(
+        key_id=key.key_id,
+        actor=actor,
+        target=target,
+        time_ms=(now - _UNIX) // _MS,
+        nonce=nonce,
+        mac=b'',
+        challenge=challenge,
+    )
+    return messages.Credential(
+        key_id=key.key_id,
+        actor=actor,
+        target=target,
+        time_ms=unsigned.time_ms,
+        nonce=nonce,
+        mac=_mac(key, purpose, unsigned, body),
+        challenge=challenge,
+    )
+
+
+class Verifier:
+    """Checks credentials addressed to one process.
+
+    The keys may be replaced during a rotation with ``set_keys``.
+    """
+
+    def __init__(
+        self, ring: KeyRing, *, target: str, time: clock.Clock
+    ) -> None:
+        self._ring = ring
+        self._target = target
+        self._clock = time
+        self._started = time.now()
+        self._seen: OrderedDict[bytes, timedelta] = OrderedDict()
+
+    @property
+    def ring(self) -> KeyRing:
+        return self._ring
+
+    def set_keys(self, ring: KeyRing) -> None:
+        self._ring = ring
+
+    def verify(
+        self,
+        credential: messages.Credential,
+        *,
+        purpose: Purpose,
+        challenge: bytes = b'',
+        body: bytes = b'',
+    ) -> str:
+        """Return the actor.
+
+        Raises AuthError. The caller logs its message and does not send it
+        to the other side.
+        """
+        key = self._ring.find(credential.key_id)
+        if key is None:
+            raise _refused(
+                f'key id {credential.key_id!r} is not accepted',
+                'install the current keys_file on both sides',
+            )
+        expected = _mac(key, purpose, credential, body)
+        if not hmac.compare_digest(expected, credential.mac):
+            raise _refused(
+                f'wrong MAC for key id {credential.key_id!r}',
+                'install the same keys_file on both sides',
+            )
+        if credential.target != self._target:
+            raise _refused(
+                f'credential is for {credential.target!r}, this is '
+                f'{self._target!r}',
+                'wait for the membership list to be current',
+            )
+        if not hmac.compare_digest(credential.challenge, challenge):
+            raise _refused(
+                'credential answers another challenge', 'connect again'
+            )
+        self._check_time(credential)
+        self._check_nonce(credential.nonce)
+        return credential.actor
+
+    def _check_time(self, credential: messages.Credential) -> None:
+        made = timedelta(milliseconds=credential.time_ms)
+        skew = (self._clock.now() - _UNIX) - made
+        if abs(skew) > REPLAY_WINDOW:
+            raise _refused(
+                f'credential is {skew.total_seconds():.1f} s old',
+                'synchronise the clocks of both VMs',
+            )
+        if made < (self._started - _UNIX) // _MS * _MS:
+            raise _refused(
+                'credential was made before this process started',
+                'connect again',
+            )
+
+    def _check_nonce(self, nonce: bytes) -> None:
+        now = self._clock.elapsed()
+        while self._seen:
+            oldest = next(iter(self._seen))
+            if self._seen[oldest] > now:
+                break
+            del self._seen[oldest]
+        if len(nonce) != NONCE_BYTES:
+            raise _refused('nonce has the wrong size', 'connect again')
+        if nonce in self._seen:
+            raise _refused('credential was used before', 'connect again')
+        if len(self._seen) >= MAX_NONCES:
+            raise _refused(
+                f'more than {MAX_NONCES} credentials within '
+                f'{2 * REPLAY_WINDOW}',
+                'find the peer or operator that keeps connecting',
+            )
+        # A credential from a clock that is ahead stays valid for the
+        # window on both sides of its time.
+        self._seen[nonce] = now + 2 * REPLAY_WINDOW
+
+
+def _refused(problem: str, remedy: str) -> errors.AuthError:
+    return errors.AuthError(problem, remedy=remedy)
+
+
+def request_body(method: str, path: str, content: bytes) -> bytes:
+    """Return what an operator's credential covers of an HTTP request."""
+    return codec.dumps([method, path, content])
+
+
+def to_header(credential: messages.Credential) -> str:
+    """Return the value of the ``Authorization`` header of a request."""
+    data = codec.dumps(codec.dump(credential))
+    return f'{_SCHEME} {base64.b64encode(data).decode()}'
+
+
+def from_header(text: str) -> messages.Credential:
+    """Return the credential in an ``Authorization`` header.
+
+    Raises AuthError.
+    """
+    scheme, _, encoded = text.partition(' ')
+    try:
+        if scheme != _SCHEME:
+            raise ValueError(scheme)
+        data = base64.b64decode(encoded, validate=True)
+        value = codec.loads(data, max_size=messages.MAX_HELLO_BYTES)
+        return codec.load(messages.Credential, value)
+    except (binascii.Error, ValueError, errors.ProtocolError) as exc:
+        raise _refused(
+            'the Authorization header holds no valid credential',
+            'use the goldcresthaven command of the same release',
+        ) from exc
--- /dev/null
+++ b/goldcresthaven/codec.py
@@ -0,0 +1,286 @@
+"""CBOR encoding of data classes, with every decoded value checked.
+
+A data class is encoded as the array of its fields in order. Types, ranges
+and sizes come from the annotations, so that adding a field is one line::
+
+    count: Annotated[int, Range(0, 1024)] = 0
+
+New fields go last and have a default. A shorter array is filled with
+defaults and surplus values are ignored, so processes of adjacent releases
+understand each other while a fleet is being replaced.
+
+The same checks run on encoding: a value that a peer would reject fails at
+the sender, where the fault is.
+"""
+
+from collections.abc import Callable
+import dataclasses
+from dataclasses import dataclass
+import enum
+import functools
+import io
+import types
+import typing
+from typing import Annotated
+from typing import Any
+from typing import TypeVar
+
+import cbor2
+
+from goldcresthaven import errors
+
+T = TypeVar('T')
+
+# The deepest message is frame, list of ranges, range, list of entries and
+# entry; the rest is room for later messages.
+MAX_DEPTH = 8
+
+
+@dataclass(frozen=True)
+class Range:
+    """Smallest and largest value of an integer."""
+
+    low: int
+    high: int
+
+
+@dataclass(frozen=True)
+class Size:
+    """Largest size: UTF-8 bytes of text, bytes, or items of a tuple."""
+
+    high: int
+
+
+MAX_U63 = (1 << 63) - 1
+MAX_U64 = (1 << 64) - 1
+
+Count = Annotated[int, Range(0, 1_000_000)]
+U63 = Annotated[int, Range(0, MAX_U63)]
+U64 = Annotated[int, Range(0, MAX_U64)]
+
+_Convert = Callable[[Any, str], Any]
+
+
+@dataclass(frozen=True)
+class _Codec:
+    """Two conversions; each gets the value and its path for errors."""
+
+    dump: _Convert
+    load: _Convert
+
+
+class _RejectTags(dict[int, Any]):
+    """Refuses all CBOR tags.
+
+    The library's built-in tags would otherwise compile regular expressions
+    or build large numbers out of a peer's bytes.
+    """
+
+    def __missing__(self, tag: int) -> Any:
+        raise ValueError(f'tag {tag} is not allowed')
+
+
+def _fail(path: str, problem: str) -> errors.ProtocolError:
+    return errors.ProtocolError(
+        f'{path}: {problem}',
+        remedy='check that both processes run adjacent releases',
+    )
+
+
+def loads(data: bytes, *, max_size: int) -> Any:
+    """Return the plain value of a CBOR item.
+
+    Raises ProtocolError when the item is malformed, larger than
+    ``max_size`` bytes, nested deeper than MAX_DEPTH, followed by other
+    bytes, or contains tags or indefinite lengths.
+    """
+    if len(data) > max_size:
+        raise _fail('message', f'{len(data)} bytes exceed {max_size}')
+    stream = io.BytesIO(data)
+    try:
+        value = cbor2.load(
+            stream,
+            semantic_decoders=_RejectTags(),
+            max_depth=MAX_DEPTH,
+            allow_indefinite=False,
+            allow_duplicate_keys=False,
+            strict_hashable_types=True,
+        )
+    except (cbor2.CBORError, ValueError, RecursionError) as exc:
+        raise _fail('message', f'malformed CBOR: {exc}') from exc
+    if stream.tell() != len(data):
+        raise _fail('message', 'bytes follow the CBOR item')
+    return value
+
+
+def dumps(value: Any) -> bytes:
+    return cbor2.dumps(value)
+
+
+def dump(value: Any) -> list[Any]:
+    """Return a data class as a list that ``load`` accepts.
+
+    Raises ProtocolError when a field breaks its own limits.
+    """
+    cls: Any = type(value)
+    return typing.cast(list[Any], _for_class(cls).dump(value, cls.__name__))
+
+
+def load(cls: type[T], value: Any) -> T:
+    """Return the data class built from a decoded list.
+
+    Raises ProtocolError when a type, range or size is wrong.
+    """
+    codec = _for_class(typing.cast(Any, cls))
+    return typing.cast(T, codec.load(value, cls.__name__))
+
+
+@functools.cache
+def _for_class(cls: Any) -> _Codec:
+    hints = typing.get_type_hints(cls, include_extras=True)
+    fields = [
+        (f.name, _for_hint(hints[f.name]), _is_required(f))
+        for f in dataclasses.fields(cls)
+    ]
+
+    def dump_object(value: Any, path: str) -> Any:
+        if type(value) is not cls:
+            raise _fail(path, f'not a {cls.__name__}')
+        return [
+            codec.dump(getattr(value, name), f'{path}.{name}')
+            for name, codec, _ in fields
+        ]
+
+    def load_object(value: Any, path: str) -> Any:
+        if type(value) is not list:
+            raise _fail(path, 'not an array')
+        args = {}
+        for pos, (name, codec, required) in enumerate(fields):
+            if pos < len(value):
+                args[name] = codec.load(value[pos], f'{path}.{name}')
+            elif required:
+                raise _fail(path, f'{name} is missing')
+        return cls(**args)
+
+    return _Codec(dump=dump_object, load=load_object)
+
+
+def _is_required(field: 'dataclasses.Field[Any]') -> bool:
+    return (
+        field.default is dataclasses.MISSING
+        and field.default_factory is dataclasses.MISSING
+    )
+
+
+def _for_hint(hint: Any) -> _Codec:
+    limits: tuple[Any, ...] = ()
+    if typing.get_origin(hint) is Annotated:
+        hint, *rest = typing.get_args(hint)
+        limits = tuple(rest)
+    hint = getattr(hint, '__supertype__', hint)
+    limit = limits[-1] if limits else None
+    origin = typing.get_origin(hint)
+    if origin in (types.UnionType, typing.Union):
+        return _for_optional(hint, limit)
+    if origin is tuple:
+        return _for_tuple(_for_hint(typing.get_args(hint)[0]), limit)
+    if hint is int:
+        return _for_int(limit)
+    if hint in (str, bytes):
+        return _for_bytes(hint, limit)
+    if hint is bool:
+        return _for_bool()
+    if issubclass(hint, enum.Enum):
+        return _for_enum(hint)
+    return _for_class(hint)
+
+
+def _for_int(limit: Any) -> _Codec:
+    assert isinstance(limit, Range), 'an integer field needs a Range'
+
+    def check(value: Any, path: str) -> Any:
+        if type(value) is not int:
+            raise _fail(path, 'not an integer')
+        if not limit.low <= value <= limit.high:
+            raise _fail(path, f'not in {limit.low}..{limit.high}')
+        return value
+
+    return _Codec(dump=check, load=check)
+
+
+def _for_bytes(kind: Any, limit: Any) -> _Codec:
+    assert isinstance(limit, Size), 'a text or bytes field needs a Size'
+
+    def check(value: Any, path: str) -> Any:
+        if type(value) is not kind:
+            raise _fail(path, f'not {kind.__name__}')
+        try:
+            size = len(value.encode() if kind is str else value)
+        except UnicodeEncodeError as exc:
+            raise _fail(path, 'not valid Unicode') from exc
+        if size > limit.high:
+            raise _fail(path, f'{size} bytes exceed {limit.high}')
+        return value
+
+    return _Codec(dump=check, load=check)
+
+
+def _for_bool() -> _Codec:
+    def check(value: Any, path: str) -> Any:
+        if type(value) is not bool:
+            raise _fail(path, 'not a boolean')
+        return value
+
+    return _Codec(dump=check, load=check)
+
+
+def _for_enum(kind: Any) -> _Codec:
+    members = {member.value: member for member in kind}
+
+    def dump_member(value: Any, path: str) -> Any:
+        if not isinstance(value, kind):
+            raise _fail(path, f'not a {kind.__name__}')
+        return value.value
+
+    def load_member(value: Any, path: str) -> Any:
+        if type(value) is not str or value not in members:
+            raise _fail(path, f'not a {kind.__name__}')
+        return members[value]
+
+    return _Codec(dump=dump_member, load=load_member)
+
+
+def _for_optional(hint: Any, limit: Any) -> _Codec:
+    inner, *others = [
+        arg for arg in typing.get_args(hint) if arg is not types.NoneType
+    ]
+    assert not others, 'a union field may only add None to one type'
+    codec = _for_hint(Annotated[inner, limit] if limit else inner)
+
+    def dump_value(value: Any, path: str) -> Any:
+        return None if value is None else codec.dump(value, path)
+
+    def load_value(value: Any, path: str) -> Any:
+        return None if value is None else codec.load(value, path)
+
+    return _Codec(dump=dump_value, load=load_value)
+
+
+def _for_tuple(item: _Codec, limit: Any) -> _Codec:
+    assert isinstance(limit, Size), 'a tuple field needs a Size'
+
+    def check(value: Any, kind: Any, path: str) -> None:
+        if type(value) is not kind:
+            raise _fail(path, 'not an array')
+        if len(value) > limit.high:
+            raise _fail(path, f'{len(value)} items exceed {limit.high}')
+
+    def dump_items(value: Any, path: str) -> Any:
+        check(value, tuple, path)
+        return [item.dump(v, f'{path}[{i}]') for i, v in enumerate(value)]
+
+    def load_items(value: Any, path: str) -> Any:
+        check(value, list, path)
+        return tuple(item.load(v, f'{path}[{i}]') for i, v in enumerate(value))
+
+    return _Codec(dump=dump_items, load=load_items)
--- /dev/null
+++ b/goldcresthaven/messages.py
@@ -0,0 +1,434 @@
+"""Messages between entry processes.
+
+A frame on the wire is the CBOR array ``[tag, kind, number, fields...]``.
+Tags are never reused. ``codec`` describes how fields may be added.
+"""
+
+from dataclasses import dataclass
+from dataclasses import field
+from enum import Enum
+from typing import Annotated
+from typing import Any
+
+from goldcresthaven import codec
+from goldcresthaven import errors
+from goldcresthaven import events
+from goldcresthaven import ids
+from goldcresthaven import outcomes
+
+MAX_MESSAGE_BYTES = 1 << 20
+# Frames before authentication; a Hello has about 250 bytes.
+MAX_HELLO_BYTES = 4096
+# Leaves room in one message for the frame and a second log's entries.
+MAX_ENTRY_BYTES = 384 << 10
+MAX_SNAPSHOT_CHUNK_BYTES = 512 << 10
+MAX_ITEMS = 4096
+
+Vm = Annotated[ids.VmId, codec.Size(128)]
+Zone = Annotated[ids.ZoneId, codec.Size(128)]
+Boot = Annotated[ids.BootId, codec.Size(128)]
+Domain = Annotated[ids.DomainId, codec.Size(128)]
+ShardKey = Annotated[ids.ShardId, codec.Size(192)]
+Upstream = Annotated[ids.UpstreamId, codec.Size(128)]
+Epoch = Annotated[ids.Epoch, codec.Range(0, codec.MAX_U63)]
+MapVersion = Annotated[ids.MapVersion, codec.Range(0, codec.MAX_U63)]
+ConfigVersion = Annotated[ids.ConfigVersion, codec.Range(0, codec.MAX_U63)]
+DurationMs = Annotated[int, codec.Range(0, 86_400_000)]
+
+
+class LogName(Enum):
+    """The two replicated logs; values are the table names."""
+
+    MAP = 'map_log'
+    CONFIG = 'config_log'
+
+
+class Kind(Enum):
+    """Whether a frame is a message of its own, a request or a reply."""
+
+    ONE_WAY = 'm'
+    REQUEST = 'q'
+    REPLY = 'r'
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Credential:
+    """Proof of identity; ``auth`` creates and verifies it.
+
+    ``challenge`` is the nonce that the other side sent, empty when it has
+    sent none.
+    """
+
+    key_id: Annotated[str, codec.Size(64)]
+    actor: Annotated[str, codec.Size(128)]
+    target: Annotated[str, codec.Size(128)]
+    time_ms: codec.U63
+    nonce: Annotated[bytes, codec.Size(32)]
+    mac: Annotated[bytes, codec.Size(32)]
+    challenge: Annotated[bytes, codec.Size(32)] = b''
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Hello:
+    """First frame in each direction of a connection."""
+
+    vm: Vm
+    zone: Zone
+    boot: Boot
+    credential: Credential
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Heartbeat:
+    """Asks whether a peer is alive and tells it the sender's versions."""
+
+    stamp: events.Stamp
+    map_version: MapVersion
+    config_version: ConfigVersion
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HeartbeatAck:
+    """Answer to Heartbeat with the answering process's versions."""
+
+    stamp: events.Stamp
+    map_version: MapVersion
+    config_version: ConfigVersion
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LogEntry:
+    """One row of a log.
+
+    ``value`` is the row's value as canonical JSON, identical bytes in all
+    processes; ``gossip`` does not look into it.
+    """
+
+    version: Annotated[int, codec.Range(1, codec.MAX_U63)]
+    txn: Annotated[ids.TxnId, codec.Size(128)]
+    value: Annotated[bytes, codec.Size(MAX_ENTRY_BYTES)]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LogRange:
+    """Consecutive entries of a log and the sender's own version.
+
+    ``too_old`` says that entries the receiver lacks are no longer kept, so
+    that it needs a snapshot.
+    """
+
+    log: LogName
+    head: codec.U63
+    entries: Annotated[tuple[LogEntry, ...], codec.Size(MAX_ITEMS)] = ()
+    too_old: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Changes:
+    """Log entries, pushed to a peer or in answer to PullChanges.
+
+    ``authoritative`` says that the sender knows its versions to be recent;
+    a process that has just started counts only such answers.
+    """
+
+    ranges: Annotated[tuple[LogRange, ...], codec.Size(2)]
+    authoritative: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LogVersion:
+    log: LogName
+    version: codec.U63
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PullChanges:
+    """Asks for the entries after the sender's versions."""
+
+    have: Annotated[tuple[LogVersion, ...], codec.Size(2)]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SnapshotQuery:
+    """Asks for a piece of a peer's snapshot of a log.
+
+    Version 0 means the latest. Later pieces name the version of the first,
+    because pieces of two versions must not be mixed.
+    """
+
+    log: LogName
+    version: codec.U63 = 0
+    offset: codec.U63 = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SnapshotReply:
+    """A piece of a snapshot; ``total`` 0 means that it is not available."""
+
+    log: LogName
+    version: codec.U63
+    offset: codec.U63
+    total: codec.U63
+    data: Annotated[bytes, codec.Size(MAX_SNAPSHOT_CHUNK_BYTES)] = b''
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConsentRequest:
+    """Asks a peer not to raise the domain's epoch for a while."""
+
+    domain: Domain
+    epoch: Epoch
+    duration_ms: DurationMs
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConsentReply:
+    """``epoch`` is the highest epoch of the domain that the peer knows."""
+
+    domain: Domain
+    epoch: Epoch
+    granted: bool
+    duration_ms: DurationMs = 0
+    reason: Annotated[str, codec.Size(256)] = ''
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SlotItem:
+    """Slots of one upstream for one rank.
+
+    Times are relative to the receipt of the message, because the clocks of
+    two VMs differ. ``lease_id`` is 0 in a demand.
+    """
+
+    upstream: Upstream
+    rank: outcomes.Rank
+    count: codec.Count = 0
+    earliest_deadline_ms: DurationMs = 0
+    lease_id: codec.U63 = 0
+    expiry_ms: DurationMs = 0
+    epoch: Epoch = ids.Epoch(0)
+
+
+Items = Annotated[tuple[SlotItem, ...], codec.Size(MAX_ITEMS)]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SlotDemand:
+    """Work that waits at an entry process, by upstream and rank.
+
+    ``seq`` increases with each demand; it replaces the earlier one.
+    """
+
+    items: Items
+    seq: codec.U63 = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SlotGrant:
+    """Slots that the manager leases to an entry process."""
+
+    items: Items
+    seq: codec.U63 = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SlotReturn:
+    """Leased slots that the entry process no longer uses."""
+
+    items: Items
+    seq: codec.U63 = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SlotRecall:
+    """Leased slots that the manager wants back."""
+
+    items: Items
+    seq: codec.U63 = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RouteLeaseRequest:
+    """Asks the claim holder for the right to send to a shard's owner."""
+
+    domain: Domain
+    shard: ShardKey
+    map_version: MapVersion
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RouteLeaseGrant:
+    """The lease counts from when its request was sent.
+
+    ``owner`` is None and ``duration_ms`` 0 when it is refused.
+    """
+
+    domain: Domain
+    shard: ShardKey
+    epoch: Epoch
+    duration_ms: DurationMs = 0
+    owner: Annotated[ids.UpstreamId | None, codec.Size(128)] = None
+    reason: Annotated[str, codec.Size(256)] = ''
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TimelineQuery:
+    """Asks for a process's events; the newest ``limit`` are sent."""
+
+    wanted: events.Filter = field(default_factory=events.Filter)
+    limit: Annotated[int, codec.Range(1, MAX_ITEMS)] = 1000
+
+
+Events = Annotated[tuple[events.Event, ...], codec.Size(MAX_ITEMS)]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TimelineReply:
+    """``truncated`` says that older matching events were left out."""
+
+    events: Events
+    truncated: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Milestones:
+    """Copies of a process's milestones, kept in case it is lost."""
+
+    events: Events
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StatusQuery:
+    """Asks a process for its state."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StatusReply:
+    """State of one process; ``details`` is JSON for the operator."""
+
+    vm: Vm
+    zone: Zone
+    boot: Boot
+    ready: bool
+    map_version: MapVersion
+    config_version: ConfigVersion
+    preset: Annotated[str, codec.Size(128)] = ''
+    uptime_ms: codec.U63 = 0
+    details: Annotated[bytes, codec.Size(64 << 10)] = b'{}'
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Refusal:
+    """Reply to a request that the peer could not handle."""
+
+    reason: Annotated[str, codec.Size(256)]
+
+
+Message = (
+    Hello
+    | Heartbeat
+    | HeartbeatAck
+    | Changes
+    | PullChanges
+    | SnapshotQuery
+    | SnapshotReply
+    | ConsentRequest
+    | ConsentReply
+    | SlotDemand
+    | SlotGrant
+    | SlotReturn
+    | SlotRecall
+    | RouteLeaseRequest
+    | RouteLeaseGrant
+    | TimelineQuery
+    | TimelineReply
+    | Milestones
+    | StatusQuery
+    | StatusReply
+    | Refusal
+)
+
+TAGS: dict[int, type[Any]] = {
+    1: Hello,
+    2: Heartbeat,
+    3: HeartbeatAck,
+    4: Changes,
+    5: PullChanges,
+    6: SnapshotQuery,
+    7: SnapshotReply,
+    8: ConsentRequest,
+    9: ConsentReply,
+    10: SlotDemand,
+    11: SlotGrant,
+    12: SlotReturn,
+    13: SlotRecall,
+    14: RouteLeaseRequest,
+    15: RouteLeaseGrant,
+    16: TimelineQuery,
+    17: TimelineReply,
+    18: Milestones,
+    19: StatusQuery,
+    20: StatusReply,
+    21: Refusal,
+}
+_TAG_OF = {cls: tag for tag, cls in TAGS.items()}
+_KINDS = {kind.value: kind for kind in Kind}
+_HEAD_ITEMS = 3
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Frame:
+    """A message and how it relates to others.
+
+    ``number`` links a reply to its request and is 0 in other frames.
+    """
+
+    message: Message
+    kind: Kind = Kind.ONE_WAY
+    number: int = 0
+
+
+def encode(frame: Frame) -> bytes:
+    """Return a frame's bytes.
+
+    Raises ProtocolError when a field breaks its limits or the frame has
+    more than MAX_MESSAGE_BYTES.
+    """
+    tag = _TAG_OF[type(frame.message)]
+    head = [tag, frame.kind.value, frame.number]
+    data = codec.dumps(head + codec.dump(frame.message))
+    if len(data) > MAX_MESSAGE_BYTES:
+        raise errors.ProtocolError(
+            f'a {type(frame.message).__name__} of {len(data)} bytes exceeds '
+            f'{MAX_MESSAGE_BYTES}',
+            remedy='split it into several messages',
+        )
+    return data
+
+
+def decode(data: bytes, *, max_size: int = MAX_MESSAGE_BYTES) -> Frame:
+    """Return the frame that a peer sent.
+
+    Raises ProtocolError for everything that is not a valid frame.
+    """
+    value = codec.loads(data, max_size=max_size)
+    if type(value) is not list or len(value) < _HEAD_ITEMS:
+        raise _bad_frame('not an array with tag, kind and number')
+    tag, kind, number = value[:_HEAD_ITEMS]
+    if type(tag) is not int or tag not in TAGS:
+        raise _bad_frame('unknown message tag')
+    if type(kind) is not str or kind not in _KINDS:
+        raise _bad_frame('unknown frame kind')
+    if type(number) is not int or not 0 <= number <= codec.MAX_U63:
+        raise _bad_frame('invalid request number')
+    if (number == 0) != (_KINDS[kind] is Kind.ONE_WAY):
+        raise _bad_frame('request number does not fit the frame kind')
+    message = codec.load(TAGS[tag], value[_HEAD_ITEMS:])
+    return Frame(message=message, kind=_KINDS[kind], number=number)
+
+
+def _bad_frame(problem: str) -> errors.ProtocolError:
+    return errors.ProtocolError(
+        f'invalid frame: {problem}',
+        remedy='check that both processes run adjacent releases',
+    )
--- /dev/null
+++ b/tests/test_messages.py
@@ -0,0 +1,174 @@
+"""Tests of the peer messages and their decoding."""
+
+import dataclasses
+import enum
+import tracemalloc
+import types
+import typing
+from typing import Annotated
+from typing import Any
+import unittest
+
+import cbor2
+from hypothesis import given
+from hypothesis import HealthCheck
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from goldcresthaven import codec
+from goldcresthaven import errors
+from goldcresthaven import messages
+from goldcresthaven import outcomes
+
+
+def values(hint: Any, limit: Any = None) -> st.SearchStrategy[Any]:
+    """Return a strategy for the valid values of a field."""
+    if typing.get_origin(hint) is Annotated:
+        hint, limit = typing.get_args(hint)[0], typing.get_args(hint)[-1]
+    hint = getattr(hint, '__supertype__', hint)
+    origin = typing.get_origin(hint)
+    args = typing.get_args(hint)
+    if origin in (types.UnionType, typing.Union):
+        return st.none() | values(args[0], limit)
+    if origin is tuple:
+        items = st.lists(values(args[0]), max_size=min(limit.high, 3))
+        return items.map(tuple)
+    if hint is int:
+        return st.integers(limit.low, limit.high)
+    if hint is str:
+        return st.text(max_size=limit.high // 4)
+    if hint is bytes:
+        return st.binary(max_size=min(limit.high, 500))
+    if hint is bool:
+        return st.booleans()
+    if issubclass(hint, enum.Enum):
+        return st.sampled_from(hint)
+    return objects(hint)
+
+
+def objects(cls: Any) -> st.SearchStrategy[Any]:
+    hints = typing.get_type_hints(cls, include_extras=True)
+    fields = {f.name: values(hints[f.name]) for f in dataclasses.fields(cls)}
+    return st.builds(cls, **fields)
+
+
+FRAMES = st.builds(
+    messages.Frame,
+    message=st.one_of([objects(cls) for cls in messages.TAGS.values()]),
+    kind=st.just(messages.Kind.REQUEST),
+    number=st.integers(1, codec.MAX_U63),
+)
+EXAMPLE = messages.Frame(
+    message=messages.SlotDemand(
+        items=(
+            messages.SlotItem(
+                upstream=typing.cast(Any, 'u1'),
+                rank=outcomes.Rank.URGENT,
+                count=3,
+            ),
+        ),
+        seq=7,
+    )
+)
+
+
+class MessagesTest(unittest.TestCase):
+    @settings(suppress_health_check=[HealthCheck.too_slow], deadline=None)
+    @given(FRAMES)
+    def test_round_trip(self, frame: messages.Frame) -> None:
+        """Guards against a field that is lost or changed on the wire."""
+        self.assertEqual(messages.decode(messages.encode(frame)), frame)
+
+    @given(st.binary(max_size=300))
+    def test_random_bytes_give_protocol_error(self, data: bytes) -> None:
+        """Guards against a peer's bytes that raise anything else."""
+        with self.assertRaises(errors.ProtocolError):
+            messages.decode(data)
+
+    @settings(suppress_health_check=[HealthCheck.too_slow], deadline=None)
+    @given(FRAMES, st.data())
+    def test_changed_bytes(self, frame: messages.Frame, data: Any) -> None:
+        """Guards against damage that decodes to an invalid message."""
+        raw = bytearray(messages.encode(frame))
+        for _ in range(data.draw(st.integers(1, 3))):
+            raw[data.draw(st.integers(0, len(raw) - 1))] = data.draw(
+                st.integers(0, 255)
+            )
+        try:
+            decoded = messages.decode(bytes(raw))
+        except errors.ProtocolError:
+            return
+        # What was accepted obeys the limits, which encode checks again.
+        self.assertEqual(messages.decode(messages.encode(decoded)), decoded)
+
+    def test_invalid_values(self) -> None:
+        """Guards against wrong types, ranges, sizes and CBOR features."""
+        good = cbor2.loads(messages.encode(EXAMPLE))
+        self.assertEqual(
+            good, [10, 'm', 0, [['u1', 'urgent', 3] + [0] * 4], 7]
+        )
+        item = good[3][0]
+        cases: dict[str, Any] = {
+            'unknown tag': [99, *good[1:]],
+            'boolean tag': [True, *good[1:]],
+            'unknown kind': [10, 'x', *good[2:]],
+            'number without request': [10, 'm', 1, *good[3:]],
+            'request without number': [10, 'q', 0, *good[3:]],
+            'missing field': [10, 'm', 0],
+            'negative': [10, 'm', 0, [[*item[:2], -1]]],
+            'too large': [10, 'm', 0, [[*item[:2], 1 << 40]]],
+            'float': [10, 'm', 0, [[*item[:2], 3.0]]],
+            'unknown rank': [10, 'm', 0, [['u1', 'best']]],
+            'unhashable rank': [10, 'm', 0, [['u1', []]]],
+            'long name': [10, 'm', 0, [['u' * 129, 'urgent']]],
+            'too many items': [10, 'm', 0, [item] * 4097],
+            'surrogate': [21, 'r', 1, cbor2.CBORTag(35, 'a*')],
+            'map': {1: 2},
+            'deep': [10, 'm', 0, [[[[[[[[[[]]]]]]]]]]],
+        }
+        for name, value in cases.items():
+            with self.subTest(name):
+                with self.assertRaises(errors.ProtocolError):
+                    messages.decode(cbor2.dumps(value))
+
+    def test_adjacent_releases(self) -> None:
+        """Guards against a rolling update that breaks communication."""
+        tag, kind, number, items, seq = cbor2.loads(messages.encode(EXAMPLE))
+        older = cbor2.dumps([tag, kind, number, [items[0][:3]]])
+        newer = cbor2.dumps(
+            [tag, kind, number, [items[0] + ['new']], seq, 'new']
+        )
+        self.assertEqual(messages.decode(newer), EXAMPLE)
+        message = messages.decode(older).message
+        assert isinstance(message, messages.SlotDemand)
+        self.assertEqual(message.items[0].count, 3)
+
+    def test_oversized_message(self) -> None:
+        """Guards against messages above 1 MiB, sent or received."""
+        entry = messages.LogEntry(
+            version=1,
+            txn=typing.cast(Any, 't'),
+            value=bytes(messages.MAX_ENTRY_BYTES),
+        )
+        part = messages.LogRange(
+            log=messages.LogName.MAP, head=1, entries=(entry,) * 3
+        )
+        changes = messages.Changes(ranges=(part,))
+        with self.assertRaises(errors.ProtocolError):
+            messages.encode(messages.Frame(message=changes))
+        with self.assertRaises(errors.ProtocolError):
+            messages.decode(bytes(messages.MAX_MESSAGE_BYTES + 1))
+
+    def test_memory_of_hostile_sizes(self) -> None:
+        """Guards against a short frame that makes the decoder allocate."""
+        huge = b'\x00\x00\x00\xff\xff\xff\xff\xff'
+        blobs = [bytes([kind]) + huge for kind in (0x9B, 0x5B, 0x7B, 0xBB)]
+        blobs.append(b'\x9f' * 1000)
+        tracemalloc.start()
+        try:
+            for blob in blobs:
+                with self.assertRaises(errors.ProtocolError):
+                    messages.decode(blob)
+            self.assertLess(tracemalloc.get_traced_memory()[1], 4 << 20)
+        finally:
+            tracemalloc.stop()
