Add connections between peers

The driver bounds the queue of each peer: one that does not read is disconnected after 2 s or 2 MiB.

A test of this found that frames which came in one read with the peer's Hello were lost; they are now dispatched first.

--- /dev/null
+++ b/goldcresthaven/peer_state.py
@@ -0,0 +1,145 @@
+"""What ``peer_link`` keeps for each VM and for each connection."""
+
+import collections
+from dataclasses import dataclass
+from dataclasses import field
+from datetime import timedelta
+from enum import Enum
+
+from goldcresthaven import aio
+from goldcresthaven import ids
+from goldcresthaven import messages
+from goldcresthaven import peer_session
+
+# Frames are written in batches, which saves system calls for slot messages.
+BATCH_BYTES = 64 << 10
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Limits:
+    """Bounds on what peers may cost this process.
+
+    The queue holds two of the largest messages. ``write`` is how long one
+    batch may take to write and ``idle`` how long an unused connection
+    stays open.
+    """
+
+    queue_bytes: int = 2 << 20
+    queue_frames: int = 1024
+    connections: int = 1024
+    strangers: int = 64
+    connect: timedelta = timedelta(seconds=1)
+    handshake: timedelta = timedelta(seconds=2)
+    write: timedelta = timedelta(seconds=2)
+    idle: timedelta = timedelta(seconds=60)
+    backoff_first: timedelta = timedelta(milliseconds=100)
+    backoff_last: timedelta = timedelta(seconds=5)
+
+
+class Change(Enum):
+    """What happened to a connection."""
+
+    OPENED = 'opened'
+    CLOSED = 'closed'
+    FAILED = 'failed'
+    REFUSED = 'refused'
+    MALFORMED = 'malformed'
+    TOO_SLOW = 'too-slow'
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LinkEvent:
+    """For logs and metrics; ``vm`` is None before authentication."""
+
+    change: Change
+    vm: ids.VmId | None
+    detail: str = ''
+
+
+@dataclass
+class Waiter:
+    done: aio.Event = field(default_factory=aio.Event)
+    reply: messages.Message | None = None
+
+
+class Link:
+    """One open connection: a reader, a writer and their end."""
+
+    def __init__(
+        self,
+        *,
+        sock: aio.Socket,
+        session: peer_session.Session,
+        initiator: ids.VmId,
+        opened: timedelta,
+        early: list[messages.Frame],
+    ) -> None:
+        self.sock = sock
+        self.session = session
+        self.initiator = initiator
+        self.opened = opened
+        self.early = early
+        self.received = opened
+        self.used = opened
+        self.wake = aio.Event()
+        self.closing = aio.Event()
+        self.change = Change.CLOSED
+        self.detail = ''
+
+    @property
+    def hello(self) -> messages.Hello:
+        assert self.session.peer is not None
+        return self.session.peer
+
+    async def end(self, change: Change, detail: str) -> None:
+        """Ask the connection's supervisor to close it."""
+        if not self.closing.is_set():
+            self.change, self.detail = change, detail
+            await self.closing.set()
+
+
+class Peer:
+    """What is kept for one VM, with or without a connection."""
+
+    def __init__(self, vm: ids.VmId) -> None:
+        self.vm = vm
+        self.queue: collections.deque[bytes] = collections.deque()
+        self.queued_bytes = 0
+        self.pending: dict[int, Waiter] = {}
+        self.link: Link | None = None
+        self.connecting = False
+        self.failures = 0
+        self.retry_at = timedelta()
+
+    def is_idle(self, now: timedelta) -> bool:
+        busy = self.link or self.connecting or self.pending
+        return not busy and self.retry_at <= now
+
+    def push(self, data: bytes, limits: Limits) -> bool:
+        if (
+            len(self.queue) >= limits.queue_frames
+            or self.queued_bytes + len(data) > limits.queue_bytes
+        ):
+            return False
+        self.queue.append(data)
+        self.queued_bytes += len(data)
+        return True
+
+    def pop_batch(self) -> list[bytes]:
+        batch: list[bytes] = []
+        size = 0
+        while self.queue and size < BATCH_BYTES:
+            data = self.queue.popleft()
+            self.queued_bytes -= len(data)
+            size += len(data)
+            batch.append(data)
+        return batch
+
+    async def fail(self) -> None:
+        """Drop queued frames and wake everyone who waits for a reply."""
+        self.queue.clear()
+        self.queued_bytes = 0
+        waiters = list(self.pending.values())
+        self.pending.clear()
+        for waiter in waiters:
+            await waiter.done.set()
