Add the spread of map and configuration changes

One log class serves both logs; it applies rows in order, keeps a bounded tail for peers that are behind and buffers early entries within bounds.

Only pushed entries and short store reads are forwarded. Forwarding what a pull repaired was ruled out: after a partition heals each process of a zone would push the whole backlog to three others that have it.

A restarted process takes the highest version that the store and three ready peers report and waits 2 s for the slower side, since either alone may be behind. The simulator in proofs drives the core with lost, late, duplicated and reordered messages, partitions and stale store reads.

--- /dev/null
+++ b/goldcresthaven/gossip.py
@@ -0,0 +1,387 @@
+"""Spread of map and configuration changes between entry processes.
+
+A new entry is pushed at once to a few random peers, each of which forwards
+it once. Every second one random peer is asked for what is missing, which
+repairs lost messages and healed partitions. Each process also reads the
+logs from the store, at an interval that grows with the fleet. Whatever the
+source, ``logs`` applies entries in order and never goes back.
+
+The caller passes the time in, carries out the returned actions and calls
+``tick`` about every 50 ms.
+"""
+
+import bisect
+from collections.abc import Iterable
+from collections.abc import Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+import random
+
+from goldcresthaven import ids
+from goldcresthaven import logs
+from goldcresthaven import messages
+
+FANOUT = 3
+PULL_INTERVAL = timedelta(seconds=1)
+# Keeps the whole fleet below 100 reads a second for each log.
+STORE_READS_PER_SECOND = 100
+MIN_STORE_INTERVAL = timedelta(seconds=1)
+STORE_ROWS = 64
+# A read that got neither rows nor a failure is given up.
+STORE_TIMEOUT = timedelta(seconds=5)
+# Answers that a restarted process wants before it trusts its peers.
+BOOT_ANSWERS = 3
+# How long the faster of store and peers waits for the other at start.
+BOOT_WAIT = timedelta(seconds=2)
+# Bounds the requests that a peer's pushes can cause.
+CATCH_UP_INTERVAL = timedelta(milliseconds=100)
+# Processes that contacted this one but are not in the lagging list yet.
+MAX_CONTACTS = 128
+CONTACT_AGE = timedelta(seconds=60)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Apply:
+    """Apply an entry to the map or the configuration."""
+
+    log: messages.LogName
+    entry: messages.LogEntry
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Push:
+    """Send a one-way message."""
+
+    to: ids.VmId
+    message: messages.Changes
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Pull:
+    """Send a request; its reply goes to ``Gossip.received``."""
+
+    to: ids.VmId
+    message: messages.PullChanges
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReadStore:
+    """Read log rows; the result goes to ``store_rows`` or ``store_failed``."""
+
+    log: messages.LogName
+    after: int
+    limit: int = STORE_ROWS
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LoadSnapshot:
+    """Get a snapshot from ``peer`` or else the store's newest one.
+
+    The version it has goes to ``snapshot_loaded``.
+    """
+
+    log: messages.LogName
+    peer: ids.VmId
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Report:
+    """Tell the operator about an entry that contradicts an applied one."""
+
+    log: messages.LogName
+    version: int
+    source: str
+
+
+Action = Apply | Push | Pull | ReadStore | LoadSnapshot | Report
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Tuning:
+    """Parameters that the measurement of the spread varies."""
+
+    fanout: int = FANOUT
+    pull: bool = True
+    store: bool = True
+
+
+class Gossip:
+    """Both logs of one process.
+
+    Example::
+
+        for action in core.tick(now):
+            match action:
+                case gossip.Push():
+                    await links.send(action.to, action.message)
+    """
+
+    def __init__(
+        self,
+        *,
+        vm: ids.VmId,
+        rng: random.Random,
+        now: timedelta,
+        tuning: Tuning | None = None,
+    ) -> None:
+        self._vm = vm
+        self._rng = rng
+        self._tuning = tuning or Tuning()
+        self._started = now
+        self._logs = {name: logs.Log(name) for name in messages.LogName}
+        self._listed: tuple[ids.VmId, ...] = ()
+        self._contacts: dict[ids.VmId, timedelta] = {}
+        self._pull_at = now
+        self._read_at = now
+        self._reading: dict[messages.LogName, timedelta] = {}
+        self._store_answered: set[messages.LogName] = set()
+        self._answered: set[ids.VmId] = set()
+        self._caught_up_at = now - CATCH_UP_INTERVAL
+
+    # State that other modules read.
+
+    def version(self, log: messages.LogName) -> int:
+        return self._logs[log].version
+
+    @property
+    def next_tick(self) -> timedelta:
+        """The time at which ``tick`` has something to do."""
+        times = [self._pull_at] if self._tuning.pull else []
+        if self._tuning.store:
+            times.append(self._read_at)
+        return min(times, default=timedelta.max)
+
+    def ready(self, now: timedelta) -> bool:
+        """Return whether this copy may be used after a start.
+
+        The highest version of the store and several peers counts; the
+        first to answer waits a moment for the other. Without either answer
+        the process has no configuration rather than an old one.
+        """
+        if self.version(messages.LogName.CONFIG) == 0:
+            return False
+        wanted = min(BOOT_ANSWERS, len(self._listed))
+        peers = wanted > 0 and len(self._answered) >= wanted
+        store = len(self._store_answered) == len(self._logs)
+        waited = now - self._started >= BOOT_WAIT
+        return (peers and store) or (waited and (peers or store))
+
+    # Events.
+
+    def set_peers(self, peers: Iterable[ids.VmId]) -> None:
+        """Replace the entry VMs that the membership list names."""
+        self._listed = tuple(sorted(set(peers) - {self._vm}))
+
+    def published(
+        self, log: messages.LogName, entry: messages.LogEntry
+    ) -> list[Action]:
+        """Take an entry that this process has committed to the store."""
+        return self._take(log, (entry,), source='store', push=True)
+
+    def received(
+        self,
+        sender: ids.VmId,
+        message: messages.Changes,
+        now: timedelta,
+        *,
+        pulled: bool,
+    ) -> list[Action]:
+        """Take a push, or with ``pulled`` the reply to a pull."""
+        self._heard(sender, now)
+        if pulled and message.authoritative:
+            self._answered.add(sender)
+        actions: list[Action] = []
+        behind = False
+        for part in message.ranges:
+            log = self._logs[part.log]
+            before = log.version
+            # Only pushed entries are forwarded: what a pull repairs is
+            # known to most others.
+            actions += self._take(
+                part.log,
+                part.entries,
+                source=sender,
+                push=not pulled,
+                sender=sender,
+            )
+            if part.head <= log.version:
+                continue
+            if part.too_old:
+                actions.append(LoadSnapshot(log=part.log, peer=sender))
+            else:
+                behind |= not pulled or log.version > before
+        if behind and now - self._caught_up_at >= CATCH_UP_INTERVAL:
+            self._caught_up_at = now
+            actions.append(self._pull(sender))
+        elif behind and pulled:
+            actions.append(self._pull(sender))
+        return actions
+
+    def asked(
+        self, sender: ids.VmId, message: messages.PullChanges, now: timedelta
+    ) -> tuple[messages.Changes, list[Action]]:
+        """Return the reply to a pull, and actions.
+
+        A sender that is ahead is asked in turn.
+        """
+        self._heard(sender, now)
+        ranges = tuple(
+            self._logs[have.log].since(have.version) for have in message.have
+        )
+        actions: list[Action] = []
+        ahead = any(
+            have.version > self._logs[have.log].version
+            for have in message.have
+        )
+        if ahead and now - self._caught_up_at >= CATCH_UP_INTERVAL:
+            self._caught_up_at = now
+            actions.append(self._pull(sender))
+        reply = messages.Changes(ranges=ranges, authoritative=self.ready(now))
+        return reply, actions
+
+    def store_rows(
+        self,
+        log: messages.LogName,
+        entries: Sequence[messages.LogEntry],
+        now: timedelta,
+    ) -> list[Action]:
+        """Take the rows that a store read returned, oldest first."""
+        self._reading.pop(log, None)
+        # After a long absence everyone reads the same rows.
+        push = len(entries) <= STORE_ROWS // 4
+        actions = self._take(log, entries, source='store', push=push)
+        if len(entries) >= STORE_ROWS:
+            actions += self._read(log, now)
+        else:
+            self._store_answered.add(log)
+        return actions
+
+    def store_failed(self, log: messages.LogName) -> None:
+        """Note that a store read failed; the next one follows in time."""
+        self._reading.pop(log, None)
+
+    def snapshot_loaded(
+        self, log: messages.LogName, version: int
+    ) -> list[Action]:
+        """Continue after a snapshot that the caller has put in force.
+
+        The caller must ignore a snapshot older than ``version(log)``.
+        """
+        return [
+            Apply(log=log, entry=entry)
+            for entry in self._logs[log].skip_to(version)
+        ]
+
+    def tick(self, now: timedelta) -> list[Action]:
+        """Return the pulls and store reads that are due."""
+        actions: list[Action] = []
+        if self._tuning.pull and now >= self._pull_at:
+            self._pull_at = now + self._jitter(PULL_INTERVAL)
+            # A process that has just started wants several answers.
+            count = 1 if self.ready(now) else BOOT_ANSWERS
+            actions += [self._pull(vm) for vm in self._choose(count, None)]
+        if self._tuning.store and now >= self._read_at:
+            self._read_at = now + self._jitter(self._store_interval())
+            for log in self._logs:
+                actions += self._read(log, now)
+        return actions
+
+    # Internals.
+
+    def _take(
+        self,
+        name: messages.LogName,
+        entries: Sequence[messages.LogEntry],
+        *,
+        source: str,
+        push: bool,
+        sender: ids.VmId | None = None,
+    ) -> list[Action]:
+        log = self._logs[name]
+        actions: list[Action] = []
+        fresh = []
+        for entry in entries:
+            offered = log.offer(entry)
+            actions += [Apply(log=name, entry=e) for e in offered.applied]
+            if offered.fresh:
+                fresh.append(entry)
+            if offered.differs:
+                actions.append(
+                    Report(log=name, version=entry.version, source=source)
+                )
+        if fresh and push:
+            actions += self._push(log, tuple(fresh), sender)
+        return actions
+
+    def _push(
+        self,
+        log: logs.Log,
+        fresh: tuple[messages.LogEntry, ...],
+        sender: ids.VmId | None,
+    ) -> list[Action]:
+        message = messages.Changes(
+            ranges=(
+                messages.LogRange(
+                    log=log.name, head=log.version, entries=fresh
+                ),
+            )
+        )
+        return [
+            Push(to=vm, message=message)
+            for vm in self._choose(self._tuning.fanout, sender)
+        ]
+
+    def _pull(self, vm: ids.VmId) -> Pull:
+        have = tuple(
+            messages.LogVersion(log=name, version=log.version)
+            for name, log in self._logs.items()
+        )
+        return Pull(to=vm, message=messages.PullChanges(have=have))
+
+    def _read(self, name: messages.LogName, now: timedelta) -> list[Action]:
+        # One read at a time: a slow store must not collect them.
+        if now < self._reading.get(name, now):
+            return []
+        self._reading[name] = now + STORE_TIMEOUT
+        return [ReadStore(log=name, after=self._logs[name].version)]
+
+    def _store_interval(self) -> timedelta:
+        fleet = len(self._listed) + 1
+        return max(
+            MIN_STORE_INTERVAL,
+            timedelta(seconds=fleet / STORE_READS_PER_SECOND),
+        )
+
+    def _jitter(self, interval: timedelta) -> timedelta:
+        # Spreads processes that were started together, mean unchanged.
+        return interval * self._rng.uniform(0.9, 1.1)
+
+    def _heard(self, vm: ids.VmId, now: timedelta) -> None:
+        self._contacts.pop(vm, None)
+        self._contacts[vm] = now
+        oldest = next(iter(self._contacts))
+        if (
+            len(self._contacts) > MAX_CONTACTS
+            or now - self._contacts[oldest] > CONTACT_AGE
+        ):
+            del self._contacts[oldest]
+
+    def _choose(self, count: int, excluded: ids.VmId | None) -> list[ids.VmId]:
+        listed = self._listed
+        extra = [
+            vm
+            for vm in self._contacts
+            if not _contains(listed, vm) and vm != self._vm
+        ]
+        total = len(listed) + len(extra)
+        wanted = min(count + 1, total)
+        picks = [
+            listed[i] if i < len(listed) else extra[i - len(listed)]
+            for i in self._rng.sample(range(total), wanted)
+        ]
+        return [vm for vm in picks if vm != excluded][:count]
+
+
+def _contains(ordered: Sequence[ids.VmId], vm: ids.VmId) -> bool:
+    pos = bisect.bisect_left(ordered, vm)
+    return pos < len(ordered) and ordered[pos] == vm
--- /dev/null
+++ b/goldcresthaven/logs.py
@@ -0,0 +1,146 @@
+"""This process's copy of one log: applied version, recent and early entries.
+
+The version never goes back. Entries are applied in order, each once. A
+bounded tail is kept for peers that are behind; entries that arrive before
+their predecessors wait in a second bounded buffer.
+"""
+
+import collections
+from collections.abc import Mapping
+from dataclasses import dataclass
+import json
+from typing import Any
+
+from goldcresthaven import ids
+from goldcresthaven import messages
+
+# Several hours of changes at 34,000 a day and a few KiB each.
+MAX_TAIL_ENTRIES = 4096
+MAX_TAIL_BYTES = 8 << 20
+MAX_EARLY_ENTRIES = 1024
+MAX_EARLY_BYTES = 4 << 20
+# Two ranges of this size and their frame fit into one message.
+MAX_RANGE_BYTES = 500 << 10
+_ENTRY_OVERHEAD_BYTES = 160
+
+
+def make_entry(
+    version: int, txn: ids.TxnId, value: Mapping[str, Any]
+) -> messages.LogEntry:
+    """Return the entry for a row's value, the same in every process."""
+    text = json.dumps(value, sort_keys=True, separators=(',', ':'))
+    return messages.LogEntry(version=version, txn=txn, value=text.encode())
+
+
+def entry_value(entry: messages.LogEntry) -> Any:
+    """Return the row's value that ``make_entry`` wrote."""
+    return json.loads(entry.value)
+
+
+def _size(entry: messages.LogEntry) -> int:
+    return len(entry.value) + _ENTRY_OVERHEAD_BYTES
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Offered:
+    """What one offered entry led to.
+
+    ``fresh`` says that it was not known before, ``applied`` lists the
+    entries that can be applied now, in order. ``differs`` says that another
+    entry of the same version was applied before, which only a fault of the
+    store or a sender explains.
+    """
+
+    fresh: bool = False
+    applied: tuple[messages.LogEntry, ...] = ()
+    differs: bool = False
+
+
+class Log:
+    """One log of one process."""
+
+    def __init__(self, name: messages.LogName) -> None:
+        self.name = name
+        self.version = 0
+        self._tail: collections.deque[messages.LogEntry] = collections.deque()
+        self._tail_bytes = 0
+        self._early: dict[int, messages.LogEntry] = {}
+        self._early_bytes = 0
+
+    @property
+    def first_kept(self) -> int:
+        """Version of the oldest entry that is still kept."""
+        return self.version - len(self._tail) + 1
+
+    def offer(self, entry: messages.LogEntry) -> Offered:
+        """Take an entry from the store, a peer or this process."""
+        if entry.version <= self.version:
+            return Offered(differs=self._differs(entry))
+        if entry.version > self.version + 1:
+            return Offered(fresh=self._keep_early(entry))
+        applied = [entry]
+        self._append(entry)
+        while (early := self._early.pop(self.version + 1, None)) is not None:
+            self._early_bytes -= _size(early)
+            applied.append(early)
+            self._append(early)
+        return Offered(fresh=True, applied=tuple(applied))
+
+    def skip_to(self, version: int) -> tuple[messages.LogEntry, ...]:
+        """Continue after a snapshot; returns entries to apply on top.
+
+        A snapshot that is not newer than this copy changes nothing.
+        """
+        if version <= self.version:
+            return ()
+        self.version = version
+        self._tail.clear()
+        self._tail_bytes = 0
+        early = [self._early[v] for v in sorted(self._early)]
+        self._early.clear()
+        self._early_bytes = 0
+        return tuple(a for e in early for a in self.offer(e).applied)
+
+    def since(self, version: int) -> messages.LogRange:
+        """Return the entries after ``version``, as many as one range holds."""
+        if version >= self.version:
+            return messages.LogRange(log=self.name, head=self.version)
+        if version + 1 < self.first_kept:
+            return messages.LogRange(
+                log=self.name, head=self.version, too_old=True
+            )
+        entries: list[messages.LogEntry] = []
+        size = 0
+        for pos in range(version + 1 - self.first_kept, len(self._tail)):
+            size += _size(self._tail[pos])
+            if size > MAX_RANGE_BYTES or len(entries) >= messages.MAX_ITEMS:
+                break
+            entries.append(self._tail[pos])
+        return messages.LogRange(
+            log=self.name, head=self.version, entries=tuple(entries)
+        )
+
+    def _append(self, entry: messages.LogEntry) -> None:
+        self.version = entry.version
+        self._tail.append(entry)
+        self._tail_bytes += _size(entry)
+        while (
+            len(self._tail) > MAX_TAIL_ENTRIES
+            or self._tail_bytes > MAX_TAIL_BYTES
+        ):
+            self._tail_bytes -= _size(self._tail.popleft())
+
+    def _differs(self, entry: messages.LogEntry) -> bool:
+        pos = entry.version - self.first_kept
+        return pos >= 0 and self._tail[pos].txn != entry.txn
+
+    def _keep_early(self, entry: messages.LogEntry) -> bool:
+        if (
+            entry.version in self._early
+            or len(self._early) >= MAX_EARLY_ENTRIES
+            or self._early_bytes + _size(entry) > MAX_EARLY_BYTES
+        ):
+            return False
+        self._early[entry.version] = entry
+        self._early_bytes += _size(entry)
+        return True
--- /dev/null
+++ b/proofs/gossip_sim.py
@@ -0,0 +1,319 @@
+"""A fleet of gossip cores on a virtual clock with a faulty network.
+
+Used by the tests of ``gossip``, the proof of promise 8 and the measurement
+of the spread of changes. Everything random comes from one seed.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from dataclasses import dataclass
+from dataclasses import field
+from datetime import timedelta
+import functools
+import heapq
+import itertools
+import random
+
+from goldcresthaven import gossip
+from goldcresthaven import ids
+from goldcresthaven import logs
+from goldcresthaven import messages
+
+MS = timedelta(milliseconds=1)
+SECOND = timedelta(seconds=1)
+CONFIG = messages.LogName.CONFIG
+# WebSocket header with mask, TCP and IP headers of one small message.
+FRAME_OVERHEAD_BYTES = 8 + 20 + 20
+
+
+@dataclass(kw_only=True)
+class Faults:
+    """What goes wrong; probabilities are per message.
+
+    ``late`` messages take up to ``late_by`` longer, which also reorders
+    them. ``stale`` is how far behind a store read may be.
+    """
+
+    lost: float = 0.0
+    duplicated: float = 0.0
+    late: float = 0.0
+    late_by: timedelta = 3 * SECOND
+    latency: timedelta = MS
+    stale: timedelta = timedelta()
+
+
+@functools.lru_cache(maxsize=4096)
+def wire_size(message: messages.Message) -> int:
+    """Return the bytes that a message costs on the network."""
+    frame = messages.Frame(
+        message=message, kind=messages.Kind.REQUEST, number=1 << 20
+    )
+    return len(messages.encode(frame)) + FRAME_OVERHEAD_BYTES
+
+
+class Store:
+    """The logs, written under the condition that the row is absent."""
+
+    def __init__(self) -> None:
+        self.down = False
+        self.rows: dict[
+            messages.LogName, list[tuple[timedelta, messages.LogEntry]]
+        ] = {name: [] for name in messages.LogName}
+
+    def head(self, log: messages.LogName) -> int:
+        return len(self.rows[log])
+
+    def append(
+        self, log: messages.LogName, entry: messages.LogEntry, now: timedelta
+    ) -> bool:
+        """Insert a row; returns False when the version exists."""
+        if entry.version != self.head(log) + 1:
+            return False
+        self.rows[log].append((now, entry))
+        return True
+
+    def read(
+        self, read: gossip.ReadStore, upto: timedelta
+    ) -> list[messages.LogEntry]:
+        """Return the rows after a version, as they were at ``upto``."""
+        rows = self.rows[read.log][read.after : read.after + read.limit]
+        return [entry for at, entry in rows if at <= upto]
+
+
+@dataclass(kw_only=True)
+class Process:
+    """One incarnation of a VM's process and what it has applied."""
+
+    vm: ids.VmId
+    core: gossip.Gossip
+    applied: dict[messages.LogName, list[messages.LogEntry]] = field(
+        default_factory=lambda: {name: [] for name in messages.LogName}
+    )
+    applied_at: dict[int, timedelta] = field(default_factory=dict)
+    alive: bool = True
+    reports: int = 0
+    snapshots: int = 0
+
+
+class Fleet:
+    """Processes, network and store; ``run`` advances the virtual time."""
+
+    def __init__(
+        self,
+        count: int,
+        *,
+        seed: int,
+        faults: Faults | None = None,
+        tuning: gossip.Tuning | None = None,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.now = timedelta()
+        self.faults = faults or Faults()
+        self.store = Store()
+        self.sent_messages = 0
+        self.sent_bytes = 0
+        self.contacts = 0
+        self.store_reads = 0
+        self.processes: dict[ids.VmId, Process] = {}
+        self.former: list[Process] = []
+        self.side: dict[ids.VmId, int] = {}
+        self.cut_off: set[int] = set()
+        self._tuning = tuning
+        self._order = itertools.count()
+        self._queue: list[tuple[timedelta, int, Callable[[], None]]] = []
+        for i in range(count):
+            self.start(ids.VmId(f'vm-{i:05d}'))
+        self.set_lists(self.processes)
+
+    # Control.
+
+    def start(self, vm: ids.VmId) -> Process:
+        """Start a process with empty memory."""
+        core = gossip.Gossip(
+            vm=vm,
+            rng=random.Random(self.rng.random()),
+            now=self.now,
+            tuning=self._tuning,
+        )
+        process = Process(vm=vm, core=core)
+        self.processes[vm] = process
+        first = self.rng.random() * SECOND
+        self.at(self.now + first, lambda: self._tick(process))
+        return process
+
+    def stop(self, vm: ids.VmId) -> None:
+        process = self.processes.pop(vm)
+        process.alive = False
+        self.former.append(process)
+
+    def set_lists(self, vms: Iterable[ids.VmId]) -> None:
+        """Give every process the same membership list."""
+        listed = list(vms)
+        for process in self.processes.values():
+            process.core.set_peers(listed)
+
+    def at(self, when: timedelta, action: Callable[[], None]) -> None:
+        heapq.heappush(self._queue, (when, next(self._order), action))
+
+    def run(self, duration: timedelta) -> None:
+        end = self.now + duration
+        while self._queue and self._queue[0][0] <= end:
+            self.now, _, action = heapq.heappop(self._queue)
+            action()
+        self.now = end
+
+    def write(
+        self,
+        vm: ids.VmId,
+        log: messages.LogName = CONFIG,
+        *,
+        size: int = 300,
+        tell: bool = True,
+    ) -> bool:
+        """Commit the next version at a process that knows the head.
+
+        With ``tell`` false the process is lost before it tells anyone.
+        """
+        process = self.processes[vm]
+        version = process.core.version(log) + 1
+        txn = ids.TxnId(f'{vm}-{version}')
+        entry = logs.make_entry(version, txn, {'x': 'x' * size})
+        if not self.store.append(log, entry, self.now):
+            return False
+        if tell:
+            self.perform(process, process.core.published(log, entry))
+        return True
+
+    # Queries.
+
+    def converged(self) -> bool:
+        return all(
+            p.core.version(log) == self.store.head(log)
+            for p in self.processes.values()
+            for log in messages.LogName
+        )
+
+    def run_until_converged(self, limit: timedelta) -> timedelta:
+        """Return how long it took; the limit when it did not."""
+        start = self.now
+        while not self.converged() and self.now - start < limit:
+            self.run(10 * MS)
+        return self.now - start
+
+    # Effects.
+
+    def perform(
+        self, process: Process, actions: Iterable[gossip.Action]
+    ) -> None:
+        for action in actions:
+            match action:
+                case gossip.Apply():
+                    process.applied[action.log].append(action.entry)
+                    if action.log is CONFIG:
+                        process.applied_at[action.entry.version] = self.now
+                case gossip.Push():
+                    self._push(process, action)
+                case gossip.Pull():
+                    self._pull(process, action)
+                case gossip.ReadStore():
+                    self._read(process, action)
+                case gossip.LoadSnapshot():
+                    self._snapshot(process, action)
+                case gossip.Report():
+                    process.reports += 1
+
+    def _tick(self, process: Process) -> None:
+        if process.alive:
+            self.perform(process, process.core.tick(self.now))
+            due = max(process.core.next_tick, self.now + MS)
+            self.at(due, lambda: self._tick(process))
+
+    def _push(self, process: Process, push: gossip.Push) -> None:
+        def deliver(target: Process) -> None:
+            self.perform(
+                target,
+                target.core.received(
+                    process.vm, push.message, self.now, pulled=False
+                ),
+            )
+
+        self._send(process.vm, push.to, push.message, deliver)
+
+    def _pull(self, process: Process, pull: gossip.Pull) -> None:
+        def answer(target: Process) -> None:
+            reply, actions = target.core.asked(
+                process.vm, pull.message, self.now
+            )
+            self.perform(target, actions)
+
+            def deliver(asker: Process) -> None:
+                if asker is process:
+                    actions = asker.core.received(
+                        target.vm, reply, self.now, pulled=True
+                    )
+                    self.perform(asker, actions)
+
+            self._send(target.vm, process.vm, reply, deliver)
+
+        self._send(process.vm, pull.to, pull.message, answer)
+
+    def _send(
+        self,
+        sender: ids.VmId,
+        to: ids.VmId,
+        message: messages.Message,
+        deliver: Callable[[Process], None],
+    ) -> None:
+        self.sent_messages += 1
+        self.sent_bytes += wire_size(message)
+
+        def arrive() -> None:
+            target = self.processes.get(to)
+            if target is not None and self._connected(sender, to):
+                deliver(target)
+
+        faults = self.faults
+        copies = 1 + (self.rng.random() < faults.duplicated)
+        for _ in range(copies):
+            if self.rng.random() < faults.lost:
+                continue
+            delay = faults.latency * self.rng.uniform(0.5, 1.5)
+            if self.rng.random() < faults.late:
+                delay += faults.late_by * self.rng.random()
+            self.at(self.now + delay, arrive)
+
+    def _connected(self, left: ids.VmId, right: ids.VmId) -> bool:
+        return self.side.get(left, 0) == self.side.get(right, 0)
+
+    def _read(self, process: Process, read: gossip.ReadStore) -> None:
+        self.store_reads += 1
+
+        def arrive() -> None:
+            if not process.alive:
+                return
+            cut = self.side.get(process.vm, 0) in self.cut_off
+            if self.store.down or cut:
+                process.core.store_failed(read.log)
+                return
+            upto = self.now - self.faults.stale * self.rng.random()
+            rows = self.store.read(read, upto)
+            self.perform(
+                process, process.core.store_rows(read.log, rows, self.now)
+            )
+
+        self.at(self.now + self.faults.latency * 4, arrive)
+
+    def _snapshot(self, process: Process, load: gossip.LoadSnapshot) -> None:
+        def arrive() -> None:
+            source = self.processes.get(load.peer)
+            version = source.core.version(load.log) if source else 0
+            if not process.alive or version <= process.core.version(load.log):
+                return
+            process.snapshots += 1
+            held = [e for _, e in self.store.rows[load.log][:version]]
+            process.applied[load.log] = held
+            self.perform(
+                process, process.core.snapshot_loaded(load.log, version)
+            )
+
+        self.at(self.now + 20 * MS, arrive)
--- /dev/null
+++ b/tests/test_gossip.py
@@ -0,0 +1,235 @@
+"""Tests of the spread of changes on a virtual clock."""
+
+from datetime import timedelta
+import itertools
+import random
+import unittest
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from goldcresthaven import gossip
+from goldcresthaven import ids
+from goldcresthaven import logs
+from goldcresthaven import messages
+from proofs import gossip_sim
+
+CONFIG = messages.LogName.CONFIG
+MAP = messages.LogName.MAP
+SECOND = gossip_sim.SECOND
+SEEDS = range(8)
+
+
+def entry(version: int, txn: str = 't') -> messages.LogEntry:
+    return logs.make_entry(version, ids.TxnId(txn), {'version': version})
+
+
+class GossipTest(unittest.TestCase):
+    def check(self, fleet: gossip_sim.Fleet) -> None:
+        """Every process applied the store's rows in order, each once."""
+        everyone = itertools.chain(fleet.processes.values(), fleet.former)
+        for process in everyone:
+            self.assertEqual(process.reports, 0)
+            for log, applied in process.applied.items():
+                rows = [e for _, e in fleet.store.rows[log][: len(applied)]]
+                self.assertEqual(applied, rows)
+
+    def test_faulty_network(self) -> None:
+        """Guards against lost, late, duplicated and reordered messages."""
+        for seed in SEEDS:
+            fleet = gossip_sim.Fleet(
+                18,
+                seed=seed,
+                faults=gossip_sim.Faults(lost=0.3, duplicated=0.2, late=0.2),
+            )
+            for _ in range(30):
+                vm = fleet.rng.choice(list(fleet.processes))
+                fleet.write(vm, fleet.rng.choice([CONFIG, MAP]))
+                fleet.run(0.2 * SECOND * fleet.rng.random())
+            with self.subTest(seed):
+                took = fleet.run_until_converged(60 * SECOND)
+                self.assertLess(took, 10 * SECOND)
+                self.check(fleet)
+
+    def test_writer_lost_after_its_write(self) -> None:
+        """Guards against a committed change that nobody is told about."""
+        fleet = gossip_sim.Fleet(18, seed=1)
+        fleet.run(3 * SECOND)
+        vm = next(iter(fleet.processes))
+        fleet.write(vm, tell=False)
+        fleet.stop(vm)
+        self.assertLess(fleet.run_until_converged(60 * SECOND), 2 * SECOND)
+        self.check(fleet)
+
+    def test_partition_heals(self) -> None:
+        """Guards against a zone that stays behind after a partition."""
+        for seed in SEEDS:
+            fleet = gossip_sim.Fleet(18, seed=seed)
+            fleet.run(3 * SECOND)
+            vms = list(fleet.processes)
+            fleet.side = {vm: int(i < 6) for i, vm in enumerate(vms)}
+            fleet.cut_off = {1}
+            for _ in range(40):
+                self.assertTrue(fleet.write(vms[10]))
+                fleet.run(SECOND)
+            behind = fleet.processes[vms[0]]
+            self.assertEqual(behind.core.version(CONFIG), 0)
+            fleet.side.clear()
+            with self.subTest(seed):
+                took = fleet.run_until_converged(60 * SECOND)
+                self.assertLess(took, 5 * SECOND)
+                self.check(fleet)
+
+    def test_restart_while_store_is_down(self) -> None:
+        """Guards against a restarted process with an old configuration."""
+        for seed in SEEDS:
+            fleet = gossip_sim.Fleet(18, seed=seed)
+            vms = list(fleet.processes)
+            for _ in range(20):
+                fleet.write(vms[3])
+                fleet.run(0.3 * SECOND)
+            fleet.run(3 * SECOND)
+            fleet.store.down = True
+            fleet.stop(vms[0])
+            process = fleet.start(vms[0])
+            self.assertFalse(process.core.ready(fleet.now))
+            process.core.set_peers(vms)
+            fleet.run(5 * SECOND)
+            with self.subTest(seed):
+                self.assertTrue(process.core.ready(fleet.now))
+                self.assertEqual(process.core.version(CONFIG), 20)
+                self.check(fleet)
+
+    def test_alone_without_store(self) -> None:
+        """Guards against a process that trusts nobody's old answer."""
+        fleet = gossip_sim.Fleet(6, seed=1)
+        fleet.store.down = True
+        fleet.run(30 * SECOND)
+        for process in fleet.processes.values():
+            self.assertFalse(process.core.ready(fleet.now))
+        fleet.store.down = False
+        fleet.write(next(iter(fleet.processes)))
+        fleet.run(10 * SECOND)
+        for process in fleet.processes.values():
+            self.assertTrue(process.core.ready(fleet.now))
+
+    def test_lagging_membership_list(self) -> None:
+        """Guards against new processes that the others do not list."""
+        fleet = gossip_sim.Fleet(12, seed=2)
+        fleet.run(2 * SECOND)
+        old = list(fleet.processes)
+        for vm in old[:6]:
+            fleet.stop(vm)
+        for i in range(6):
+            fleet.start(ids.VmId(f'new-{i}')).core.set_peers(old)
+        fleet.run(4 * SECOND)
+        fleet.write(old[8])
+        fleet.store.down = True
+        self.assertLess(fleet.run_until_converged(60 * SECOND), 6 * SECOND)
+        self.check(fleet)
+
+    def test_stale_store_reads(self) -> None:
+        """Guards against an older store answer that undoes a newer one."""
+        for seed in SEEDS:
+            fleet = gossip_sim.Fleet(
+                18,
+                seed=seed,
+                faults=gossip_sim.Faults(lost=0.5, stale=5 * SECOND),
+            )
+            for _ in range(20):
+                fleet.write(fleet.rng.choice(list(fleet.processes)))
+                fleet.run(SECOND)
+            with self.subTest(seed):
+                fleet.run_until_converged(60 * SECOND)
+                self.assertTrue(fleet.converged())
+                self.check(fleet)
+
+    def test_too_far_behind(self) -> None:
+        """Guards against a peer that waits for entries nobody keeps."""
+        fleet = gossip_sim.Fleet(4, seed=3)
+        first, *_, late = fleet.processes
+        fleet.side = {late: 1}
+        fleet.cut_off = {1}
+        for _ in range(logs.MAX_TAIL_ENTRIES + 10):
+            fleet.write(first, size=1)
+        fleet.run(SECOND)
+        fleet.store.down = True
+        fleet.side.clear()
+        self.assertLess(fleet.run_until_converged(60 * SECOND), 9 * SECOND)
+        self.assertEqual(fleet.processes[late].snapshots, 1)
+        self.check(fleet)
+
+    def test_store_reads_stay_below_limit(self) -> None:
+        """Guards against a fleet that overloads the table service."""
+        fleet = gossip_sim.Fleet(400, seed=4, tuning=gossip.Tuning(pull=False))
+        fleet.run(20 * SECOND)
+        # Two logs, and the first reads of all processes within one second.
+        steady = fleet.store_reads - 2 * 400
+        self.assertLess(steady / 20, 2 * gossip.STORE_READS_PER_SECOND)
+
+
+class LogTest(unittest.TestCase):
+    @settings(deadline=None)
+    @given(st.lists(st.integers(1, 12), max_size=60))
+    def test_any_order_of_entries(self, versions: list[int]) -> None:
+        """Guards against gaps, repeats and reverts; checked against a set."""
+        log = logs.Log(CONFIG)
+        applied = []
+        seen: set[int] = set()
+        for version in versions:
+            offered = log.offer(entry(version))
+            self.assertEqual(offered.fresh, version not in seen)
+            seen.add(version)
+            applied += [e.version for e in offered.applied]
+            reach = next(v for v in itertools.count() if v + 1 not in seen)
+            self.assertEqual(applied, list(range(1, reach + 1)))
+
+    def test_another_entry_of_the_same_version(self) -> None:
+        """Guards against silence when two processes hold different rows."""
+        log = logs.Log(CONFIG)
+        log.offer(entry(1))
+        self.assertTrue(log.offer(entry(1, 'other')).differs)
+        self.assertFalse(log.offer(entry(1)).differs)
+
+    def test_memory_is_bounded(self) -> None:
+        """Guards against growth with the age of the log or by a peer."""
+        log = logs.Log(CONFIG)
+        for version in range(1, logs.MAX_TAIL_ENTRIES + 100):
+            log.offer(entry(version))
+        self.assertEqual(len(log._tail), logs.MAX_TAIL_ENTRIES)
+        for version in range(10_000, 10_000 + 2 * logs.MAX_EARLY_ENTRIES):
+            log.offer(entry(version))
+        self.assertEqual(len(log._early), logs.MAX_EARLY_ENTRIES)
+
+    def test_old_snapshot_is_ignored(self) -> None:
+        """Guards against a snapshot that takes a process back."""
+        log = logs.Log(CONFIG)
+        for version in (1, 2, 3, 7, 8):
+            log.offer(entry(version))
+        self.assertEqual(log.skip_to(2), ())
+        self.assertEqual(log.version, 3)
+        self.assertEqual([e.version for e in log.skip_to(6)], [7, 8])
+        self.assertEqual(log.version, 8)
+
+    def test_early_entries_up_to_the_snapshot_are_dropped(self) -> None:
+        """Guards against a buffer that fills up with applied entries."""
+        log = logs.Log(CONFIG)
+        log.offer(entry(5))
+        log.skip_to(9)
+        self.assertEqual((log.version, log._early), (9, {}))
+
+    def test_push_reaches_fanout_and_is_forwarded_once(self) -> None:
+        """Guards against a flood and against a change that stops."""
+        core = gossip.Gossip(
+            vm=ids.VmId('a'), rng=random.Random(1), now=timedelta()
+        )
+        core.set_peers(ids.VmId(f'p{i}') for i in range(9))
+        part = messages.LogRange(log=CONFIG, head=1, entries=(entry(1),))
+        push = messages.Changes(ranges=(part,))
+        sender = ids.VmId('p0')
+        for pushes in (3, 0):
+            actions = core.received(sender, push, SECOND, pulled=False)
+            targets = [a.to for a in actions if isinstance(a, gossip.Push)]
+            self.assertEqual(len(set(targets)), pushes)
+            self.assertNotIn(sender, targets)
