--- /dev/null
+++ b/goldcresthaven/timeline.py
@@ -0,0 +1,258 @@
+"""Hybrid logical clock, event buffer and merge of several processes' events.
+
+A stamp follows the wall clock and never falls behind a stamp received with
+a message, so causes sort before their effects although clocks differ. The
+buffer is a ring; milestones have a second, longer one and are copied to
+two peers, in case the process is lost.
+"""
+
+import collections
+from collections.abc import Iterable
+from collections.abc import Sequence
+from dataclasses import dataclass
+from datetime import datetime
+from datetime import timedelta
+import heapq
+from typing import Any
+
+from goldcresthaven import clock
+from goldcresthaven import events
+from goldcresthaven import ids
+
+MAX_EVENTS = 8192
+MAX_MILESTONES = 1024
+MAX_COPIES = 4096
+COPY_PEERS = 2
+# A peer whose clock is further ahead than this does not pull ours along.
+MAX_AHEAD = timedelta(seconds=60)
+_MS = timedelta(milliseconds=1)
+_UNIX = datetime.fromisoformat('1970-01-01T00:00:00+00:00')
+_MAX_COUNTER = (1 << 32) - 1
+
+
+class HybridClock:
+    """Makes stamps that increase and exceed every stamp received."""
+
+    def __init__(self, time: clock.Clock) -> None:
+        self._clock = time
+        self._last = events.Stamp()
+
+    def next(self) -> events.Stamp:
+        """Return the stamp of a local event or of a message to send."""
+        return self._advance(self._last)
+
+    def receive(self, stamp: events.Stamp) -> events.Stamp:
+        """Return the stamp of the receipt of a message."""
+        ahead = stamp.wall_ms - self._wall_ms()
+        if ahead > MAX_AHEAD // _MS:
+            return self.next()
+        return self._advance(max(self._last, stamp))
+
+    def _advance(self, floor: events.Stamp) -> events.Stamp:
+        wall = self._wall_ms()
+        if wall > floor.wall_ms:
+            self._last = events.Stamp(wall_ms=wall)
+        elif floor.counter < _MAX_COUNTER:
+            self._last = events.Stamp(
+                wall_ms=floor.wall_ms, counter=floor.counter + 1
+            )
+        else:
+            self._last = events.Stamp(wall_ms=floor.wall_ms + 1)
+        return self._last
+
+    def _wall_ms(self) -> int:
+        return max((self._clock.now() - _UNIX) // _MS, 0)
+
+
+class Timeline:
+    """The events of one process and copies of other processes' milestones.
+
+    Example::
+
+        line.add(events.Kind.EPOCH_RAISED, domain=domain, epoch=epoch)
+    """
+
+    def __init__(
+        self,
+        *,
+        vm: ids.VmId,
+        boot: ids.BootId,
+        hybrid: HybridClock,
+        max_events: int = MAX_EVENTS,
+        max_milestones: int = MAX_MILESTONES,
+        max_copies: int = MAX_COPIES,
+    ) -> None:
+        self._vm = vm
+        self._boot = boot
+        self._hybrid = hybrid
+        self._seq = 0
+        self._events: collections.deque[events.Event] = collections.deque(
+            maxlen=max_events
+        )
+        self._milestones: collections.deque[events.Event] = collections.deque(
+            maxlen=max_milestones
+        )
+        self._copies: collections.OrderedDict[Any, events.Event] = (
+            collections.OrderedDict()
+        )
+        self._max_copies = max_copies
+        self._unsent: collections.deque[events.Event] = collections.deque(
+            maxlen=max_milestones
+        )
+
+    def add(
+        self, kind: events.Kind, text: str = '', **fields: Any
+    ) -> events.Event:
+        """Record an event; ``fields`` are those of ``events.Event``.
+
+        Text longer than the limit is cut, because an event must not fail
+        the work that it reports.
+        """
+        self._seq += 1
+        event = events.Event(
+            vm=self._vm,
+            boot=self._boot,
+            seq=self._seq,
+            stamp=self._hybrid.next(),
+            kind=kind,
+            text=_cut(text, events.MAX_TEXT_BYTES),
+            **fields,
+        )
+        self._events.append(event)
+        if kind in events.MILESTONES:
+            self._milestones.append(event)
+            self._unsent.append(event)
+        return event
+
+    def take_unsent(self) -> tuple[events.Event, ...]:
+        """Return milestones to copy to COPY_PEERS peers, each once."""
+        taken = tuple(self._unsent)
+        self._unsent.clear()
+        return taken
+
+    def keep_copies(self, copies: Iterable[events.Event]) -> None:
+        """Keep milestones that a peer sent, the newest within a bound."""
+        for event in copies:
+            if event.kind in events.MILESTONES and event.vm != self._vm:
+                self._copies[event.identity] = event
+        while len(self._copies) > self._max_copies:
+            self._copies.popitem(last=False)
+
+    def select(
+        self, wanted: events.Filter, limit: int
+    ) -> tuple[tuple[events.Event, ...], bool]:
+        """Return the newest matching events and whether some are left out.
+
+        Milestones that the ring has dropped and copies are included.
+        """
+        found = merge(
+            [
+                list(self._events),
+                list(self._milestones),
+                sorted(self._copies.values(), key=sort_key),
+            ],
+            wanted,
+        )
+        return tuple(found[-limit:]), len(found) > limit
+
+
+def sort_key(event: events.Event) -> tuple[events.Stamp, str, str, int]:
+    """Return the key of the total order that respects causes."""
+    return (event.stamp, event.vm, event.boot, event.seq)
+
+
+def merge(
+    buffers: Iterable[Sequence[events.Event]],
+    wanted: events.Filter | None = None,
+) -> list[events.Event]:
+    """Return the events of ordered buffers in causal order, each once.
+
+    A buffer that is not ordered, as a faulty peer may send, is sorted
+    first.
+    """
+    wanted = wanted or events.Filter()
+    merged: list[events.Event] = []
+    last = None
+    for event in heapq.merge(*map(_ordered, buffers), key=sort_key):
+        if sort_key(event) != last and wanted.matches(event):
+            merged.append(event)
+        last = sort_key(event)
+    return merged
+
+
+def _ordered(buffer: Sequence[events.Event]) -> Sequence[events.Event]:
+    keys = [sort_key(event) for event in buffer]
+    if all(a <= b for a, b in zip(keys, keys[1:])):
+        return buffer
+    return sorted(buffer, key=sort_key)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class View:
+    """A merged timeline for the operator.
+
+    ``unreachable`` names processes that did not answer; of these only the
+    milestones that peers have copied are shown. ``truncated`` names those
+    that left older events out.
+    """
+
+    events: tuple[events.Event, ...]
+    unreachable: tuple[ids.VmId, ...] = ()
+    truncated: tuple[ids.VmId, ...] = ()
+
+    @property
+    def vms(self) -> list[ids.VmId]:
+        """All processes with events or known to be unreachable."""
+        seen = {event.vm for event in self.events}
+        return sorted(seen | set(self.unreachable))
+
+
+def render_text(view: View) -> str:
+    """Return one line for each event, after a line for each gap."""
+    lines = [
+        f'! {vm}: unreachable, only copied milestones are shown'
+        for vm in view.unreachable
+    ]
+    lines += [f'! {vm}: older events are left out' for vm in view.truncated]
+    return '\n'.join(lines + [describe(event) for event in view.events])
+
+
+def describe(event: events.Event) -> str:
+    """Return an event as one line, with the fields that it has."""
+    when = format_time(event.stamp.wall_ms)
+    head = f'{when}+{event.stamp.counter} {event.vm} {event.kind.value}'
+    return ' '.join([head, *_fields(event), _one_line(event.text)]).rstrip()
+
+
+def format_time(wall_ms: int) -> str:
+    """Return UTC time with milliseconds, or the number if out of range."""
+    try:
+        when = _UNIX + wall_ms * _MS
+    except OverflowError:
+        return f'{wall_ms}ms'
+    return when.strftime('%Y-%m-%dT%H:%M:%S.') + f'{wall_ms % 1000:03d}Z'
+
+
+def _fields(event: events.Event) -> list[str]:
+    key = None if event.key_hash is None else f'{event.key_hash:016x}'
+    pairs = {
+        'key': key,
+        'request': event.request_id,
+        'shard': event.shard,
+        'upstream': event.upstream,
+        'domain': event.domain,
+        'epoch': event.epoch,
+        'map': event.map_version,
+        'config': event.config_version,
+    }
+    return [f'{k}={v}' for k, v in pairs.items() if v is not None]
+
+
+def _one_line(text: str) -> str:
+    # Text may come from a peer; control characters would break the lines
+    # or drive the operator's terminal.
+    return ''.join(c if c.isprintable() else ' ' for c in text)
+
+
+def _cut(text: str, size: int) -> str:
+    return text.encode(errors='replace')[:size].decode(errors='ignore')
--- /dev/null
+++ b/tests/test_timeline.py
@@ -0,0 +1,205 @@
+"""Tests of the timeline."""
+
+from datetime import timedelta
+import random
+from typing import Any
+import unittest
+from xml.etree import ElementTree
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from goldcresthaven import clock
+from goldcresthaven import events
+from goldcresthaven import ids
+from goldcresthaven import timeline
+from goldcresthaven import timeline_svg
+from tests import test_messages
+
+MS = timedelta(milliseconds=1)
+NOTE = events.Kind.NOTE
+MOVE = events.Kind.MOVE_WRITTEN
+
+
+def make_line(vm: str, time: clock.Clock, **sizes: int) -> timeline.Timeline:
+    return timeline.Timeline(
+        vm=ids.VmId(vm),
+        boot=ids.BootId('b1'),
+        hybrid=timeline.HybridClock(time),
+        **sizes,
+    )
+
+
+def texts(found: Any) -> list[str]:
+    return [event.text for event in found]
+
+
+class HybridClockTest(unittest.TestCase):
+    def test_causes_before_effects(self) -> None:
+        """Guards against an effect that sorts before its cause."""
+        for seed in range(50):
+            rng = random.Random(seed)
+            times = [
+                clock.ManualClock(rate=rng.uniform(0.5, 2)) for _ in 'abc'
+            ]
+            for time in times:
+                time.advance(timedelta(seconds=rng.uniform(0, 20)))
+            hybrids = [timeline.HybridClock(time) for time in times]
+            last = [events.Stamp()] * 3
+            for _ in range(200):
+                i, j = rng.sample(range(3), 2)
+                for time in times:
+                    time.advance(rng.choice([0, 0, 1, 5]) * MS)
+                sent = hybrids[i].next()
+                received = hybrids[j].receive(sent)
+                self.assertGreater(sent, last[i])
+                self.assertGreater(received, max(sent, last[j]))
+                last[i], last[j] = sent, received
+
+    def test_wrong_clock_of_a_peer(self) -> None:
+        """Guards against one wrong clock that shifts the whole fleet."""
+        time = clock.ManualClock()
+        hybrid = timeline.HybridClock(time)
+        before = hybrid.next()
+        after = hybrid.receive(events.Stamp(wall_ms=1 << 60))
+        self.assertGreater(after, before)
+        self.assertLess(after.wall_ms - before.wall_ms, 1000)
+
+    def test_counter_overflow(self) -> None:
+        """Guards against a stamp that cannot be encoded."""
+        time = clock.ManualClock()
+        hybrid = timeline.HybridClock(time)
+        wall = hybrid.next().wall_ms + 9
+        full = events.Stamp(wall_ms=wall, counter=(1 << 32) - 1)
+        self.assertEqual(hybrid.receive(full), events.Stamp(wall_ms=wall + 1))
+
+
+class MergeTest(unittest.TestCase):
+    @settings(deadline=None)
+    @given(
+        st.lists(st.integers(0, 4), max_size=60),
+        st.lists(st.lists(st.integers(0, 59)), max_size=4),
+        test_messages.objects(events.Filter),
+        st.booleans(),
+    )
+    def test_agrees_with_slow_sort(
+        self,
+        steps: list[int],
+        buffers: list[list[int]],
+        wanted: events.Filter,
+        everything: bool,
+    ) -> None:
+        """Guards against lost, repeated or misplaced events."""
+        made = [
+            events.Event(
+                vm=ids.VmId(f'vm{step % 3}'),
+                boot=ids.BootId('b'),
+                seq=seq,
+                stamp=events.Stamp(wall_ms=sum(steps[:seq]) // 2),
+                kind=NOTE,
+            )
+            for seq, step in enumerate(steps)
+        ]
+        if everything:
+            wanted = events.Filter()
+        picked = [[made[i] for i in b if i < len(made)] for b in buffers]
+        slow: list[events.Event] = []
+        for event in (e for b in picked for e in b):
+            if event not in slow and wanted.matches(event):
+                slow.append(event)
+        slow.sort(key=lambda e: (e.stamp.wall_ms, e.vm, e.seq))
+        self.assertEqual(timeline.merge(picked, wanted), slow)
+
+
+class TimelineTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = clock.ManualClock()
+
+    def test_ring_and_milestones(self) -> None:
+        """Guards against growth and milestones lost among requests."""
+        line = make_line('a', self.clock, max_events=10, max_milestones=3)
+        for i in range(5):
+            line.add(MOVE, f'move {i}')
+        for i in range(50):
+            line.add(NOTE, f'note {i}')
+        found, truncated = line.select(events.Filter(), 100)
+        expected = [f'move {i}' for i in (2, 3, 4)]
+        expected += [f'note {i}' for i in range(40, 50)]
+        self.assertEqual(texts(found), expected)
+        self.assertFalse(truncated)
+        found, truncated = line.select(events.Filter(), 2)
+        self.assertEqual(texts(found), ['note 48', 'note 49'])
+        self.assertTrue(truncated)
+
+    def test_copies_survive_the_process(self) -> None:
+        """Guards against a lost VM that takes its history with it."""
+        line = make_line('a', self.clock)
+        peers = [make_line(vm, self.clock, max_copies=2) for vm in 'bc']
+        line.add(NOTE, 'not copied')
+        for i in range(3):
+            line.add(MOVE, f'move {i}')
+        sent = line.take_unsent()
+        self.assertEqual(line.take_unsent(), ())
+        for peer in peers:
+            peer.keep_copies(sent + sent[-1:])
+        buffers = [p.select(events.Filter(), 100)[0] for p in peers]
+        self.assertEqual(texts(timeline.merge(buffers)), ['move 1', 'move 2'])
+
+    def test_filters(self) -> None:
+        """Guards against a query that mixes requests, keys or times."""
+        line = make_line('a', self.clock)
+        line.add(NOTE, 'one', key_hash=1, request_id='r1')
+        self.clock.advance(timedelta(seconds=1))
+        line.add(MOVE, 'two', key_hash=2, request_id='r2')
+        second = line.select(events.Filter(), 9)[0][1].stamp.wall_ms
+        cases: list[tuple[dict[str, Any], list[str]]] = [
+            ({}, ['one', 'two']),
+            ({'key_hash': 1}, ['one']),
+            ({'request_id': 'r2'}, ['two']),
+            ({'vm': 'b'}, []),
+            ({'kinds': (MOVE,)}, ['two']),
+            ({'since_ms': second}, ['two']),
+            ({'until_ms': second}, ['one']),
+        ]
+        for fields, expected in cases:
+            with self.subTest(fields):
+                found, _ = line.select(events.Filter(**fields), 9)
+                self.assertEqual(texts(found), expected)
+
+    def test_rendering(self) -> None:
+        """Guards against hidden gaps and text that breaks the output."""
+        line = make_line('a', self.clock)
+        line.add(
+            events.Kind.EPOCH_RAISED,
+            'evil\x1b[2J\n<b>&' + 'é' * 999,
+            domain='z1/0',
+            epoch=4,
+            key_hash=255,
+        )
+        other = make_line('b', self.clock)
+        other.add(events.Kind.CLAIM_LOST, domain='z1/0', epoch=4)
+        buffers = [
+            part.select(events.Filter(), 9)[0] for part in (line, other)
+        ]
+        view = timeline.View(
+            events=tuple(timeline.merge(buffers)),
+            unreachable=(ids.VmId('lost-vm'),),
+            truncated=(ids.VmId('b'),),
+        )
+        text = timeline.render_text(view)
+        lines = text.split('\n')
+        self.assertEqual(len(lines), 4)
+        self.assertIn('lost-vm: unreachable', lines[0])
+        self.assertIn('b: older events', lines[1])
+        self.assertIn('epoch-raised key=00000000000000ff', lines[2])
+        self.assertIn('domain=z1/0 epoch=4 evil', lines[2])
+        self.assertNotIn('\x1b', text)
+        root = ElementTree.fromstring(timeline_svg.render_svg(view))
+        names = [e.tag.rpartition('}')[2] for e in root.iter()]
+        self.assertEqual(names.count('circle'), 2)
+        shown = ' '.join(root.itertext())
+        self.assertIn('unreachable', shown)
+        self.assertIn('older events are left out', shown)
+        # Three rows and the arrow between the two events of one epoch.
+        self.assertEqual(names.count('line'), 4)
