--- /dev/null
+++ b/goldcresthaven/metrics.py
@@ -0,0 +1,192 @@
+"""Metrics in the statsd protocol, sent once a second in few datagrams.
+
+METRICS is the one list of names and units; docs/metrics.md is made from
+it. Counters are summed and gauges overwritten between two flushes, so the
+cost does not grow with the load. Of timings at most MAX_TIMINGS a second
+are sent for each name.
+"""
+
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+from typing import Any
+from typing import Protocol
+
+from goldcresthaven import outcomes
+
+PREFIX = 'goldcresthaven'
+FLUSH_INTERVAL = timedelta(seconds=1)
+MAX_TIMINGS = 100
+_MS = timedelta(milliseconds=1)
+
+
+class Kind(Enum):
+    COUNTER = 'counter'
+    GAUGE = 'gauge'
+    TIMING = 'timing'
+
+
+class By(Enum):
+    """What a metric is split by; the value is appended to its name."""
+
+    NOTHING = ''
+    RANK = 'rank'
+    REASON = 'reason'
+
+
+_PARTS = {
+    By.NOTHING: frozenset({''}),
+    By.RANK: frozenset(rank.value for rank in outcomes.Rank),
+    By.REASON: frozenset(reason.value for reason in outcomes.Reason),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Metric:
+    """One row of the table."""
+
+    name: str
+    kind: Kind
+    unit: str
+    by: By
+    meaning: str
+
+
+_C, _G, _T = Kind.COUNTER, Kind.GAUGE, Kind.TIMING
+_N, _R, _W = By.NOTHING, By.RANK, By.REASON
+
+METRICS = (
+    Metric('request.received', _C, 'requests', _R, 'accepted from callers'),
+    Metric('request.done', _C, 'requests', _R, 'complete upstream response'),
+    Metric('request.not-run', _C, 'requests', _R, 'provably not executed'),
+    Metric('request.unknown', _C, 'requests', _R, 'sent, without proof'),
+    Metric('request.refused', _C, 'requests', _W, 'not run, by reason'),
+    Metric('request.time', _T, 'ms', _R, 'from headers to outcome'),
+    Metric('request.wait', _T, 'ms', _R, 'from admission to dispatch'),
+    Metric('request.retried', _C, 'attempts', _R, 'attempts after the first'),
+    Metric('queue.length', _G, 'requests', _R, 'waiting for a slot'),
+    Metric('queue.bytes', _G, 'bytes', _R, 'held by waiting requests'),
+    Metric('slot.held', _G, 'slots', _R, 'leased from managers'),
+    Metric('slot.used', _G, 'slots', _R, 'with a request in flight'),
+    Metric('upstream.connections', _G, 'connections', _N, 'to upstreams'),
+    Metric('upstream.opened', _C, 'connections', _N, 'opened to upstreams'),
+    Metric('upstream.open-breakers', _G, 'upstreams', _N, 'not sent to'),
+    Metric('claim.held', _G, 'domains', _N, 'claims held by this process'),
+    Metric('claim.extended', _C, 'extensions', _N, 'past the term by consent'),
+    Metric('claim.lost', _C, 'claims', _N, 'given up or taken over'),
+    Metric('lease.granted', _C, 'leases', _N, 'accepted by upstreams'),
+    Metric('lease.refused', _C, 'leases', _N, 'refused by upstreams'),
+    Metric('shard.moved', _C, 'shards', _N, 'moves written'),
+    Metric('map.version', _G, 'version', _N, 'applied map version'),
+    Metric('config.version', _G, 'version', _N, 'applied configuration'),
+    Metric('change.delay', _T, 'ms', _N, 'from commit to applied here'),
+    Metric('gossip.pushed', _C, 'messages', _N, 'Changes pushed to peers'),
+    Metric('gossip.pulled', _C, 'messages', _N, 'PullChanges sent'),
+    Metric('store.time', _T, 'ms', _N, 'answered calls to the store'),
+    Metric('store.failed', _C, 'calls', _N, 'without a usable answer'),
+    Metric('peer.connections', _G, 'connections', _N, 'to entry processes'),
+    Metric('peer.sent', _C, 'bytes', _N, 'written to peers'),
+    Metric('peer.received', _C, 'bytes', _N, 'read from peers'),
+    Metric('peer.refused', _C, 'connections', _N, 'failed authentication'),
+    Metric('peer.malformed', _C, 'connections', _N, 'broke the protocol'),
+    Metric('peer.too-slow', _C, 'connections', _N, 'dropped as too slow'),
+    Metric('peer.suspected', _C, 'peers', _N, 'silent for 750 ms'),
+    Metric('log.suppressed', _C, 'lines', _N, 'over the limit of a type'),
+    Metric('log.dropped', _C, 'lines', _N, 'standard error not read'),
+    Metric('loop.lag', _T, 'ms', _N, 'lateness of a 50 ms timer'),
+)
+_BY_NAME = {metric.name: metric for metric in METRICS}
+
+
+class Pipeline(Protocol):
+    """The part of the statsd client's pipeline that is used."""
+
+    def incr(self, stat: str, count: int) -> Any: ...
+
+    def gauge(self, stat: str, value: float) -> Any: ...
+
+    def timing(self, stat: str, delta: float) -> Any: ...
+
+    def send(self) -> Any: ...
+
+
+class Client(Protocol):
+    """The part of ``statsd.StatsClient`` that is used."""
+
+    def pipeline(self) -> Any: ...
+
+
+class Metrics:
+    """Collects values and sends them with ``flush``.
+
+    Example::
+
+        metrics.count('request.done', part=rank.value)
+    """
+
+    def __init__(self, client: Client | None) -> None:
+        self._client = client
+        self._counts: dict[str, int] = {}
+        self._gauges: dict[str, float] = {}
+        self._timings: dict[str, list[float]] = {}
+
+    def count(self, name: str, value: int = 1, *, part: str = '') -> None:
+        full = _full_name(name, Kind.COUNTER, part)
+        self._counts[full] = self._counts.get(full, 0) + value
+
+    def gauge(self, name: str, value: float, *, part: str = '') -> None:
+        self._gauges[_full_name(name, Kind.GAUGE, part)] = value
+
+    def timing(self, name: str, value: timedelta, *, part: str = '') -> None:
+        full = _full_name(name, Kind.TIMING, part)
+        values = self._timings.setdefault(full, [])
+        if len(values) < MAX_TIMINGS:
+            values.append(value / _MS)
+
+    def flush(self) -> None:
+        """Send what was collected; UDP, so it neither waits nor fails."""
+        counts, self._counts = self._counts, {}
+        gauges, self._gauges = self._gauges, {}
+        timings, self._timings = self._timings, {}
+        if self._client is None:
+            return
+        pipe: Pipeline = self._client.pipeline()
+        for name, count in counts.items():
+            pipe.incr(name, count)
+        for name, value in gauges.items():
+            pipe.gauge(name, value)
+        for name, values in timings.items():
+            for value in values:
+                pipe.timing(name, value)
+        pipe.send()
+
+
+def _full_name(name: str, kind: Kind, part: str) -> str:
+    metric = _BY_NAME[name]
+    if metric.kind is not kind or part not in _PARTS[metric.by]:
+        raise ValueError(
+            f'{name} is a {metric.kind.value} by {metric.by.value!r}, not a '
+            f'{kind.value} with part {part!r}; see METRICS'
+        )
+    return f'{name}.{part}' if part else name
+
+
+def to_markdown() -> str:
+    """Return the content of docs/metrics.md."""
+    lines = [
+        '# Metrics',
+        '',
+        f'Sent by statsd once a second under the prefix `{PREFIX}.`. A '
+        'metric that is split has the rank or reason appended to its name, '
+        'as in `request.done.urgent`. Of timings at most '
+        f'{MAX_TIMINGS} a second are sent for each name.',
+        '',
+        '| name | kind | unit | by | meaning |',
+        '|---|---|---|---|---|',
+    ]
+    lines += [
+        f'| `{m.name}` | {m.kind.value} | {m.unit} | {m.by.value} '
+        f'| {m.meaning} |'
+        for m in METRICS
+    ]
+    return '\n'.join(lines) + '\n'
