--- a/goldcresthaven/aio.py
+++ b/goldcresthaven/aio.py
@@ -114,13 +114,19 @@
         trace: TracebackType | None,
     ) -> None:
         try:
-            # curio swallows no exception here; it returns False or raises.
             await self._inner.__aexit__(kind, value, trace)
         except curio.TaskTimeout:
-            raise errors.DeadlineExceeded(
-                f'no result within {self._seconds:.3f} s',
-                remedy='retry later or raise the deadline',
-            ) from None
+            raise self._exceeded() from None
+        # curio raises TimeoutCancellationError above when this timeout is
+        # an outer block's, so a TaskTimeout that it lets pass is this one's.
+        if kind is curio.TaskTimeout:
+            raise self._exceeded() from None
+
+    def _exceeded(self) -> errors.DeadlineExceeded:
+        return errors.DeadlineExceeded(
+            f'no result within {self._seconds:.3f} s',
+            remedy='retry later or raise the deadline',
+        )
 
 
 async def connect(host: str, port: int) -> Socket:
--- a/proofs/graceful_stop.py
+++ b/proofs/graceful_stop.py
@@ -100,8 +100,7 @@
 
     async def begin(self) -> None:
         if self._maybe_sock is None:
-            # A blocking connect leaves the listener no time to accept.
-            raw = socket.create_connection((rig.HOST, self._port))
+            raw = rig.connect_at_once(self._port)
             self._maybe_sock = aio.wrap(raw)
         head = f'POST /free/{self.stage} HTTP/1.1\r\nHost: a\r\n'
         length = f'Content-Length: {len(BODY)}\r\n\r\n'
--- /dev/null
+++ b/tests/test_aio.py
@@ -0,0 +1,73 @@
+"""Tests of the wrapper around curio."""
+
+from datetime import timedelta
+import unittest
+
+from goldcresthaven import aio
+from goldcresthaven import errors
+from tools import rig
+
+SHORT = timedelta(milliseconds=20)
+LONG = timedelta(seconds=20)
+
+
+class TimeoutTest(unittest.TestCase):
+    def test_the_block_whose_time_is_up_raises(self) -> None:
+        """Guards against an inner block that reports an outer timeout."""
+        cases = ((SHORT, LONG, 'outer'), (LONG, SHORT, 'inner'))
+
+        async def nested(outer: timedelta, inner: timedelta) -> str:
+            try:
+                async with aio.timeout(outer):
+                    try:
+                        async with aio.timeout(inner):
+                            await aio.sleep(LONG)
+                    except errors.DeadlineExceeded:
+                        return 'inner'
+            except errors.DeadlineExceeded:
+                return 'outer'
+            return 'none'
+
+        async def test() -> None:
+            for outer, inner, expected in cases:
+                with self.subTest(expected):
+                    self.assertEqual(expected, await nested(outer, inner))
+            async with aio.timeout(SHORT):
+                pass
+            await aio.sleep(2 * SHORT)
+
+        rig.run(test)
+
+    def test_peek_consumes_nothing(self) -> None:
+        """Guards against bytes lost by looking for a closed connection."""
+
+        async def test() -> None:
+            left, right = rig.pair()
+            self.assertIsNone(aio.peek(right))
+            await left.sendall(b'ab')
+            self.assertEqual(b'a', aio.peek(right))
+            self.assertEqual(b'ab', await right.recv(9))
+            await left.close()
+            self.assertEqual(b'', aio.peek(right))
+            await right.close()
+
+        rig.run(test)
+
+
+class ListenerTest(unittest.TestCase):
+    def test_stop_accepts_what_waits_in_the_backlog(self) -> None:
+        """Guards against connections reset by closing the listener."""
+
+        async def test() -> None:
+            async def echo(sock: aio.Socket) -> None:
+                await sock.sendall(await sock.recv(9))
+
+            listener = aio.Listener(host=rig.HOST, port=0, handler=echo)
+            await listener.start()
+            raw = rig.connect_at_once(listener.port)
+            raw.sendall(b'hello')
+            await listener.stop()
+            self.assertEqual(b'hello', await rig.read_all(aio.wrap(raw)))
+            await listener.wait_closed()
+
+        rig.run(test)
--- a/tools/rig.py
+++ b/tools/rig.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from datetime import timedelta
+import socket
 from typing import Any
 
 from goldcresthaven import aio
@@ -50,6 +51,16 @@
     return listener
 
 
+def pair() -> tuple[aio.Socket, aio.Socket]:
+    left, right = socket.socketpair()
+    return aio.wrap(left), aio.wrap(right)
+
+
+def connect_at_once(port: int) -> socket.socket:
+    """Connect without giving any task the time to accept."""
+    return socket.create_connection((HOST, port))
+
+
 def run(test: Callable[[], Awaitable[None]]) -> None:
     """Run an async test with a limit on its duration."""
 
