Strengthen the proofs and guard each rule of the request path

Trials with single rules removed from a scratch copy showed five gaps: the backlog at shutdown, a request that arrives as an idle connection ends, a response's second copy between two exchanges, the txn in a read-back row, and the deadline check before the first byte. Each of them is now caught. The proofs also require a healthy upstream to be used, because a router that refuses everything keeps these promises too.

--- a/goldcresthaven/store_client.py
+++ b/goldcresthaven/store_client.py
@@ -163,9 +163,10 @@
     """Return the fate of a repeated transaction that met a conflict.
 
     The first attempt was applied if a row that the transaction writes now
-    holds its ``txn`` or, for rows that do not record one, exactly the
-    written value one version later. When somebody else may have written
-    after that, a row that records no ``txn`` proves nothing.
+    holds its ``txn``. Rows with a ``txn`` are not replaced by others while
+    their writer waits, so another one there names the only winner. A row
+    without one proves the write only by exactly the written value; when
+    somebody else may have written since, nothing is proven.
     """
     found = {row.key: row for row in conflict.rows}
     inserted = {
@@ -177,13 +178,11 @@
         row = found.get(write.key)
         if row is None:
             continue
-        if 'txn' in write.value and row.value.get('txn') == txn.txn:
-            return tables.Committed()
+        if 'txn' in write.value:
+            mine = row.value.get('txn') == txn.txn
+            return tables.Committed() if mine else conflict
         if dict(row.value) == dict(write.value):
             return tables.Committed()
-        if (write.table, write.key) in inserted and 'txn' in row.value:
-            # A log row is never replaced, so it names the only winner.
-            return conflict
     if any((w.table, w.key) in inserted for w in txn.writes):
         return conflict
     return tables.Ambiguous(detail='the row was written again since')
--- a/proofs/at_most_once.py
+++ b/proofs/at_most_once.py
@@ -87,7 +87,13 @@
         for number in range(PAYMENTS):
             await self._pay(entries, f'{self._seed}-{number}')
         await self._failing.thaw()
+        # Refusing everything would keep the promise too.
+        self._platform.faults = platform.Faults()
+        control = (('idempotency-key', 'control'),)
+        answer = await entries[0].ask('POST', '/book/x', headers=control)
         await store.close()
+        if answer.outcome != 'done':
+            return True
         return any(n > 1 for n in self._failing.runs.values())
 
     async def _entry(
--- a/proofs/failing_upstream.py
+++ b/proofs/failing_upstream.py
@@ -32,24 +32,26 @@
 
     ``runs`` counts the executions of each idempotency key. A frozen
     upstream executes its requests once ``thaw`` is called, after their
-    callers have given up.
+    callers have given up. From then on it is healthy.
     """
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._thawed = aio.Event()
         self._frozen = 0
+        self.healthy = False
         self.runs: collections.Counter[str] = collections.Counter()
 
     async def thaw(self) -> None:
         """Let frozen requests run, and wait until they have."""
+        self.healthy = True
         await self._thawed.set()
         await rig.wait_for(lambda: self._frozen == 0)
 
     async def script(self, upstream: rig.Scripted, sock: aio.Socket) -> None:
         try:
             while head := await rig.read_head(upstream, sock):
-                kind = self._rng.choice(KINDS)
+                kind = 'good' if self.healthy else self._rng.choice(KINDS)
                 if not await self._handle(kind, _key(head), sock):
                     return
         except OSError:
--- a/proofs/not_run.py
+++ b/proofs/not_run.py
@@ -16,6 +16,7 @@
 from tools import rig
 
 REQUESTS = 8
+CONTROLS = 4
 SEEDS = range(25)
 DEAD = members.Address(host=rig.HOST, port=1)
 
@@ -55,7 +56,23 @@
         if answer.outcome == 'not-run':
             reported.append(key)
     await failing.thaw()
-    return any(failing.runs[key] for key in reported)
+    if any(failing.runs[key] for key in reported):
+        return True
+    return not await _serves(path)
+
+
+async def _serves(path: rig.Rig) -> bool:
+    """Return whether a healthy upstream is used.
+
+    Refusing everything would keep the promise too. One of the upstreams is
+    dead and the retry budget may be spent, so one request is not enough.
+    """
+    for number in range(CONTROLS):
+        key = (('idempotency-key', f'control-{number}'),)
+        answer = await path.ask('POST', '/pay/x', headers=key)
+        if answer.outcome == 'done':
+            return True
+    return False
 
 
 def check(seed: int, server_type: type[caller_server.CallerServer]) -> bool:
--- a/proofs/whole_answer.py
+++ b/proofs/whole_answer.py
@@ -4,6 +4,7 @@
 request id. The naive variant returns every connection to its pool.
 """
 
+from datetime import timedelta
 import random
 
 from goldcresthaven import aio
@@ -16,7 +17,10 @@
 
 REQUESTS = 6
 LATE_DEADLINE = '40'
-KINDS = ('good', 'late', 'twice', 'cut')
+# The second copy of a response arrives between two exchanges.
+SECOND_COPY = timedelta(milliseconds=2)
+AFTER_SECOND_COPY = timedelta(milliseconds=8)
+KINDS = ('good', 'late', 'twice', 'again', 'cut')
 SEEDS = range(25)
 
 
@@ -68,6 +72,10 @@
                 self._held = sock, response
             case 'twice':
                 await sock.sendall(response * 2)
+            case 'again':
+                await sock.sendall(response)
+                await aio.sleep(SECOND_COPY)
+                await sock.sendall(response)
             case 'cut':
                 await sock.sendall(response[:-2])
                 return False
@@ -90,6 +98,8 @@
     upstream = await rig.start_scripted(Upstream(kinds).script)
     path = await rig.start({'free-a': upstream.address}, conns=pool)
     for number, kind in enumerate(kinds):
+        if 'again' in kinds[number - 1 : number]:
+            await aio.sleep(AFTER_SECOND_COPY)
         target = f'/free/{number}'
         limit = LATE_DEADLINE if kind == 'late' else '2000'
         try:
@@ -97,14 +107,21 @@
                 'GET', target, headers=(('x-deadline-ms', limit),)
             )
         except errors.Error:
+            if kind == 'good':
+                return True
             continue
         if answer.outcome == 'done' and answer.body != target.encode():
             return True
+        if answer.outcome != 'done' and kind == 'good':
+            return True
     return False
 
 
 def check(seed: int, pool: upstream_pool.UpstreamPool) -> bool:
-    """Return whether some caller got a response that is not its own."""
+    """Return whether a caller did not get its own response.
+
+    A request whose response was late or cut short may get none.
+    """
     found: list[bool] = []
 
     async def run() -> None:
--- a/tests/test_aio.py
+++ b/tests/test_aio.py
@@ -64,6 +64,8 @@
 
             listener = aio.Listener(host=rig.HOST, port=0, handler=echo)
             await listener.start()
+            # The accept task has to be waiting before the caller connects.
+            await aio.sleep(SHORT)
             raw = rig.connect_at_once(listener.port)
             raw.sendall(b'hello')
             await listener.stop()
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -5,9 +5,12 @@
 from unittest import mock
 
 from goldcresthaven import aio
+from goldcresthaven import caller_server
+from goldcresthaven import clock
 from goldcresthaven import errors
 from goldcresthaven import http_io
 from goldcresthaven import members
+from goldcresthaven import upstream_pool
 from tools import http_client
 from tools import rig
 
@@ -114,6 +117,31 @@
 )
 
 
+class PausedClock(clock.SystemClock):
+    """A clock that shows a pause of the process."""
+
+    def __init__(self) -> None:
+        self.pause = timedelta()
+
+    def elapsed(self) -> timedelta:
+        return super().elapsed() + self.pause
+
+
+class PausedPool(upstream_pool.UpstreamPool):
+    """A pool during whose work the process is paused for a minute."""
+
+    def __init__(self, paused: PausedClock) -> None:
+        super().__init__()
+        self._paused = paused
+
+    async def take(
+        self, address: members.Address, *, limit: int
+    ) -> http_io.UpstreamConn:
+        conn = await super().take(address, limit=limit)
+        self._paused.pause = timedelta(minutes=1)
+        return conn
+
+
 class CallerSideTest(unittest.TestCase):
     def test_malformed_requests_are_refused(self) -> None:
         """Guards against request smuggling and unbounded input."""
@@ -350,6 +378,25 @@
 
         rig.run(test)
 
+    def test_deadline_is_checked_before_the_first_byte(self) -> None:
+        """Guards against sending after a pause that outlived the deadline."""
+
+        async def test() -> None:
+            upstream = await rig.start_scripted(rig.answering(rig.done(b'')))
+            paused = PausedClock()
+            path = await rig.start(
+                {'free-a': upstream.address},
+                clock=paused,
+                conns=PausedPool(paused),
+            )
+            key = (('idempotency-key', 'k'),)
+            answer = await path.ask('POST', '/pay/', headers=key)
+            self.assertEqual('not-run', answer.outcome)
+            self.assertEqual('deadline-passed', answer.reason)
+            self.assertEqual([], [r for r in upstream.received if r])
+
+        rig.run(test)
+
     def test_new_owner_is_asked_after_421(self) -> None:
         """Guards against a stale map that refuses or repeats requests."""
 
@@ -448,3 +495,30 @@
             self.assertEqual('close', connection)
 
         rig.run(test)
+
+    def test_request_that_arrives_as_an_idle_connection_ends(self) -> None:
+        """Guards against closing on a request that has just arrived."""
+
+        async def test() -> None:
+            upstream = await rig.start_scripted(rig.answering(rig.done(b'')))
+            path = await rig.start({'free-a': upstream.address})
+            sock = await aio.connect(rig.HOST, path.address.port)
+            wait = http_io.CallerConn.wait_for_byte
+
+            async def wait_and_miss(conn: http_io.CallerConn) -> bool:
+                try:
+                    return await wait(conn)
+                except aio.Cancelled:
+                    await sock.sendall(GET + b'\r\n')
+                    raise
+
+            with mock.patch.object(
+                http_io.CallerConn, 'wait_for_byte', wait_and_miss
+            ):
+                path.server.stop_idle()
+                answer = await rig.read_all(sock)
+            self.assertIn(b'x-outcome: done', answer)
+
+        short = timedelta(milliseconds=30)
+        with mock.patch.object(caller_server, 'IDLE_CHECK', short):
+            rig.run(test)
--- a/tools/rig.py
+++ b/tools/rig.py
@@ -258,6 +258,7 @@
     *,
     deadline: str = '2s',
     store: dedup.Store | None = None,
+    clock: clock_module.Clock | None = None,
     conns: upstream_pool.UpstreamPool | None = None,
     records: dedup.Records | None = None,
     server_type: type[caller_server.CallerServer] = (
@@ -265,7 +266,7 @@
     ),
 ) -> Rig:
     """Start a request path; keys of 'keyed' belong to the first upstream."""
-    clock = clock_module.SystemClock()
+    clock = clock or clock_module.SystemClock()
     views = FixedViews(view=make_view(upstreams, deadline))
     conns = conns or upstream_pool.UpstreamPool()
     _pools.append(conns)
