--- /dev/null
+++ b/bench/entry_cost.py
@@ -0,0 +1,195 @@
+"""Processor time per request of an entry process.
+
+It is compared with a bare h11 forwarder in the same run, in alternating
+rounds, so that the machine's state affects both alike.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+import json
+import pathlib
+import sys
+import tempfile
+from typing import Any
+
+import yaml
+
+from goldcresthaven import aio
+from goldcresthaven import clock
+from goldcresthaven import ids
+from goldcresthaven import log_rows
+from goldcresthaven import members
+from goldcresthaven import store_client
+from goldcresthaven import tables
+from tools import fleet
+from tools import http_client
+from tools import processes
+from tools import rig
+
+ROUNDS = 5
+CALLERS = 4
+REQUESTS_PER_CALLER = 250
+TARGET = '/free/x'
+NS_PER_US = 1000
+READY_CHECKS = 200
+READY_PAUSE = timedelta(milliseconds=50)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Figures:
+    """Processor time per request in microseconds, the median of rounds."""
+
+    bare_us: float
+    entry_us: float
+
+    @property
+    def ratio(self) -> float:
+        return self.entry_us / self.bare_us
+
+
+def processor_ns(process: processes.Process) -> int:
+    """Return the processor time that a process has used."""
+    path = pathlib.Path(f'/proc/{process.popen.pid}/schedstat')
+    return int(path.read_text().split()[0])
+
+
+async def send(address: members.Address) -> None:
+    """Send one round of requests over kept-alive connections."""
+
+    async def caller() -> None:
+        conn = http_client.Caller(address)
+        for _ in range(REQUESTS_PER_CALLER):
+            answer = await conn.ask('GET', TARGET)
+            if answer.status != 200:
+                raise RuntimeError(f'answered by {answer.status}')
+        await conn.close()
+
+    tasks = [await aio.spawn(caller()) for _ in range(CALLERS)]
+    for task in tasks:
+        await task.join()
+
+
+async def round_us(process: processes.Process) -> float:
+    before = processor_ns(process)
+    await send(members.Address.parse(process.hello['listen']))
+    used = processor_ns(process) - before
+    return used / NS_PER_US / (CALLERS * REQUESTS_PER_CALLER)
+
+
+class Setup:
+    """The processes of one measurement."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self._folder = folder
+        self._started: list[processes.Process] = []
+
+    def start(self, name: str, module: str, *args: str) -> processes.Process:
+        process = processes.start(name, module, *args)
+        self._started.append(process)
+        return process
+
+    def stop(self) -> None:
+        for process in reversed(self._started):
+            process.stop()
+
+    def start_entry(self, platform: str) -> processes.Process:
+        path = self._folder / 'entry.yaml'
+        settings = {
+            'vm': 'entry',
+            'zone': 'a',
+            'listen': '127.0.0.1:0',
+            'platform': platform,
+            'stop_delay': '0ms',
+        }
+        path.write_text(yaml.safe_dump(settings))
+        return self.start('entry', 'goldcresthaven.entry', str(path))
+
+
+async def publish(platform: str, upstream: str) -> None:
+    """Store a configuration and the one upstream."""
+    address = members.Address.parse(platform)
+    store = store_client.StoreClient(
+        address=address, clock=clock.SystemClock()
+    )
+    config = log_rows.encode_config(
+        version=ids.ConfigVersion(1),
+        txn=ids.TxnId('config'),
+        author='bench',
+        change='bench',
+        document=rig.make_document(),
+    )
+    await fleet.insert(store, tables.CONFIG_LOG, config)
+    await store.close()
+    member: Mapping[str, Any] = {
+        'vm': 'free-a',
+        'zone': 'a',
+        'role': 'upstream',
+        'state': 'live',
+        'address': upstream,
+        'pool': 'free',
+    }
+    await http_client.ask_once(
+        address,
+        'PUT',
+        '/v1/members',
+        body=json.dumps({'members': [member]}).encode(),
+    )
+
+
+async def wait_ready(entry: processes.Process) -> None:
+    address = members.Address.parse(entry.hello['listen'])
+    for _ in range(READY_CHECKS):
+        answer = await http_client.ask_once(address, 'GET', TARGET)
+        if answer.status == 200:
+            return
+        await aio.sleep(READY_PAUSE)
+    raise RuntimeError('the entry process did not become ready')
+
+
+def measure() -> Figures:
+    """Run all rounds and return the medians."""
+    found: list[Figures] = []
+    with tempfile.TemporaryDirectory() as name:
+        setup = Setup(pathlib.Path(name))
+        try:
+            aio.run(_measure, setup, found)
+        finally:
+            setup.stop()
+    return found[0]
+
+
+async def _measure(setup: Setup, found: list[Figures]) -> None:
+    endpoint = json.dumps([{'name': 'free-a', 'slots': 99, 'service_ms': 0}])
+    upstreams = setup.start('upstream', 'standins.upstream', endpoint)
+    upstream = upstreams.hello['endpoints']['free-a']
+    bare = setup.start('bare', 'bench.bare_forwarder', upstream)
+    platform = setup.start('platform', 'standins.platform')
+    entry = setup.start_entry(platform.hello['listen'])
+    await publish(platform.hello['listen'], upstream)
+    await wait_ready(entry)
+    await round_us(bare)
+    await round_us(entry)
+    rounds = [
+        (await round_us(bare), await round_us(entry)) for _ in range(ROUNDS)
+    ]
+    middle = ROUNDS // 2
+    found.append(
+        Figures(
+            bare_us=sorted(b for b, _ in rounds)[middle],
+            entry_us=sorted(e for _, e in rounds)[middle],
+        )
+    )
+
+
+def main() -> int:
+    figures = measure()
+    print(
+        f'entry_cost us/request bare {figures.bare_us:.0f} '
+        f'entry {figures.entry_us:.0f} ratio {figures.ratio:.2f}'
+    )
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
