Read early responses, split http_head from http_io, stop a fleet once

An upstream that answers before it has read a long body is now heard while a write is blocked; before, its refusal turned into a timeout. A second SIGTERM during interpreter shutdown made the launcher report exit code -15 when two fleets ran at once.

--- a/goldcresthaven/aio.py
+++ b/goldcresthaven/aio.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from collections.abc import Coroutine
 from datetime import timedelta
+import logging
 import signal
 import socket
 from types import TracebackType
@@ -22,6 +23,11 @@
 
 from goldcresthaven import errors
 
+# curio warns whenever a block finishes late without having waited, which
+# would flood the log of an overloaded process. Deadlines that matter are
+# checked again by their users.
+logging.getLogger('curio.time').setLevel(logging.ERROR)
+
 Cancelled = curio.CancelledError
 
 LISTEN_BACKLOG = 512
@@ -33,7 +39,7 @@
 
     async def recv(self, maxsize: int) -> bytes: ...
 
-    async def send(self, data: bytes) -> int: ...
+    async def send(self, data: bytes | memoryview) -> int: ...
 
     async def sendall(self, data: bytes) -> None: ...
 
--- a/goldcresthaven/caller_server.py
+++ b/goldcresthaven/caller_server.py
@@ -15,6 +15,7 @@
 from goldcresthaven import dispatch
 from goldcresthaven import errors
 from goldcresthaven import forwarding
+from goldcresthaven import http_head
 from goldcresthaven import http_io
 from goldcresthaven import ids
 from goldcresthaven import outcomes
@@ -149,7 +150,7 @@
 
     async def _read_head(
         self, conn: http_io.CallerConn
-    ) -> http_io.RequestHead | None:
+    ) -> http_head.RequestHead | None:
         try:
             async with aio.timeout(http_io.HEAD_TIMEOUT):
                 return await conn.read_head()
@@ -176,6 +177,8 @@
         elif not isinstance(outcome, outcomes.Done):
             # The caller must see that the response was cut short.
             await call.conn.close()
+        elif not call.body_ended:
+            await call.conn.close_after_response()
 
     async def _run(self, call: forwarding.Call) -> outcomes.Outcome:
         arrived = self._clock.elapsed()
@@ -206,8 +209,8 @@
             routing.Ask(
                 method=call.head.method,
                 target=call.head.target,
-                deadline_ms=http_io.find(headers, 'x-deadline-ms'),
-                idempotency_key=http_io.find(headers, 'idempotency-key'),
+                deadline_ms=http_head.find(headers, 'x-deadline-ms'),
+                idempotency_key=http_head.find(headers, 'idempotency-key'),
             ),
             request_id=call.request_id,
             document=view.document,
@@ -312,7 +315,7 @@
         kind: str,
         body: dict[str, str] | dict[str, bool],
         reason: outcomes.Reason = outcomes.Reason.OK,
-        extra: http_io.Headers = (),
+        extra: http_head.Headers = (),
     ) -> None:
         headers = (
             ('content-type', 'application/json'),
@@ -322,7 +325,7 @@
         unread = not call.body_ended
         if call.ends_connection() or unread:
             headers = (*headers, ('connection', 'close'))
-        head = http_io.ResponseHead(status=status, headers=headers)
+        head = http_head.ResponseHead(status=status, headers=headers)
         await _send_quietly(call.conn, head, json.dumps(body).encode())
         if unread:
             await call.conn.close_after_response()
@@ -335,7 +338,7 @@
     ) -> None:
         reason = outcomes.Reason.BAD_REQUEST
         own = forwarding.own_headers(request_id, 'not-run', reason)
-        head = http_io.ResponseHead(
+        head = http_head.ResponseHead(
             status=exc.status,
             headers=(
                 ('content-type', 'application/json'),
@@ -350,7 +353,7 @@
 
 
 async def _send_quietly(
-    conn: http_io.CallerConn, head: http_io.ResponseHead, body: bytes
+    conn: http_io.CallerConn, head: http_head.ResponseHead, body: bytes
 ) -> None:
     """Send a whole response to a caller that may have left."""
     try:
@@ -364,7 +367,7 @@
         await conn.close()
 
 
-def _check(head: http_io.RequestHead) -> None:
+def _check(head: http_head.RequestHead) -> None:
     """Refuse what h11 accepts but this router cannot pass on safely."""
     if head.method == 'CONNECT':
         raise _refusal('CONNECT is not supported', 405)
@@ -375,7 +378,7 @@
     for name in _SINGLE_HEADERS:
         if sum(n == name for n, _ in head.headers) > 1:
             raise _refusal(f'the header {name} is repeated', 400)
-    length = http_io.find(head.headers, 'content-length') or '0'
+    length = http_head.find(head.headers, 'content-length') or '0'
     if int(length) > forwarding.MAX_BODY_BYTES:
         raise _refusal('the body is too long', 413)
 
@@ -390,7 +393,7 @@
     return _refusal(f'the {part} of the request arrived too slowly', 408)
 
 
-def _retry_after(after: timedelta | None) -> http_io.Headers:
+def _retry_after(after: timedelta | None) -> http_head.Headers:
     if after is None:
         return ()
     seconds = max(1, round(after.total_seconds()))
--- a/goldcresthaven/forwarding.py
+++ b/goldcresthaven/forwarding.py
@@ -12,6 +12,7 @@
 from goldcresthaven import clock as clock_module
 from goldcresthaven import dispatch
 from goldcresthaven import errors
+from goldcresthaven import http_head
 from goldcresthaven import http_io
 from goldcresthaven import ids
 from goldcresthaven import outcomes
@@ -57,7 +58,7 @@
     """
 
     conn: http_io.CallerConn
-    head: http_io.RequestHead
+    head: http_head.RequestHead
     request_id: ids.RequestId
     first: bytes = b''
     body_ended: bool = True
@@ -122,7 +123,7 @@
 class _Seen:
     """What the driver has seen of the attempt so far."""
 
-    head: http_io.ResponseHead | None = None
+    head: http_head.ResponseHead | None = None
     failure: retries.Failure | None = None
     bytes_written: int = 0
 
@@ -202,7 +203,7 @@
         head = await self._read_head(call, routed, conn)
         _check_match(head, call.request_id)
         seen.head = head
-        outcome = http_io.find(head.headers, 'x-outcome')
+        outcome = http_head.find(head.headers, 'x-outcome')
         if retries.is_refusal(head.status, outcome):
             await _discard(conn)
             return
@@ -212,10 +213,13 @@
     async def _send_body(self, call: Call, conn: http_io.UpstreamConn) -> bool:
         """Send the rest of the body; False if the upstream stopped reading.
 
-        An upstream may answer before it has read the whole body, so a
-        failed write is followed by an attempt to read the response.
+        An upstream may answer before it has read the whole body. The
+        response is then read at once: it may be a refusal, and the upstream
+        may never read the rest.
         """
         while piece := await call.next_piece():
+            if conn.has_input():
+                return False
             try:
                 await conn.send_piece(piece)
             except errors.ConnectionLost:
@@ -228,7 +232,7 @@
 
     async def _read_head(
         self, call: Call, routed: routing.Routed, conn: http_io.UpstreamConn
-    ) -> http_io.ResponseHead:
+    ) -> http_head.ResponseHead:
         """Wait for the response, and for an idempotent request also watch
         the caller: nobody needs the result once the caller has left.
         """
@@ -246,7 +250,7 @@
         self,
         call: Call,
         conn: http_io.UpstreamConn,
-        head: http_io.ResponseHead,
+        head: http_head.ResponseHead,
     ) -> None:
         call.relayed = True
         try:
@@ -266,7 +270,7 @@
 
 def own_headers(
     request_id: ids.RequestId, outcome: str, reason: outcomes.Reason
-) -> http_io.Headers:
+) -> http_head.Headers:
     """Return the headers that every response carries."""
     return (
         ('x-outcome', outcome),
@@ -277,10 +281,10 @@
 
 def _request(
     call: Call, routed: routing.Routed, remaining: timedelta
-) -> http_io.RequestHead:
+) -> http_head.RequestHead:
     kept = tuple(
         (n, v)
-        for n, v in http_io.end_to_end(call.head.headers)
+        for n, v in http_head.end_to_end(call.head.headers)
         if n not in _OWN_REQUEST_HEADERS
     )
     added = [
@@ -289,34 +293,36 @@
     ]
     if routed.shard is not None:
         added.append(('x-shard', str(routed.shard.shard_id)))
-    if http_io.find(call.head.headers, 'transfer-encoding') is not None:
+    if http_head.find(call.head.headers, 'transfer-encoding') is not None:
         added.append(('transfer-encoding', 'chunked'))
-    return http_io.RequestHead(
+    return http_head.RequestHead(
         method=call.head.method,
         target=call.head.target,
         headers=(*kept, *added),
     )
 
 
-def _response(call: Call, head: http_io.ResponseHead) -> http_io.ResponseHead:
+def _response(
+    call: Call, head: http_head.ResponseHead
+) -> http_head.ResponseHead:
     kept = tuple(
         (n, v)
-        for n, v in http_io.end_to_end(head.headers)
+        for n, v in http_head.end_to_end(head.headers)
         if n not in _OWN_RESPONSE_HEADERS
     )
     own = own_headers(call.request_id, 'done', outcomes.Reason.OK)
     added = list(own)
-    if http_io.find(head.headers, 'transfer-encoding') is not None:
+    if http_head.find(head.headers, 'transfer-encoding') is not None:
         added.append(('transfer-encoding', 'chunked'))
     if call.ends_connection():
         added.append(('connection', 'close'))
-    return http_io.ResponseHead(status=head.status, headers=(*kept, *added))
+    return http_head.ResponseHead(status=head.status, headers=(*kept, *added))
 
 
 def _check_match(
-    head: http_io.ResponseHead, request_id: ids.RequestId
+    head: http_head.ResponseHead, request_id: ids.RequestId
 ) -> None:
-    echoed = http_io.find(head.headers, 'x-request-id')
+    echoed = http_head.find(head.headers, 'x-request-id')
     if echoed is not None and echoed != request_id:
         raise errors.ProtocolError(
             'the response belongs to another request',
@@ -343,15 +349,15 @@
     duration: timedelta,
 ) -> retries.Attempt:
     headers = seen.head.headers if seen.head else ()
-    epoch = http_io.find(headers, 'x-owner-epoch') or ''
+    epoch = http_head.find(headers, 'x-owner-epoch') or ''
     return retries.Attempt(
         upstream=admitted.upstream,
         bytes_written=seen.bytes_written,
         status=seen.head.status if seen.head else None,
-        x_outcome=http_io.find(headers, 'x-outcome'),
-        x_reason=http_io.find(headers, 'x-reason'),
+        x_outcome=http_head.find(headers, 'x-outcome'),
+        x_reason=http_head.find(headers, 'x-reason'),
         owner_epoch=ids.Epoch(int(epoch)) if epoch.isdecimal() else None,
-        draining=http_io.find(headers, 'x-draining') is not None,
+        draining=http_head.find(headers, 'x-draining') is not None,
         failure=seen.failure,
         relayed=call.relayed,
         duration=duration,
--- a/goldcresthaven/http_io.py
+++ b/goldcresthaven/http_io.py
@@ -7,9 +7,7 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 from datetime import timedelta
-import re
 import socket
 from typing import Any
 
@@ -17,6 +15,7 @@
 
 from goldcresthaven import aio
 from goldcresthaven import errors
+from goldcresthaven import http_head
 
 PIECE_BYTES = 64 << 10
 HEAD_LIMIT_BYTES = 32 << 10
@@ -26,98 +25,19 @@
 BODY_PIECE_TIMEOUT = timedelta(seconds=10)
 LINGER_TIMEOUT = timedelta(seconds=1)
 LINGER_PIECES = 64
+# How often a blocked write looks whether the response is already there.
+WRITE_CHECK = timedelta(milliseconds=100)
 
 _HEAD_END = b'\r\n\r\n'
-_LENGTH_LINE = re.compile(rb'\r\ncontent-length[ \t]*:([^\r]*)', re.I)
-_CODING_LINE = re.compile(rb'\r\ntransfer-encoding[ \t]*:', re.I)
-_HOST_LINE = re.compile(rb'\r\nhost[ \t]*:', re.I)
-
-Headers = tuple[tuple[str, str], ...]
-
-# Headers that concern one connection only (RFC 9110 section 7.6.1).
-HOP_HEADERS = frozenset(
-    {
-        'connection',
-        'keep-alive',
-        'proxy-connection',
-        'proxy-authenticate',
-        'proxy-authorization',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-        'expect',
-    }
-)
-
-
-def find(headers: Headers, name: str) -> str | None:
-    """Return the value of the first header of that lower-case name."""
-    return next((v for n, v in headers if n == name), None)
-
-
-def end_to_end(headers: Headers) -> Headers:
-    """Return the headers that a proxy passes on."""
-    named = {
-        part.strip().lower()
-        for name, value in headers
-        if name == 'connection'
-        for part in value.split(',')
-    }
-    dropped = HOP_HEADERS | (named - {'content-length', 'host'})
-    return tuple((n, v) for n, v in headers if n not in dropped)
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class RequestHead:
-    """The request line and headers; header names are in lower case."""
-
-    method: str
-    target: str
-    headers: Headers
-    http_version: str = '1.1'
-
-    @property
-    def has_body(self) -> bool:
-        if find(self.headers, 'transfer-encoding') is not None:
-            return True
-        return find(self.headers, 'content-length') not in (None, '0')
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ResponseHead:
-    """The status and headers; header names are in lower case."""
-
-    status: int
-    headers: Headers
 
 
-def check_head(head: bytes) -> str | None:
-    """Return what makes the framing of a head ambiguous, or None."""
-    if head.count(b'\n') != head.count(b'\r\n'):
-        return 'a line ends without a carriage return'
-    if b'\r\n ' in head or b'\r\n\t' in head:
-        return 'a header is folded over several lines'
-    lengths = _LENGTH_LINE.findall(head)
-    if len(lengths) > 1 or any(b',' in length for length in lengths):
-        return 'Content-Length is repeated'
-    codings = len(_CODING_LINE.findall(head))
-    if codings > 1:
-        return 'Transfer-Encoding is repeated'
-    if codings and lengths:
-        return 'both Content-Length and Transfer-Encoding are present'
-    if len(_HOST_LINE.findall(head)) > 1:
-        return 'Host is repeated'
-    return None
-
-
-def _decode(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
+def _decode(headers: Iterable[tuple[bytes, bytes]]) -> http_head.Headers:
     return tuple(
         (n.decode('latin-1'), v.decode('latin-1')) for n, v in headers
     )
 
 
-def _encode(headers: Headers) -> list[tuple[bytes, bytes]]:
+def _encode(headers: http_head.Headers) -> list[tuple[bytes, bytes]]:
     return [(n.encode('latin-1'), v.encode('latin-1')) for n, v in headers]
 
 
@@ -184,7 +104,7 @@
             raise self._bad_head('the head is too long', 431)
         head = bytes(self._buf[:size])
         del self._buf[:size]
-        problem = check_head(head)
+        problem = http_head.check_head(head)
         if problem is not None:
             raise self._bad_head(problem, 400)
         return head
@@ -233,16 +153,19 @@
 
     async def _write(self, data: bytes) -> None:
         view = memoryview(data)
+        while view:
+            view = view[await self._send_some(view) :]
+
+    async def _send_some(self, view: memoryview) -> int:
         try:
-            while view:
-                sent = await self._sock.send(view)  # type: ignore[arg-type]
-                self.bytes_written += sent
-                view = view[sent:]
+            sent = await self._sock.send(view)
         except OSError as exc:
             raise errors.ConnectionLost(
                 f'the connection broke while sending: {exc}',
                 remedy='repeat the request if it is idempotent',
             ) from exc
+        self.bytes_written += sent
+        return sent
 
     def _next_exchange(self) -> None:
         trailing, _ = self._h11.trailing_data
@@ -257,7 +180,7 @@
 
     _role = h11.SERVER
 
-    async def read_head(self) -> RequestHead | None:
+    async def read_head(self) -> http_head.RequestHead | None:
         """Return the next request's head; None when the caller closed.
 
         Raises RequestRejected when the head is malformed or ambiguous.
@@ -272,7 +195,7 @@
             raise _rejected(str(exc), exc.error_status_hint) from exc
         if not isinstance(event, h11.Request):
             raise _rejected('the request has no head', 400)
-        return RequestHead(
+        return http_head.RequestHead(
             method=event.method.decode('latin-1'),
             target=event.target.decode('latin-1'),
             headers=_decode(event.headers),
@@ -297,7 +220,7 @@
         except h11.RemoteProtocolError as exc:
             raise _rejected(str(exc), exc.error_status_hint) from exc
 
-    async def send_head(self, head: ResponseHead) -> None:
+    async def send_head(self, head: http_head.ResponseHead) -> None:
         await self._send(
             h11.Response(
                 status_code=head.status, headers=_encode(head.headers)
@@ -310,7 +233,9 @@
     async def finish(self) -> None:
         await self._send(h11.EndOfMessage())
 
-    async def send_all(self, head: ResponseHead, body: bytes) -> None:
+    async def send_all(
+        self, head: http_head.ResponseHead, body: bytes
+    ) -> None:
         """Send a whole response in one write."""
         headers = (*head.headers, ('content-length', str(len(body))))
         response = h11.Response(
@@ -367,7 +292,9 @@
         """Prepare for the next exchange on this connection."""
         self._next_exchange()
 
-    async def send_head(self, head: RequestHead, first: bytes = b'') -> None:
+    async def send_head(
+        self, head: http_head.RequestHead, first: bytes = b''
+    ) -> None:
         """Send the head, together with the first piece of the body."""
         self._method = head.method
         request = h11.Request(
@@ -386,12 +313,35 @@
         await self._write(data)
 
     async def send_piece(self, data: bytes) -> None:
-        await self._send(h11.Data(data=data))
+        """Send a piece of the body.
+
+        Raises ConnectionLost also when the upstream has answered and does
+        not read on; ``read_head`` then returns its response.
+        """
+        try:
+            framed = self._h11.send(h11.Data(data=data)) or b''
+        except h11.LocalProtocolError as exc:
+            raise errors.ProtocolError(
+                f'cannot send the body: {exc}', remedy='report this fault'
+            ) from exc
+        view = memoryview(framed)
+        while view:
+            try:
+                async with aio.timeout(WRITE_CHECK):
+                    sent = await self._send_some(view)
+            except errors.DeadlineExceeded:
+                if self.has_input():
+                    raise errors.ConnectionLost(
+                        'the upstream answered before it read the request',
+                        remedy='read its response',
+                    ) from None
+                continue
+            view = view[sent:]
 
     async def finish(self) -> None:
         await self._send(h11.EndOfMessage())
 
-    async def read_head(self) -> ResponseHead:
+    async def read_head(self) -> http_head.ResponseHead:
         """Return the final response's head.
 
         Raises ConnectionLost when the connection ends before it, and
@@ -408,7 +358,7 @@
             event = self._parse(raw)
             if isinstance(event, h11.Response):
                 self._check_framing(event)
-                return ResponseHead(
+                return http_head.ResponseHead(
                     status=event.status_code, headers=_decode(event.headers)
                 )
         raise self._bad_head('there are too many interim responses', 502)
@@ -471,15 +421,17 @@
 
 
 async def fetch(
-    conn: UpstreamConn, head: RequestHead, body: bytes, *, limit: int
-) -> tuple[ResponseHead, bytes]:
+    conn: UpstreamConn, head: http_head.RequestHead, body: bytes, *, limit: int
+) -> tuple[http_head.ResponseHead, bytes]:
     """Exchange a whole small request and response.
 
     Raises ProtocolError when the response body exceeds ``limit`` bytes,
     and what ``read_head`` and ``read_piece`` raise.
     """
     headers = (*head.headers, ('content-length', str(len(body))))
-    full = RequestHead(method=head.method, target=head.target, headers=headers)
+    full = http_head.RequestHead(
+        method=head.method, target=head.target, headers=headers
+    )
     await conn.send_head(full, body)
     await conn.finish()
     response = await conn.read_head()
--- a/goldcresthaven/store_client.py
+++ b/goldcresthaven/store_client.py
@@ -14,6 +14,7 @@
 from goldcresthaven import aio
 from goldcresthaven import clock as clock_module
 from goldcresthaven import errors
+from goldcresthaven import http_head
 from goldcresthaven import http_io
 from goldcresthaven import ids
 from goldcresthaven import members
@@ -137,7 +138,7 @@
         when the request may have been executed.
         """
         conn = await self._conns.take(self._address, limit=MAX_CONNECTIONS)
-        head = http_io.RequestHead(
+        head = http_head.RequestHead(
             method=method,
             target=path,
             headers=(
--- a/standins/lease_check.py
+++ b/standins/lease_check.py
@@ -18,7 +18,8 @@
 class LeaseCheck:
     """Server side of the lease contract.
 
-    ``fenced`` False accepts any command, as some real servers do.
+    ``fenced`` False accepts any command and ignores the end of the lease,
+    as some real servers do.
     """
 
     fenced: bool = True
@@ -30,7 +31,8 @@
     sent_bases: list[int] = field(default_factory=list)
 
     def owns(self, shard: str | None) -> bool:
-        return shard in self.shards and clock_ns() < self.end_ns
+        valid = clock_ns() < self.end_ns or not self.fenced
+        return shard in self.shards and valid
 
     def handle(
         self, command: Mapping[str, Any], running: frozenset[str]
--- a/standins/server.py
+++ b/standins/server.py
@@ -8,6 +8,7 @@
 
 from goldcresthaven import aio
 from goldcresthaven import errors
+from goldcresthaven import http_head
 from goldcresthaven import http_io
 
 
@@ -16,14 +17,14 @@
     """One request and the means to answer it."""
 
     conn: http_io.CallerConn
-    head: http_io.RequestHead
+    head: http_head.RequestHead
 
     @property
     def path(self) -> str:
         return self.head.target.split('?', 1)[0]
 
     def header(self, name: str) -> str | None:
-        return http_io.find(self.head.headers, name)
+        return http_head.find(self.head.headers, name)
 
     async def read_body(self) -> bytes:
         parts = []
@@ -39,11 +40,11 @@
         return size
 
     async def reply(
-        self, status: int, body: Any, headers: http_io.Headers = ()
+        self, status: int, body: Any, headers: http_head.Headers = ()
     ) -> None:
         """Answer with JSON, or with bytes as they are."""
         data = body if isinstance(body, bytes) else json.dumps(body).encode()
-        head = http_io.ResponseHead(status=status, headers=headers)
+        head = http_head.ResponseHead(status=status, headers=headers)
         await self.conn.send_all(head, data)
 
 
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -15,6 +15,7 @@
 import urllib.parse
 
 from goldcresthaven import aio
+from goldcresthaven import http_head
 from goldcresthaven import http_io
 from standins import lease_check
 from standins import server
@@ -142,7 +143,7 @@
             ('transfer-encoding', 'chunked'),
         )
         await exchange.conn.send_head(
-            http_io.ResponseHead(status=200, headers=headers)
+            http_head.ResponseHead(status=200, headers=headers)
         )
         while size > 0:
             await exchange.conn.send_piece(PIECE[:size])
@@ -161,7 +162,7 @@
         )
         await exchange.reply(status, {'reason': reason}, headers)
 
-    def _headers(self, exchange: server.Exchange) -> http_io.Headers:
+    def _headers(self, exchange: server.Exchange) -> http_head.Headers:
         request_id = exchange.header('x-request-id') or 'none'
         headers = (('x-request-id', request_id),)
         if self.cfg.draining:
--- a/tests/fleet_case.py
+++ b/tests/fleet_case.py
@@ -152,4 +152,3 @@
 STOP = signal.SIGSTOP
 CONTINUE = signal.SIGCONT
 KILL = signal.SIGKILL
-TERMINATE = signal.SIGTERM
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -8,6 +8,8 @@
 from goldcresthaven import caller_server
 from goldcresthaven import clock
 from goldcresthaven import errors
+from goldcresthaven import forwarding
+from goldcresthaven import http_head
 from goldcresthaven import http_io
 from goldcresthaven import members
 from goldcresthaven import upstream_pool
@@ -16,6 +18,7 @@
 
 DEAD = members.Address(host=rig.HOST, port=1)
 GET = b'GET /free/x HTTP/1.1\r\nHost: a\r\n'
+LONG_BODY = 16 << 20
 POST = b'POST /free/x HTTP/1.1\r\nHost: a\r\n'
 
 # (what is wrong, the request, the expected status)
@@ -117,6 +120,15 @@
 )
 
 
+async def send_quietly(sock: aio.Socket, size: int) -> None:
+    """Send a body to a counterpart that may stop reading."""
+    try:
+        await sock.sendall(b'x' * size)
+    except (OSError, AttributeError):
+        # The reading task closed the socket.
+        return
+
+
 class PausedClock(clock.SystemClock):
     """A clock that shows a pause of the process."""
 
@@ -373,7 +385,7 @@
                 self.assertEqual('not-run', answer.outcome)
                 self.assertEqual('connect-failed', answer.reason)
                 self.assertIsNotNone(
-                    http_io.find(answer.headers, 'retry-after')
+                    http_head.find(answer.headers, 'retry-after')
                 )
 
         rig.run(test)
@@ -397,6 +409,80 @@
 
         rig.run(test)
 
+    def test_slow_response_is_cut_at_the_deadline(self) -> None:
+        """Guards against an upstream that holds a slot with few bytes."""
+
+        async def test() -> None:
+            async def script(upstream: rig.Scripted, sock: aio.Socket) -> None:
+                await rig.read_head(upstream, sock)
+                await sock.sendall(rig.done(b'x' * 999)[:-998])
+                try:
+                    while True:
+                        await aio.sleep(timedelta(milliseconds=10))
+                        await sock.sendall(b'x')
+                except OSError:
+                    return
+
+            upstream = await rig.start_scripted(script)
+            path = await rig.start({'free-a': upstream.address})
+            limit = (('x-deadline-ms', '100'),)
+            with self.assertRaises(errors.ConnectionLost):
+                await path.ask('GET', '/free/x', headers=limit)
+            self.assertEqual(0, path.conns.open_count(upstream.address))
+
+        rig.run(test)
+
+    def test_early_refusal_of_a_long_body_is_read(self) -> None:
+        """Guards against "unknown" when the upstream refused at once."""
+
+        async def test() -> None:
+            async def script(upstream: rig.Scripted, sock: aio.Socket) -> None:
+                await rig.read_head(upstream, sock)
+                await sock.sendall(
+                    b'HTTP/1.1 421 Not owner\r\nContent-Length: 0\r\n\r\n'
+                )
+                await stopped.wait()
+
+            stopped = aio.Event()
+            upstream = await rig.start_scripted(script)
+            path = await rig.start({'free-a': upstream.address})
+            sock = await aio.connect(rig.HOST, path.address.port)
+            length = b'Content-Length: %d\r\n\r\n' % LONG_BODY
+            await sock.sendall(POST + length)
+            sending = await aio.spawn(send_quietly(sock, LONG_BODY))
+            answer = await rig.read_all(sock)
+            await sending.join()
+            await stopped.set()
+            self.assertIn(b'x-outcome: not-run', answer)
+            self.assertIn(b'x-reason: not-owner', answer)
+
+        rig.run(test)
+
+    def test_body_that_breaks_after_dispatch_is_unknown(self) -> None:
+        """Guards against "not run" for a body that was partly passed on."""
+        chunk = b'%x\r\n' % http_io.PIECE_BYTES
+        piece = chunk + b'x' * http_io.PIECE_BYTES + b'\r\n'
+        cases = (piece * 2 + b'zz\r\n', piece * 4)
+
+        async def test() -> None:
+            async def script(upstream: rig.Scripted, sock: aio.Socket) -> None:
+                await rig.read_head(upstream, sock)
+                while await sock.recv(65536):
+                    pass
+
+            for body in cases:
+                upstream = await rig.start_scripted(script)
+                path = await rig.start({'free-a': upstream.address})
+                head = POST + b'Transfer-Encoding: chunked\r\n\r\n'
+                answer = await path.raw(head + body)
+                self.assertIn(b'x-outcome: unknown', answer)
+                self.assertIn(b'x-reason: bad-request', answer)
+                self.assertEqual(0, path.conns.open_count(upstream.address))
+
+        limit = 3 * http_io.PIECE_BYTES
+        with mock.patch.object(forwarding, 'MAX_BODY_BYTES', limit):
+            rig.run(test)
+
     def test_new_owner_is_asked_after_421(self) -> None:
         """Guards against a stale map that refuses or repeats requests."""
 
@@ -447,7 +533,7 @@
                     self.assertEqual(reason, answer.reason)
                     self.assertIsNotNone(answer.outcome)
                     self.assertIsNotNone(
-                        http_io.find(answer.headers, 'x-request-id')
+                        http_head.find(answer.headers, 'x-request-id')
                     )
             await caller.close()
 
@@ -491,7 +577,7 @@
             await path.listener.wait_closed()
             answer = await running.join()
             self.assertEqual(b'whole', answer.body)
-            connection = http_io.find(answer.headers, 'connection')
+            connection = http_head.find(answer.headers, 'connection')
             self.assertEqual('close', connection)
 
         rig.run(test)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -6,6 +6,7 @@
 
 from goldcresthaven import aio
 from goldcresthaven import errors
+from goldcresthaven import http_head
 from goldcresthaven import http_io
 from goldcresthaven import members
 from tests import fleet_case
@@ -13,14 +14,13 @@
 from tools import rig
 
 SLOW_MS = 60_000
-STOP_SECONDS = 30
 STREAM_BYTES = 64 << 20
 # The two directions of a streamed body need a few pieces of 64 KiB; the
 # rest is allowance for the allocator.
 MAX_GROWTH_KIB = 8 << 10
 
 
-def pay(key: str, deadline_ms: int | None = None) -> http_io.Headers:
+def pay(key: str, deadline_ms: int | None = None) -> http_head.Headers:
     headers = (('idempotency-key', key),)
     if deadline_ms is None:
         return headers
@@ -160,7 +160,7 @@
         conn = http_io.UpstreamConn(sock)
         target = f'/free/x?size={STREAM_BYTES}'
         await conn.send_head(
-            http_io.RequestHead(
+            http_head.RequestHead(
                 method='GET', target=target, headers=(('host', 'a'),)
             )
         )
@@ -177,7 +177,7 @@
         conn = http_io.UpstreamConn(sock)
         headers = (('host', 'a'), ('content-length', str(STREAM_BYTES)))
         await conn.send_head(
-            http_io.RequestHead(
+            http_head.RequestHead(
                 method='POST', target='/free/x', headers=headers
             )
         )
@@ -247,7 +247,7 @@
                 return await self.in_use('free-a') == 3
 
             await self.until(all_run)
-            entry.send(fleet_case.TERMINATE)
+            entry.terminate()
 
             async def not_ready() -> bool:
                 answer = await http_client.ask_once(address, 'GET', '/ready')
@@ -256,7 +256,7 @@
             await self.until(not_ready)
             during = await http_client.ask_once(address, 'GET', '/free/new')
             self.assertEqual('done', during.outcome)
-            connection = http_io.find(during.headers, 'connection')
+            connection = http_head.find(during.headers, 'connection')
             self.assertEqual('close', connection)
             for task in asking:
                 answer = await task.join()
@@ -273,5 +273,4 @@
             await self.until(gone)
 
         rig.run(test)
-        # A second signal while the interpreter ends would change the code.
-        self.assertEqual(0, entry.popen.wait(STOP_SECONDS))
+        self.assertEqual(0, entry.stop())
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -95,8 +95,7 @@
         """Stop all processes; return those that did not end cleanly."""
         failed = []
         for process in self.started:
-            if process.popen.poll() is None:
-                process.popen.terminate()
+            process.terminate()
         for process in self.started:
             code = process.stop()
             if code != 0:
--- a/tools/http_client.py
+++ b/tools/http_client.py
@@ -7,6 +7,7 @@
 
 from goldcresthaven import aio
 from goldcresthaven import errors
+from goldcresthaven import http_head
 from goldcresthaven import http_io
 from goldcresthaven import members
 
@@ -18,16 +19,16 @@
     """A complete response."""
 
     status: int
-    headers: http_io.Headers
+    headers: http_head.Headers
     body: bytes
 
     @property
     def outcome(self) -> str | None:
-        return http_io.find(self.headers, 'x-outcome')
+        return http_head.find(self.headers, 'x-outcome')
 
     @property
     def reason(self) -> str | None:
-        return http_io.find(self.headers, 'x-reason')
+        return http_head.find(self.headers, 'x-reason')
 
     def json(self) -> Any:
         return json.loads(self.body)
@@ -45,7 +46,7 @@
         method: str,
         target: str,
         *,
-        headers: http_io.Headers = (),
+        headers: http_head.Headers = (),
         body: bytes = b'',
         limit: timedelta = timedelta(seconds=30),
     ) -> Answer:
@@ -55,7 +56,7 @@
         ConnectionLost, ProtocolError or DeadlineExceeded afterwards.
         """
         conn = await self._open()
-        head = http_io.RequestHead(
+        head = http_head.RequestHead(
             method=method,
             target=target,
             headers=(('host', str(self._address)), *headers),
@@ -68,7 +69,7 @@
         finally:
             if not conn.is_clean():
                 await self.close()
-        if http_io.find(response.headers, 'connection') == 'close':
+        if http_head.find(response.headers, 'connection') == 'close':
             await self.close()
         return Answer(
             status=response.status, headers=response.headers, body=data
@@ -94,7 +95,7 @@
     method: str,
     target: str,
     *,
-    headers: http_io.Headers = (),
+    headers: http_head.Headers = (),
     body: bytes = b'',
     limit: timedelta = timedelta(seconds=30),
 ) -> Answer:
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -31,15 +31,25 @@
     name: str
     popen: subprocess.Popen[bytes]
     hello: Mapping[str, Any]
+    ending: bool = False
 
     def send(self, number: signal.Signals) -> None:
         self.popen.send_signal(number)
 
+    def terminate(self) -> None:
+        """Ask the process to end, once.
+
+        A second SIGTERM while its interpreter ends would kill it.
+        """
+        if self.ending or self.popen.poll() is not None:
+            return
+        self.ending = True
+        self.popen.send_signal(signal.SIGCONT)
+        self.popen.terminate()
+
     def stop(self) -> int:
         """End the process with SIGTERM; return its exit code."""
-        if self.popen.poll() is None:
-            self.popen.send_signal(signal.SIGCONT)
-            self.popen.terminate()
+        self.terminate()
         try:
             code = self.popen.wait(STOP_SECONDS)
         except subprocess.TimeoutExpired:
