--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -2,14 +2,17 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from datetime import timedelta
 import json
 
 from goldcresthaven import aio
 from goldcresthaven import errors
 from goldcresthaven import http_head
 from goldcresthaven import http_io
+from goldcresthaven import ids
 from goldcresthaven import members
 from tests import fleet_case
+from tools import fleet
 from tools import http_client
 from tools import rig
 
@@ -132,6 +135,38 @@
 
         self._run(test)
 
+    def test_lease_that_ends_during_a_freeze(self) -> None:
+        """Guards against a run by an upstream that lost its lease."""
+        upstream = self.start_upstream('keyed-a', keyed=True, service_ms=50)
+        self.start_upstream('free-a')
+
+        async def test(entry: members.Address) -> None:
+            sender = fleet.LeaseSender(
+                address=self.listed['keyed-a'].address,
+                owned=frozenset({ids.ShardId('keyed/0')}),
+            )
+            renewing = await aio.spawn(sender.run())
+
+            async def served() -> bool:
+                answer = await http_client.ask_once(entry, 'GET', '/keyed/k')
+                return answer.outcome == 'done'
+
+            await self.until(served)
+            await renewing.cancel()
+            upstream.send(fleet_case.STOP)
+            # The lease is shorter than this deadline.
+            headers = pay('k', 2 * fleet.LEASE // timedelta(milliseconds=1))
+            frozen = await http_client.ask_once(
+                entry, 'GET', '/keyed/k', headers=headers
+            )
+            self.assertEqual('unknown', frozen.outcome)
+            upstream.send(fleet_case.CONTINUE)
+            late = await http_client.ask_once(entry, 'GET', '/keyed/k')
+            self.assertEqual('not-owner', late.reason)
+            self.assertEqual(0, await self.executions('keyed-a', 'k'))
+
+        self._run(test)
+
     def test_streaming_needs_bounded_memory(self) -> None:
         """Guards against bodies collected in the entry's memory."""
         self.start_upstream('free-a')
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -260,12 +260,18 @@
         self._seq = 0
 
     async def run(self) -> None:
-        while True:
-            try:
-                await self._renew()
-            except errors.Error:
-                self._last = None
-            await aio.sleep(RENEWAL if self._last else READY_PAUSE)
+        try:
+            while True:
+                await self._try_to_renew()
+                await aio.sleep(RENEWAL if self._last else READY_PAUSE)
+        finally:
+            await self._caller.close()
+
+    async def _try_to_renew(self) -> None:
+        try:
+            await self._renew()
+        except errors.Error:
+            self._last = None
 
     async def _renew(self) -> None:
         self._seq += 1
