Add lease messages, the guard and the controller's interface

The map records the domain of each upstream: two processes whose membership lists differ could otherwise put one upstream into two domains, and then two claim holders would grant leases to it. The controller itself is a placeholder.

--- /dev/null
+++ b/goldcresthaven/control.py
@@ -0,0 +1,277 @@
+"""Events and actions of the ownership controller.
+
+The driver passes each event with the time of its clock and carries out
+the returned actions in order. Responses that never arrive need no event,
+except that every ``Transact`` is answered by a ``TransactResult``.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+from datetime import timedelta
+from enum import Enum
+
+from goldcresthaven import ids
+from goldcresthaven import leases
+from goldcresthaven import members
+from goldcresthaven import presets
+from goldcresthaven import shards
+from goldcresthaven import tables
+
+TICK_EVERY = timedelta(milliseconds=50)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Tick:
+    """Time has passed; sent every ``TICK_EVERY``."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class MembersRead:
+    """The platform's membership list."""
+
+    members: tuple[members.Member, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigApplied:
+    """A configuration is in force in this process."""
+
+    document: presets.Document
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class MapLoaded:
+    """A snapshot of the map, when it is newer than the one in use."""
+
+    shard_map: shards.ShardMap
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class MapChanges:
+    """Consecutive map log entries, from a peer."""
+
+    changes: tuple[shards.MapChange, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class MapLogRead:
+    """The store's response to ``ReadMapLog``, read to the log's end."""
+
+    token: int
+    changes: tuple[shards.MapChange, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ClaimsRead:
+    """All rows of the claims table; ``token`` is that of the read."""
+
+    token: int
+    rows: tuple[tables.Row, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TransactResult:
+    """The result of one ``Transact``; a timeout is ``Ambiguous``."""
+
+    txn: ids.TxnId
+    result: tables.Result
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LeaseAnswered:
+    """An upstream's response to a ``SendLease``."""
+
+    upstream: ids.UpstreamId
+    request: leases.LeaseRequest
+    reply: leases.LeaseReply
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PeerHeard:
+    """A peer responded to a heartbeat of this process."""
+
+    vm: ids.VmId
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConsentAsked:
+    """A holder asks this process not to raise a domain's epoch."""
+
+    vm: ids.VmId
+    domain: ids.DomainId
+    epoch: ids.Epoch
+    nonce: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConsentAnswered:
+    """A peer's response to ``AskConsent``."""
+
+    vm: ids.VmId
+    domain: ids.DomainId
+    epoch: ids.Epoch
+    nonce: int
+    granted: bool
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HotKey:
+    """A key that causes a large share of its pool's load."""
+
+    pool: ids.PoolName
+    key_hash: ids.KeyHash
+    load: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LoadMeasured:
+    """Requests a second by shard and the hottest keys, over all entries."""
+
+    by_shard: Mapping[ids.ShardId, float]
+    hot_keys: tuple[HotKey, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReleaseNoticed:
+    """A peer says that it has released a domain's claim."""
+
+    domain: ids.DomainId
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Stopping:
+    """The process shuts down gracefully and gives up its claims."""
+
+
+Event = (
+    Tick
+    | MembersRead
+    | ConfigApplied
+    | MapLoaded
+    | MapChanges
+    | MapLogRead
+    | ClaimsRead
+    | TransactResult
+    | LeaseAnswered
+    | PeerHeard
+    | ConsentAsked
+    | ConsentAnswered
+    | LoadMeasured
+    | ReleaseNoticed
+    | Stopping
+)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Transact:
+    """Send a transaction to the store once; the controller repeats it."""
+
+    transaction: tables.Transaction
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReadMapLog:
+    """Read the map log after a version to its end from the store."""
+
+    token: int
+    after: ids.MapVersion
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReadClaims:
+    """Read all rows of the claims table."""
+
+    token: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SendLease:
+    """POST a lease request or probe to an upstream; never repeat it."""
+
+    upstream: ids.UpstreamId
+    request: leases.LeaseRequest
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SendHeartbeat:
+    """Send a heartbeat to a peer."""
+
+    vm: ids.VmId
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AskConsent:
+    """Ask a peer not to raise a domain's epoch."""
+
+    vm: ids.VmId
+    domain: ids.DomainId
+    epoch: ids.Epoch
+    nonce: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AnswerConsent:
+    """Respond to a peer's ``ConsentAsked``."""
+
+    vm: ids.VmId
+    domain: ids.DomainId
+    epoch: ids.Epoch
+    nonce: int
+    granted: bool
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class MapCommitted:
+    """A map change of this process is in the log; push it to peers."""
+
+    change: shards.MapChange
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class NotifyRelease:
+    """Tell a peer that a domain's claim was released."""
+
+    vm: ids.VmId
+    domain: ids.DomainId
+
+
+class MilestoneKind(Enum):
+    CLAIM_TAKEN = 'claim-taken'
+    CLAIM_SETTLED = 'claim-settled'
+    CLAIM_LOST = 'claim-lost'
+    CLAIM_EXTENDED = 'claim-extended'
+    CLAIM_RELEASED = 'claim-released'
+    UPSTREAM_LOST = 'upstream-lost'
+    UPSTREAM_BACK = 'upstream-back'
+    SHARDS_MOVED = 'shards-moved'
+    SHARD_SPLIT = 'shard-split'
+    MAP_CREATED = 'map-created'
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Milestone:
+    """An event for the timeline, with plain data."""
+
+    kind: MilestoneKind
+    data: Mapping[str, str | int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Released:
+    """Every claim is given up; the process may exit."""
+
+
+Action = (
+    Transact
+    | ReadMapLog
+    | ReadClaims
+    | SendLease
+    | SendHeartbeat
+    | AskConsent
+    | AnswerConsent
+    | MapCommitted
+    | NotifyRelease
+    | Milestone
+    | Released
+)
--- a/goldcresthaven/shards.py
+++ b/goldcresthaven/shards.py
@@ -45,7 +45,8 @@
     ``removed`` names shards that a split or merge took away. ``version``
     is the map's version after the change. ``domain`` and ``epoch`` are the
     claim under which it was written; ``txn`` tells the writer of an
-    ambiguous transaction whether this entry is its own.
+    ambiguous transaction whether this entry is its own. ``homes`` names
+    the domain of each upstream that the map sees for the first time.
     """
 
     version: ids.MapVersion
@@ -55,6 +56,7 @@
     domain: ids.DomainId | None = None
     epoch: ids.Epoch = ids.Epoch(0)
     reason: str = ''
+    homes: tuple[tuple[ids.UpstreamId, ids.DomainId], ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -67,6 +69,10 @@
 class ShardMap:
     """All shards of all pools at one version.
 
+    ``homes`` holds the domain of each upstream. It is part of the map
+    because the membership lists of two processes may differ, and then two
+    claim holders could both take an upstream for theirs.
+
     Example::
 
         shard = shard_map.lookup(pool, hash_key('bakery-7'))
@@ -74,6 +80,7 @@
 
     version: ids.MapVersion = ids.MapVersion(0)
     shards: dict[ids.ShardId, Shard] = field(default_factory=dict)
+    homes: dict[ids.UpstreamId, ids.DomainId] = field(default_factory=dict)
     _pools: dict[ids.PoolName, _Pool] = field(
         default_factory=dict, repr=False, compare=False
     )
@@ -120,7 +127,26 @@
         pools = dict(self._pools)
         for pool in touched:
             pools[pool] = _index(pool, shards)
-        return type(self)(version=change.version, shards=shards, _pools=pools)
+        return type(self)(
+            version=change.version,
+            shards=shards,
+            homes=_add_homes(self.homes, change),
+            _pools=pools,
+        )
+
+
+def _add_homes(
+    homes: dict[ids.UpstreamId, ids.DomainId], change: MapChange
+) -> dict[ids.UpstreamId, ids.DomainId]:
+    if not change.homes:
+        return homes
+    for upstream, domain in change.homes:
+        if homes.get(upstream, domain) != domain:
+            raise errors.MapError(
+                f'upstream {upstream} cannot move to the domain {domain}',
+                remedy='reject the change and read the map log again',
+            )
+    return homes | dict(change.homes)
 
 
 def _index(pool: ids.PoolName, shards: dict[ids.ShardId, Shard]) -> _Pool:
