--- /dev/null
+++ b/goldcresthaven/claims.py
@@ -0,0 +1,304 @@
+"""Claim of one domain: its row, its validity and its extension.
+
+A claim allows one entry process to grant leases to the upstreams of a
+domain. The row in the table service decides who holds it. The holder
+counts its validity from the time at which it sent the last write that
+applied, so that it always stops before a successor may start.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any
+
+from goldcresthaven import errors
+from goldcresthaven import ids
+from goldcresthaven import leases
+from goldcresthaven import tables
+
+PROMISE = timedelta(seconds=5)
+ASK_EVERY = timedelta(milliseconds=1500)
+
+# A renewal every third of the term leaves two more tries in the term.
+RENEWALS_PER_TERM = 3
+
+# Consent needs every peer, so a large zone names only its best-ranked
+# entry VMs; the others wait for the grace period before they move shards.
+MAX_PEERS = 16
+
+_MS = timedelta(milliseconds=1)
+
+
+def shortened(duration: timedelta) -> timedelta:
+    """Return how long ``duration`` of another clock lasts at least here."""
+    return duration * (1 - leases.DRIFT)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ClaimRow:
+    """Value of ``claims/<domain>``.
+
+    ``holder`` is None after a graceful release. ``zone`` is the holder's.
+    ``peers`` are the VMs that may take over after ``term``; all others
+    wait for ``grace``. ``settled`` says that no earlier epoch's claim can
+    still be valid. ``txn`` names the transaction that wrote the row.
+    """
+
+    epoch: ids.Epoch
+    holder: ids.VmId | None
+    zone: ids.ZoneId
+    renewal: int
+    peers: frozenset[ids.VmId]
+    term: timedelta
+    grace: timedelta
+    settled: bool
+    txn: ids.TxnId
+
+    def to_value(self) -> dict[str, Any]:
+        """Return the row's value for the table service."""
+        return {
+            'epoch': self.epoch,
+            'holder': self.holder or '',
+            'zone': self.zone,
+            'renewal': self.renewal,
+            'peers': sorted(self.peers),
+            'term_ms': self.term // _MS,
+            'grace_ms': self.grace // _MS,
+            'settled': self.settled,
+            'txn': self.txn,
+        }
+
+    @classmethod
+    def from_value(cls, value: Mapping[str, Any]) -> 'ClaimRow':
+        """Return the claim of a row; raises ProtocolError."""
+        try:
+            holder = str(value['holder'])
+            return cls(
+                epoch=ids.Epoch(int(value['epoch'])),
+                holder=ids.VmId(holder) if holder else None,
+                zone=ids.ZoneId(value['zone']),
+                renewal=int(value['renewal']),
+                peers=frozenset(ids.VmId(vm) for vm in value['peers']),
+                term=int(value['term_ms']) * _MS,
+                grace=int(value['grace_ms']) * _MS,
+                settled=value['settled'] is True,
+                txn=ids.TxnId(value['txn']),
+            )
+        except (KeyError, TypeError, ValueError) as exc:
+            raise errors.ProtocolError(
+                f'claim row is malformed: {exc!r}',
+                remedy='upgrade the older process or repair the row',
+            ) from exc
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Terms:
+    """What a holder writes into a row besides its name."""
+
+    vm: ids.VmId
+    zone: ids.ZoneId
+    peers: frozenset[ids.VmId]
+    term: timedelta
+    grace: timedelta
+
+
+def takeover_wait(
+    row: ClaimRow | None,
+    vm: ids.VmId,
+    lost_zones: frozenset[ids.ZoneId],
+) -> timedelta:
+    """Return how long the claim of ``row`` may last after ``vm`` raises it.
+
+    A restarted holder is not among its own peers. Its earlier process is
+    gone, so it waits no longer than a peer.
+    """
+    if row is None:
+        return timedelta()
+    ended = row.holder is None or row.zone in lost_zones
+    if ended and row.settled:
+        return timedelta()
+    if vm in row.peers or vm == row.holder:
+        return row.term
+    return row.grace
+
+
+def raised_row(
+    row: ClaimRow | None,
+    terms: Terms,
+    *,
+    wait: timedelta,
+    txn: ids.TxnId,
+) -> ClaimRow:
+    """Return the row that raises the epoch over ``row``.
+
+    Until the new holder has waited, the VMs that may take over quickly
+    are those of the old row: the old holder may still be extending its
+    claim and asks only them.
+    """
+    settled = row is None or not wait
+    peers, term, grace = terms.peers, terms.term, terms.grace
+    if row is not None and not settled:
+        peers = row.peers - {terms.vm}
+        term = max(row.term, terms.term)
+        grace = max(row.grace, terms.grace)
+    epoch = 0 if row is None else row.epoch
+    return ClaimRow(
+        epoch=ids.Epoch(epoch + 1),
+        holder=terms.vm,
+        zone=terms.zone,
+        renewal=0,
+        peers=peers,
+        term=term,
+        grace=grace,
+        settled=settled,
+        txn=txn,
+    )
+
+
+def unchanged(domain: ids.DomainId, row: ClaimRow | None) -> tables.Condition:
+    """Return the condition that the claim is still as in ``row``."""
+    if row is None:
+        return tables.VersionIs(
+            table=tables.CLAIMS, key=domain, version=tables.ABSENT
+        )
+    return tables.FieldEquals(
+        table=tables.CLAIMS, key=domain, name='txn', value=row.txn
+    )
+
+
+def write(domain: ids.DomainId, row: ClaimRow) -> tables.Write:
+    """Return the write of a claim row."""
+    return tables.Write(table=tables.CLAIMS, key=domain, value=row.to_value())
+
+
+class HeldClaim:
+    """A claim whose row names this process as the holder."""
+
+    def __init__(
+        self,
+        *,
+        domain: ids.DomainId,
+        row: ClaimRow,
+        sent: timedelta,
+        settled_at: timedelta,
+    ) -> None:
+        self.domain = domain
+        self.row = row
+        self.pending: ClaimRow | None = None
+        self.settled_at = settled_at
+        self._sent = sent
+        self._asks: dict[tuple[ids.VmId, int], timedelta] = {}
+        self._promised: dict[ids.VmId, timedelta] = {}
+        self._asked_at = sent
+
+    @property
+    def epoch(self) -> ids.Epoch:
+        return self.row.epoch
+
+    def renewal_due(self, now: timedelta) -> bool:
+        return now >= self._sent + self._term() / RENEWALS_PER_TERM
+
+    def valid(self, now: timedelta) -> bool:
+        """Whether leases may be granted at ``now``."""
+        if now < self._sent + shortened(self._term()):
+            return True
+        return self._extended(now)
+
+    def _extended(self, now: timedelta) -> bool:
+        if now >= self._sent + shortened(self._grace()):
+            return False
+        return all(
+            now < self._promised.get(vm, timedelta.min)
+            for vm in self.consenters()
+        )
+
+    def extending(self, now: timedelta) -> bool:
+        """Whether the claim is valid only by consent."""
+        past_term = now >= self._sent + shortened(self._term())
+        return past_term and self.valid(now)
+
+    def consenters(self) -> frozenset[ids.VmId]:
+        """Return the VMs that could take over after only the term.
+
+        While a renewal is unresolved, the row may hold its peers or the
+        earlier ones.
+        """
+        if self.pending is None:
+            return self.row.peers
+        return self.row.peers | self.pending.peers
+
+    def _term(self) -> timedelta:
+        if self.pending is None:
+            return self.row.term
+        return min(self.row.term, self.pending.term)
+
+    def _grace(self) -> timedelta:
+        if self.pending is None:
+            return self.row.grace
+        return min(self.row.grace, self.pending.grace)
+
+    def renewed_row(
+        self, terms: Terms, *, txn: ids.TxnId, now: timedelta
+    ) -> ClaimRow:
+        """Return the row of the next renewal."""
+        row = self.row
+        settled = row.settled or now >= self.settled_at
+        return ClaimRow(
+            epoch=row.epoch,
+            holder=terms.vm,
+            zone=terms.zone,
+            renewal=row.renewal + 1,
+            peers=terms.peers if settled else row.peers & terms.peers,
+            term=terms.term if settled else max(row.term, terms.term),
+            grace=terms.grace if settled else max(row.grace, terms.grace),
+            settled=settled,
+            txn=txn,
+        )
+
+    def released_row(self, *, txn: ids.TxnId, now: timedelta) -> ClaimRow:
+        """Return the row that gives the claim up."""
+        row = self.row
+        return ClaimRow(
+            epoch=row.epoch,
+            holder=None,
+            zone=row.zone,
+            renewal=row.renewal + 1,
+            peers=row.peers,
+            term=row.term,
+            grace=row.grace,
+            settled=row.settled or now >= self.settled_at,
+            txn=txn,
+        )
+
+    def applied(self, row: ClaimRow, *, sent: timedelta) -> None:
+        """Record a renewal that applied and was first sent at ``sent``."""
+        self.row = row
+        self.pending = None
+        self._sent = sent
+
+    def asks(self, now: timedelta, nonce: int) -> tuple[ids.VmId, ...]:
+        """Return the peers whose consent is to be asked for now.
+
+        Asking starts when one renewal is overdue, long before the term
+        ends.
+        """
+        if now < self._sent + self._term() / 2:
+            return ()
+        if now < self._asked_at + ASK_EVERY:
+            return ()
+        self._asked_at = now
+        self._asks = {
+            ask: at for ask, at in self._asks.items() if now < at + PROMISE
+        }
+        peers = tuple(sorted(self.consenters()))
+        for vm in peers:
+            self._asks[vm, nonce] = now
+        return peers
+
+    def promised(self, vm: ids.VmId, nonce: int) -> None:
+        """Record a promise; it counts from when it was asked for."""
+        asked = self._asks.pop((vm, nonce), None)
+        if asked is None:
+            return
+        until = asked + PROMISE
+        self._promised[vm] = max(until, self._promised.get(vm, timedelta.min))
--- a/goldcresthaven/leases.py
+++ b/goldcresthaven/leases.py
@@ -7,7 +7,7 @@
 ``LeaseGuard`` the upstream's side.
 """
 
-from collections import Counter
+import collections
 from collections.abc import Mapping
 from dataclasses import dataclass
 from datetime import timedelta
@@ -257,7 +257,7 @@
         self._shards: frozenset[ids.ShardId] = frozenset()
         self._end = timedelta.min
         self._sent: dict[int, timedelta] = {}
-        self._running: Counter[ids.ShardId] = Counter()
+        self._running: collections.Counter[ids.ShardId] = collections.Counter()
         self._last_ns = 0
 
     @property
