--- a/goldcresthaven/control.py
+++ b/goldcresthaven/control.py
@@ -238,7 +238,6 @@
 
 class MilestoneKind(Enum):
     CLAIM_TAKEN = 'claim-taken'
-    CLAIM_SETTLED = 'claim-settled'
     CLAIM_LOST = 'claim-lost'
     CLAIM_EXTENDED = 'claim-extended'
     CLAIM_RELEASED = 'claim-released'
--- /dev/null
+++ b/goldcresthaven/keeper.py
@@ -0,0 +1,307 @@
+"""Claims of this process: raising, renewing, extending, releasing."""
+
+from datetime import timedelta
+
+from goldcresthaven import candidates
+from goldcresthaven import claims
+from goldcresthaven import control
+from goldcresthaven import domain as domains
+from goldcresthaven import ids
+from goldcresthaven import pending
+from goldcresthaven import tables
+from goldcresthaven import view as views
+
+_DEFAULT_TERM = timedelta(seconds=10)
+_DEFAULT_GRACE = timedelta(minutes=10)
+
+
+class ClaimKeeper:
+    """The domains that this process holds or tries to take."""
+
+    def __init__(
+        self,
+        view: views.View,
+        candidacy: candidates.Candidacy,
+        transactions: pending.PendingTransactions,
+    ) -> None:
+        self.held: dict[ids.DomainId, domains.HeldDomain] = {}
+        self.stopping = False
+        self._view = view
+        self._candidacy = candidacy
+        self._transactions = transactions
+        self._raising: dict[
+            ids.TxnId, tuple[ids.DomainId, claims.ClaimRow, timedelta]
+        ] = {}
+        self._renewing: dict[
+            ids.TxnId, dict[ids.DomainId, claims.ClaimRow]
+        ] = {}
+        self._releasing: dict[
+            ids.TxnId, tuple[ids.DomainId, claims.ClaimRow]
+        ] = {}
+        self._extended: set[ids.DomainId] = set()
+        self._nonce = 0
+
+    @property
+    def idle(self) -> bool:
+        """Whether no claim is held and no write of one is unresolved."""
+        writes = self._raising or self._renewing or self._releasing
+        return not self.held and not writes
+
+    def busy(self, domain: ids.DomainId) -> bool:
+        """Whether the domain is held or its raise is unresolved."""
+        raising = (d for d, _, _ in self._raising.values())
+        return domain in self.held or domain in raising
+
+    def tick(self, now: timedelta) -> list[control.Action]:
+        """Return the claim writes and consent requests that are due."""
+        actions: list[control.Action] = []
+        if self._view.zone in self._view.lost_zones:
+            for domain in list(self.held):
+                actions.append(self._lose(domain))
+            return actions
+        if not self.stopping:
+            actions.extend(self._raise(now))
+            actions.extend(self._renew(now))
+        else:
+            actions.extend(self._release(now))
+        actions.extend(self._ask(now))
+        return actions
+
+    def _terms(self, domain: ids.DomainId) -> claims.Terms:
+        document = self._view.document
+        preset = None if document is None else document.preset
+        ranked = views.rank(domain, self._view.entries(self._view.zone))
+        others = [vm for vm in ranked if vm != self._view.vm]
+        return claims.Terms(
+            vm=self._view.vm,
+            zone=self._view.zone,
+            peers=frozenset(others[: claims.MAX_PEERS]),
+            term=_DEFAULT_TERM if preset is None else preset.claim_term,
+            grace=_DEFAULT_GRACE if preset is None else preset.claim_grace,
+        )
+
+    def _raise(self, now: timedelta) -> list[control.Action]:
+        actions: list[control.Action] = []
+        for domain in sorted(self._view.domains()):
+            if self.busy(domain):
+                continue
+            if self._candidacy.wants(domain, now=now):
+                actions.append(self._raise_one(domain, now=now))
+        return actions
+
+    def _raise_one(
+        self, domain: ids.DomainId, *, now: timedelta
+    ) -> control.Action:
+        row = self._candidacy.row(domain)
+        wait = claims.takeover_wait(row, self._view.vm, self._view.lost_zones)
+        txn = self._transactions.new_id()
+        raised = claims.raised_row(
+            row, self._terms(domain), wait=wait, txn=txn
+        )
+        self._raising[txn] = domain, raised, wait
+        transaction = tables.Transaction(
+            txn=txn,
+            conditions=(claims.unchanged(domain, row),),
+            writes=(claims.write(domain, raised),),
+        )
+        return self._transactions.send(transaction, now=now)
+
+    def _renew(self, now: timedelta) -> list[control.Action]:
+        if self._renewing or not self.held:
+            return []
+        if not any(h.claim.renewal_due(now) for h in self.held.values()):
+            return []
+        txn = self._transactions.new_id()
+        rows: dict[ids.DomainId, claims.ClaimRow] = {}
+        conditions: list[tables.Condition] = []
+        writes: list[tables.Write] = []
+        for domain, held in sorted(self.held.items()):
+            row = held.claim.renewed_row(self._terms(domain), txn=txn, now=now)
+            conditions.append(claims.unchanged(domain, held.claim.row))
+            writes.append(claims.write(domain, row))
+            held.claim.pending = row
+            rows[domain] = row
+        self._renewing[txn] = rows
+        transaction = tables.Transaction(
+            txn=txn, conditions=tuple(conditions), writes=tuple(writes)
+        )
+        return [self._transactions.send(transaction, now=now)]
+
+    def _release(self, now: timedelta) -> list[control.Action]:
+        if self._renewing or self._releasing:
+            return []
+        actions: list[control.Action] = []
+        for domain, held in sorted(self.held.items()):
+            txn = self._transactions.new_id()
+            row = held.claim.released_row(txn=txn, now=now)
+            self._releasing[txn] = domain, row
+            transaction = tables.Transaction(
+                txn=txn,
+                conditions=(claims.unchanged(domain, held.claim.row),),
+                writes=(claims.write(domain, row),),
+            )
+            actions.append(self._transactions.send(transaction, now=now))
+        self.held.clear()
+        return actions
+
+    def _ask(self, now: timedelta) -> list[control.Action]:
+        actions: list[control.Action] = []
+        for domain, held in sorted(self.held.items()):
+            claim = held.claim
+            self._nonce += 1
+            for vm in claim.asks(now, self._nonce):
+                actions.append(
+                    control.AskConsent(
+                        vm=vm,
+                        domain=domain,
+                        epoch=claim.epoch,
+                        nonce=self._nonce,
+                    )
+                )
+            if not claim.extending(now):
+                self._extended.discard(domain)
+            elif domain not in self._extended:
+                self._extended.add(domain)
+                actions.append(
+                    _milestone(control.MilestoneKind.CLAIM_EXTENDED, held)
+                )
+        return actions
+
+    def consent(self, event: control.ConsentAnswered) -> None:
+        """Record a peer's promise."""
+        held = self.held.get(event.domain)
+        if held is None or not event.granted:
+            return
+        if held.claim.epoch == event.epoch:
+            held.claim.promised(event.vm, event.nonce)
+
+    def fenced(
+        self, domain: ids.DomainId, epoch: ids.Epoch
+    ) -> list[control.Action]:
+        """Give up a claim because a higher epoch was seen."""
+        self._candidacy.epoch_seen(domain, epoch)
+        held = self.held.get(domain)
+        if held is None or epoch <= held.claim.epoch:
+            return []
+        return [self._lose(domain)]
+
+    def _lose(self, domain: ids.DomainId) -> control.Action:
+        held = self.held.pop(domain)
+        return _milestone(control.MilestoneKind.CLAIM_LOST, held)
+
+    def resolved(
+        self,
+        txn: ids.TxnId,
+        result: tables.Result,
+        *,
+        first_sent: timedelta,
+        now: timedelta,
+    ) -> list[control.Action]:
+        """Process the result of one of the claim writes."""
+        if txn in self._raising:
+            return self._raised(txn, result, first_sent, now)
+        if txn in self._renewing:
+            return self._renewed(txn, result, first_sent, now)
+        if txn in self._releasing:
+            return self._released(txn, result, now)
+        return []
+
+    def _raised(
+        self,
+        txn: ids.TxnId,
+        result: tables.Result,
+        first_sent: timedelta,
+        now: timedelta,
+    ) -> list[control.Action]:
+        domain, row, wait = self._raising.pop(txn)
+        if not self._applied(domain, row, result, now=now):
+            return []
+        claim = claims.HeldClaim(
+            domain=domain, row=row, sent=first_sent, settled_at=now + wait
+        )
+        held = domains.HeldDomain(claim)
+        self.held[domain] = held
+        return [_milestone(control.MilestoneKind.CLAIM_TAKEN, held)]
+
+    def _renewed(
+        self,
+        txn: ids.TxnId,
+        result: tables.Result,
+        first_sent: timedelta,
+        now: timedelta,
+    ) -> list[control.Action]:
+        actions: list[control.Action] = []
+        failed = _failed_rows(result)
+        for domain, row in self._renewing.pop(txn).items():
+            held = self.held.get(domain)
+            if held is None or held.claim.pending != row:
+                continue
+            found = failed.get(domain)
+            if isinstance(result, tables.Committed) or found == row:
+                held.claim.applied(row, sent=first_sent)
+                self._candidacy.seen(domain, row, now=now)
+            elif found is not None:
+                self._candidacy.seen(domain, found, now=now)
+                actions.append(self._lose(domain))
+            else:
+                held.claim.pending = None
+        return actions
+
+    def _released(
+        self, txn: ids.TxnId, result: tables.Result, now: timedelta
+    ) -> list[control.Action]:
+        domain, row = self._releasing.pop(txn)
+        if not self._applied(domain, row, result, now=now):
+            return []
+        ranked = views.rank(domain, self._view.entries(views.zone_of(domain)))
+        actions: list[control.Action] = [
+            control.NotifyRelease(vm=vm, domain=domain)
+            for vm in ranked[: candidates.PROBING_CANDIDATES]
+            if vm != self._view.vm
+        ]
+        data: dict[str, str | int] = {'domain': domain, 'epoch': row.epoch}
+        actions.append(
+            control.Milestone(
+                kind=control.MilestoneKind.CLAIM_RELEASED, data=data
+            )
+        )
+        return actions
+
+    def _applied(
+        self,
+        domain: ids.DomainId,
+        row: claims.ClaimRow,
+        result: tables.Result,
+        *,
+        now: timedelta,
+    ) -> bool:
+        if isinstance(result, tables.Committed):
+            self._candidacy.seen(domain, row, now=now)
+            return True
+        found = _failed_rows(result).get(domain)
+        if found is None:
+            return False
+        self._candidacy.seen(domain, found, now=now)
+        return found == row
+
+
+def _failed_rows(
+    result: tables.Result,
+) -> dict[ids.DomainId, claims.ClaimRow]:
+    if not isinstance(result, tables.Conflict):
+        return {}
+    return {
+        ids.DomainId(row.key): claims.ClaimRow.from_value(row.value)
+        for row in result.rows
+    }
+
+
+def _milestone(
+    kind: control.MilestoneKind, held: domains.HeldDomain
+) -> control.Milestone:
+    claim = held.claim
+    data: dict[str, str | int] = {
+        'domain': claim.domain,
+        'epoch': claim.epoch,
+    }
+    return control.Milestone(kind=kind, data=data)
--- a/goldcresthaven/placement.py
+++ b/goldcresthaven/placement.py
@@ -135,26 +135,36 @@
             heapq.heappop(self._low)
         return self._low[0][0]
 
-    def _peek_high(self) -> ids.UpstreamId:
-        while -self._high[0][0] != self._load[self._high[0][1]]:
+    def _peek_high(self, stuck: set[ids.UpstreamId]) -> ids.UpstreamId | None:
+        while self._high:
+            load, upstream = self._high[0]
+            if -load == self._load[upstream] and upstream not in stuck:
+                return upstream
             heapq.heappop(self._high)
-        return self._high[0][1]
+        return None
 
     def balance(self, limit: float) -> None:
-        """Move shards from the most to the least loaded while it helps."""
+        """Move shards from the most to the least loaded while it helps.
+
+        An upstream whose load is one hot shard cannot be relieved and is
+        passed over.
+        """
         mean = sum(self._load.values()) / len(self._load)
-        filling: set[ids.UpstreamId] = {
+        filling = {
             u for u, load in self._load.items() if load < mean * UNDERLOADED
         }
-        for _ in range(len(self._owner)):
-            heaviest = self._peek_high()
-            self._peek_low()
-            lightest = self._low[0][1]
-            too_high = self._load[heaviest] > mean * limit + _EPSILON
-            if not too_high and lightest not in filling:
+        stuck: set[ids.UpstreamId] = set()
+        for _ in range(len(self._owner) + len(self._load)):
+            source = self._peek_high(stuck)
+            if source is None:
                 return
-            if not self._shift(heaviest, lightest):
+            self._peek_low()
+            target = self._low[0][1]
+            too_high = self._load[source] > mean * limit + _EPSILON
+            if not too_high and target not in filling:
                 return
+            if not self._shift(source, target):
+                stuck.add(source)
 
     def _shift(self, source: ids.UpstreamId, target: ids.UpstreamId) -> bool:
         """Move the shard that evens out the two best; False if none does."""
--- /dev/null
+++ b/goldcresthaven/rebalance.py
@@ -0,0 +1,156 @@
+"""Contents of map changes: first map, new pools, moves, hot keys."""
+
+from collections.abc import Iterable
+from dataclasses import replace
+
+from goldcresthaven import control
+from goldcresthaven import ids
+from goldcresthaven import placement
+from goldcresthaven import shards
+from goldcresthaven import view as views
+
+# Below this rate of requests the measured load is mostly noise, and the
+# shares of the hash space are the better weights.
+MIN_LOAD = 50.0
+
+# Part of the weight that is the share of the hash space even under load,
+# so that idle shards are spread too.
+RANGE_SHARE = 0.1
+
+# A key is hot when it causes at least this part of an upstream's mean
+# load. It then gets a shard of its own.
+HOT_SHARE = 0.5
+
+
+def weights(
+    view: views.View, pool_shards: list[shards.Shard]
+) -> dict[ids.ShardId, float]:
+    """Return the weights of one pool's shards; they add up to 1."""
+    ranges = placement.range_weights(pool_shards)
+    loads = {s: view.loads.get(s, 0.0) for s in ranges}
+    total = sum(loads.values())
+    if total < MIN_LOAD:
+        return ranges
+    return {
+        s: RANGE_SHARE * share + (1 - RANGE_SHARE) * loads[s] / total
+        for s, share in ranges.items()
+    }
+
+
+def plan_pool(
+    view: views.View,
+    pool: ids.PoolName,
+    lost: frozenset[ids.UpstreamId],
+) -> list[placement.Move]:
+    """Return the moves of one pool; ``lost`` upstreams are unusable."""
+    if view.document is None:
+        return []
+    pool_shards = view.pool_shards(pool)
+    return placement.plan(
+        pool_shards,
+        view.usable(pool) - lost,
+        weights(view, pool_shards),
+        view.document.preset.imbalance_limit,
+    )
+
+
+def new_pool_shards(view: views.View) -> tuple[shards.Shard, ...]:
+    """Return assigned shards of the keyed pools that the map lacks.
+
+    Upstreams without a home count as usable, because the same change
+    gives them one.
+    """
+    present = {s.pool for s in view.shard_map.shards.values()}
+    result: list[shards.Shard] = []
+    for pool in view.keyed_pools():
+        if pool.name in present or not pool.shards:
+            continue
+        usable = frozenset(
+            u
+            for u, member in view.upstreams().items()
+            if member.pool == pool.name and not view.must_leave(u)
+        )
+        if not usable:
+            continue
+        fresh = shards.initial_shards(pool.name, pool.shards)
+        result.extend(assigned(fresh, usable))
+    return tuple(result)
+
+
+def assigned(
+    fresh: tuple[shards.Shard, ...], upstreams: frozenset[ids.UpstreamId]
+) -> list[shards.Shard]:
+    """Return unassigned shards with owners of about equal load."""
+    moves = placement.plan(
+        fresh, upstreams, placement.range_weights(fresh), 1.0
+    )
+    owners = {m.shard: m.target for m in moves}
+    return [replace(s, owner=owners.get(s.shard_id)) for s in fresh]
+
+
+def moved(
+    shard_map: shards.ShardMap,
+    targets: dict[ids.ShardId, ids.UpstreamId],
+) -> tuple[shards.Shard, ...]:
+    """Return the shards with their next owners."""
+    return tuple(
+        replace(shard_map.shards[s], owner=target)
+        for s, target in sorted(targets.items())
+    )
+
+
+def hot_shards(
+    view: views.View,
+) -> Iterable[tuple[shards.Shard, control.HotKey]]:
+    """Return the shards that contain a hot key among other keys."""
+    for hot in view.hot_keys:
+        shard = view.shard_map.lookup(hot.pool, hot.key_hash)
+        if shard is None or shard.high - shard.low == 1:
+            continue
+        upstreams = view.usable(hot.pool)
+        loads = (
+            view.loads.get(s.shard_id, 0.0) for s in view.pool_shards(hot.pool)
+        )
+        total = sum(loads)
+        if total < MIN_LOAD or not upstreams:
+            continue
+        if hot.load >= HOT_SHARE * total / len(upstreams):
+            yield shard, hot
+
+
+def split(
+    shard: shards.Shard, key_hash: ids.KeyHash
+) -> tuple[shards.Shard, ...]:
+    """Return up to three shards of which one holds only ``key_hash``.
+
+    All keep the owner, so a split alone moves no key.
+    """
+    bounds = [shard.low, key_hash, key_hash + 1, shard.high]
+    return tuple(
+        replace(
+            shard,
+            shard_id=ids.ShardId(f'{shard.pool}/{low:016x}-{high:016x}'),
+            low=low,
+            high=high,
+        )
+        for low, high in zip(bounds, bounds[1:])
+        if low < high
+    )
+
+
+def split_loads(
+    loads: dict[ids.ShardId, float],
+    shard: shards.Shard,
+    parts: tuple[shards.Shard, ...],
+    hot: control.HotKey,
+) -> dict[ids.ShardId, float]:
+    """Return the loads after a split, until they are measured again."""
+    result = dict(loads)
+    rest = max(0.0, result.pop(shard.shard_id, 0.0) - hot.load)
+    width = max(1, shard.high - shard.low - 1)
+    for part in parts:
+        if part.low == hot.key_hash and part.high == hot.key_hash + 1:
+            result[part.shard_id] = hot.load
+        else:
+            result[part.shard_id] = rest * (part.high - part.low) / width
+    return result
