--- a/goldcresthaven/claims.py
+++ b/goldcresthaven/claims.py
@@ -296,9 +296,13 @@
         return peers
 
     def promised(self, vm: ids.VmId, nonce: int) -> None:
-        """Record a promise; it counts from when it was asked for."""
+        """Record a promise; it counts from when it was asked for.
+
+        It must not outlast the term: a peer that restarts forgets its
+        promises and may then raise the epoch and wait for only the term.
+        """
         asked = self._asks.pop((vm, nonce), None)
         if asked is None:
             return
-        until = asked + PROMISE
+        until = asked + min(PROMISE, self._term() / 2)
         self._promised[vm] = max(until, self._promised.get(vm, timedelta.min))
--- a/goldcresthaven/mapwriter.py
+++ b/goldcresthaven/mapwriter.py
@@ -24,16 +24,12 @@
     """
 
     reason: str
-    shards: tuple[shards.Shard, ...] = ()
+    updated: tuple[shards.Shard, ...] = ()
     removed: tuple[ids.ShardId, ...] = ()
     domain: ids.DomainId | None = None
     epoch: ids.Epoch = ids.Epoch(0)
     homes: tuple[tuple[ids.UpstreamId, ids.DomainId], ...] = ()
 
-    def touched(self) -> frozenset[ids.ShardId]:
-        """Return the shards that the change replaces or removes."""
-        return frozenset(s.shard_id for s in self.shards) | set(self.removed)
-
 
 def conditions(change: shards.MapChange) -> tuple[tables.Condition, ...]:
     """Return the conditions under which a change may be written."""
@@ -80,7 +76,7 @@
         change = shards.MapChange(
             version=ids.MapVersion(after + 1),
             txn=txn,
-            shards=draft.shards,
+            shards=draft.updated,
             removed=draft.removed,
             domain=draft.domain,
             epoch=draft.epoch,
--- a/goldcresthaven/mover.py
+++ b/goldcresthaven/mover.py
@@ -150,7 +150,7 @@
             return None
         return mapwriter.Draft(
             reason='created' if fresh else 'joined',
-            shards=fresh,
+            updated=fresh,
             homes=homes,
         )
 
@@ -167,7 +167,7 @@
             return None
         return mapwriter.Draft(
             reason='moved',
-            shards=rebalance.moved(self._view.shard_map, targets),
+            updated=rebalance.moved(self._view.shard_map, targets),
             domain=domain.claim.domain,
             epoch=domain.claim.epoch,
         )
@@ -197,7 +197,7 @@
             )
             return mapwriter.Draft(
                 reason='split',
-                shards=parts,
+                updated=parts,
                 removed=(shard.shard_id,),
                 domain=domain.claim.domain,
                 epoch=domain.claim.epoch,
--- /dev/null
+++ b/proofs/knockouts.py
@@ -0,0 +1,285 @@
+"""The ownership rules, each taken out of the product in turn.
+
+Every knock-out replaces methods while a run lasts. A simulation that finds
+no violation without a rule does not test that rule.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+from dataclasses import dataclass
+from dataclasses import replace
+from datetime import timedelta
+from typing import Any
+from unittest import mock
+
+from goldcresthaven import candidates
+from goldcresthaven import claims
+from goldcresthaven import control
+from goldcresthaven import domain
+from goldcresthaven import ids
+from goldcresthaven import leases
+from goldcresthaven import mapwriter
+from goldcresthaven import tables
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Patch:
+    """A replacement of one attribute."""
+
+    target: Any
+    name: str
+    value: Any
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Knockout:
+    """A rule and the replacements that remove it."""
+
+    rule: str
+    patches: tuple[Patch, ...]
+
+    @contextlib.contextmanager
+    def applied(self) -> Iterator[None]:
+        """Remove the rule for the duration of the context."""
+        with contextlib.ExitStack() as stack:
+            for patch in self.patches:
+                stack.enter_context(
+                    mock.patch.object(patch.target, patch.name, patch.value)
+                )
+            yield
+
+
+def _no_epoch_check(
+    guard: leases.LeaseGuard, req: leases.LeaseRequest
+) -> leases.Refusal | None:
+    return None
+
+
+def _ignoring(refusal: leases.Refusal) -> Callable[..., Any]:
+    """Return a guard's check that does not know one refusal."""
+
+    def check(
+        guard: Any, req: leases.LeaseRequest, *, now: timedelta
+    ) -> leases.Refusal | None:
+        sent = guard._sent.get(req.basis_ns or 0)
+        failed = {
+            leases.Refusal.OLD_SEQUENCE: req.seq <= guard._seq,
+            leases.Refusal.OTHER_BOOT: req.boot != guard._boot,
+            leases.Refusal.UNKNOWN_BASIS: sent is None,
+            leases.Refusal.STALE_BASIS: (
+                sent is not None and now >= sent + req.duration
+            ),
+        }
+        return next(
+            (r for r, bad in failed.items() if bad and r is not refusal),
+            None,
+        )
+
+    return check
+
+
+def _accept_from_receipt(guard: Any, req: leases.LeaseRequest) -> None:
+    guard._seq = req.seq
+    guard._lease_epoch = req.epoch
+    guard._shards = req.shards
+    guard._end = max(guard._sent.values()) + req.duration
+
+
+def _check_any_basis(
+    guard: Any, req: leases.LeaseRequest, *, now: timedelta
+) -> leases.Refusal | None:
+    """Take every basis, so that the lease runs from receipt."""
+    guard._sent[req.basis_ns] = now
+    if req.seq <= guard._seq:
+        return leases.Refusal.OLD_SEQUENCE
+    return None
+
+
+def _no_bound(issuer: leases.Issuer) -> timedelta:
+    return timedelta.min
+
+
+def _no_wait_for_bound(
+    held: domain.HeldDomain, release: domain.Release, now: timedelta
+) -> bool:
+    return held.cleared(release.source, now)
+
+
+def _lost_at_once(state: domain.UpstreamState, now: timedelta) -> bool:
+    """Give up on an upstream while its lease is still in force."""
+    silent = now >= state.answered_at + domain.RESEND_AFTER * 3
+    changed = silent != state.lost
+    state.lost = silent
+    return changed
+
+
+def _no_takeover_wait(*args: Any) -> timedelta:
+    return timedelta()
+
+
+def _always_cleared(
+    held: domain.HeldDomain, upstream: ids.UpstreamId, now: timedelta
+) -> bool:
+    return True
+
+
+def _dropped_at_any_time(
+    held: domain.HeldDomain,
+    state: domain.UpstreamState,
+    event: control.LeaseAnswered,
+) -> None:
+    if event.reply.dropped and event.reply.epoch == held.claim.epoch:
+        state.dropped = True
+
+
+_raised_row = claims.raised_row
+
+
+def _no_inherited_wait(
+    row: claims.ClaimRow | None,
+    terms: claims.Terms,
+    *,
+    wait: timedelta,
+    txn: ids.TxnId,
+) -> claims.ClaimRow:
+    raised = _raised_row(row, terms, wait=wait, txn=txn)
+    return replace(raised, settled=True, peers=terms.peers)
+
+
+_release = domain.HeldDomain.release
+
+
+def _released_unconfirmed(
+    held: domain.HeldDomain, shard: ids.ShardId, *, now: timedelta
+) -> None:
+    _release(held, shard, now=now)
+    if shard in held.releases:
+        held.releases[shard].released = True
+
+
+_held_init = domain.HeldDomain.__init__
+
+
+def _log_unread(held: domain.HeldDomain, claim: claims.HeldClaim) -> None:
+    _held_init(held, claim)
+    held.log_read = True
+
+
+def _always_valid(claim: claims.HeldClaim, now: timedelta) -> bool:
+    return True
+
+
+def _no_epoch_condition(change: Any) -> tuple[tables.Condition, ...]:
+    return (
+        tables.VersionIs(
+            table=tables.MAP_LOG,
+            key=tables.log_key(change.version),
+            version=tables.ABSENT,
+        ),
+    )
+
+
+_conditions = mapwriter.conditions
+
+
+def _no_absent_condition(change: Any) -> tuple[tables.Condition, ...]:
+    return _conditions(change)[1:]
+
+
+def _extended_alone(claim: Any, now: timedelta) -> bool:
+    return bool(now < claim._sent + claims.shortened(claim._grace()))
+
+
+def _extended_by_any(claim: Any, now: timedelta) -> bool:
+    """Extend with the consent of one peer instead of all."""
+    if now >= claim._sent + claims.shortened(claim._grace()):
+        return False
+    return any(now < until for until in claim._promised.values())
+
+
+def _consent_always(
+    candidacy: candidates.Candidacy,
+    ask: control.ConsentAsked,
+    *,
+    busy: bool,
+    now: timedelta,
+) -> bool:
+    return True
+
+
+def _known_peers(claim: claims.HeldClaim) -> frozenset[ids.VmId]:
+    return claim.row.peers
+
+
+def _term_for_all(
+    row: claims.ClaimRow | None, vm: ids.VmId, lost: Any
+) -> timedelta:
+    return timedelta() if row is None else row.term
+
+
+def _one(rule: str, target: Any, name: str, value: Any) -> Knockout:
+    return Knockout(
+        rule=rule,
+        patches=(Patch(target=target, name=name, value=value),),
+    )
+
+
+_GUARD = leases.LeaseGuard
+_CLAIM = claims.HeldClaim
+_DOMAIN = domain.HeldDomain
+
+RULES = (
+    _one('1 epoch', _GUARD, '_check_epoch', _no_epoch_check),
+    _one(
+        '1 sequence',
+        _GUARD,
+        '_check_grant',
+        _ignoring(leases.Refusal.OLD_SEQUENCE),
+    ),
+    Knockout(
+        rule='1 basis',
+        patches=(
+            Patch(target=_GUARD, name='_check_grant', value=_check_any_basis),
+            Patch(target=_GUARD, name='_accept', value=_accept_from_receipt),
+        ),
+    ),
+    _one('2 bound', leases.Issuer, 'bound', property(_no_bound)),
+    Knockout(
+        rule='3 wait for the bound',
+        patches=(
+            Patch(target=_DOMAIN, name='_ended', value=_no_wait_for_bound),
+            Patch(
+                target=domain.UpstreamState,
+                name='check',
+                value=_lost_at_once,
+            ),
+        ),
+    ),
+    Knockout(
+        rule='4 wait after a raise',
+        patches=(
+            Patch(target=_DOMAIN, name='cleared', value=_always_cleared),
+            Patch(
+                target=claims, name='takeover_wait', value=_no_takeover_wait
+            ),
+        ),
+    ),
+    _one('5 release before a move', _DOMAIN, 'release', _released_unconfirmed),
+    _one('6 read the log', _DOMAIN, '__init__', _log_unread),
+    _one('7 check the claim', _CLAIM, 'valid', _always_valid),
+    _one('8 epoch condition', mapwriter, 'conditions', _no_epoch_condition),
+    _one('8 absent condition', mapwriter, 'conditions', _no_absent_condition),
+    _one('consent of all peers', _CLAIM, '_extended', _extended_by_any),
+    _one('consent at all', _CLAIM, '_extended', _extended_alone),
+    _one('consent refused', candidates.Candidacy, 'promise', _consent_always),
+    _one('consent of both peer sets', _CLAIM, 'consenters', _known_peers),
+    _one('grace for other VMs', claims, 'takeover_wait', _term_for_all),
+    _one(
+        '4 response after the old claim',
+        _DOMAIN,
+        '_note_dropped',
+        _dropped_at_any_time,
+    ),
+    _one('4 inherited wait', claims, 'raised_row', _no_inherited_wait),
+)
--- /dev/null
+++ b/proofs/ownership_sim.py
@@ -0,0 +1,493 @@
+"""Simulation of the ownership rules under failures.
+
+Entry processes with the product's controller, upstreams with the product's
+lease guard and a table service run on virtual clocks that drift. Faults
+are drawn from the seed. After every accepted grant the simulation checks
+that no two upstreams would serve the same key, and after every reported
+map change that the log keeps it.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+from datetime import timedelta
+import random
+
+from goldcresthaven import control
+from goldcresthaven import ids
+from goldcresthaven import leases
+from goldcresthaven import maplog
+from goldcresthaven import members
+from goldcresthaven import outcomes
+from goldcresthaven import ownership
+from goldcresthaven import presets
+from goldcresthaven import shards
+from goldcresthaven import tables
+from proofs import sim_world
+
+POOL = ids.PoolName('catalogue')
+TICK = 0.1
+STORE_TIMEOUT = 1.0
+SAMPLE_EVERY = 0.05
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Shape:
+    """Size of a simulated deployment."""
+
+    zones: int = 2
+    entries: int = 2
+    upstreams: int = 2
+    shards: int = 8
+    term: timedelta = timedelta(seconds=10)
+    grace: timedelta = timedelta(seconds=30)
+
+
+@dataclass(kw_only=True)
+class Outcome:
+    """What a run found."""
+
+    violations: list[str] = field(default_factory=list)
+    moves: int = 0
+    takeovers: int = 0
+    extensions: int = 0
+    unserved: dict[int, float] = field(default_factory=dict)
+    longest: dict[int, float] = field(default_factory=dict)
+
+
+class Entry(sim_world.Node):
+    """An entry process; its controller is lost when it stops."""
+
+    controller: ownership.Controller
+
+
+class Upstream(sim_world.Node):
+    """An upstream; its guard is lost when it stops."""
+
+    guard: leases.LeaseGuard
+
+
+class World:
+    """One run: nodes, faults, invariants and measurements."""
+
+    def __init__(self, seed: int, shape: Shape = Shape()) -> None:
+        self.rng = random.Random(seed)
+        self.shape = shape
+        self.outcome = Outcome()
+        self.schedule = sim_world.Schedule()
+        self.faults = sim_world.Faults()
+        self.network = sim_world.Network(self.schedule, self.rng, self.faults)
+        self.table = sim_world.Table()
+        self.drained: tuple[ids.UpstreamId, ...] = ()
+        self.lost_zones: tuple[ids.ZoneId, ...] = ()
+        self.leaving: set[str] = set()
+        self.unlisted: set[str] = set()
+        self.entries: dict[str, Entry] = {}
+        self.upstreams: dict[str, Upstream] = {}
+        self._ranges: dict[ids.ShardId, tuple[int, int]] = {}
+        self._reported: dict[int, ids.TxnId] = {}
+        self._unserved_since: dict[int, float] = {}
+        self._milestones: list[control.Milestone] = []
+        self._build()
+
+    def _build(self) -> None:
+        for zone in range(self.shape.zones):
+            for i in range(self.shape.entries):
+                name = f'z{zone}-e{i}'
+                self.entries[name] = Entry(name, self.schedule, self.rng)
+            for i in range(self.shape.upstreams):
+                self.add_upstream(f'z{zone}-u{i}')
+        for name in self.entries:
+            self.start_entry(name)
+        self.schedule.after(SAMPLE_EVERY, self._sample)
+
+    def add_upstream(self, name: str) -> None:
+        self.upstreams[name] = Upstream(name, self.schedule, self.rng)
+        self.start_upstream(name)
+
+    def zone(self, zone: str) -> list[str]:
+        """Return all nodes of a zone."""
+        names = [*self.entries, *self.upstreams]
+        return [n for n in names if sim_world.zone_of(n) == zone]
+
+    def start_upstream(self, name: str) -> None:
+        node = self.upstreams[name]
+        node.start()
+        boot = ids.BootId(f'{name}/{node.boots}')
+        node.guard = leases.LeaseGuard(boot=boot)
+
+    def start_entry(self, name: str) -> None:
+        node = self.entries[name]
+        node.start()
+        node.controller = ownership.Controller(
+            vm=ids.VmId(name),
+            zone=ids.ZoneId(sim_world.zone_of(name)),
+            boot=str(node.boots),
+        )
+        boot = node.boots
+        self.inform(name)
+
+        def tick() -> None:
+            if node.boots != boot:
+                return
+            self.schedule.after(TICK, tick)
+            if not node.paused:
+                self.feed(name, control.Tick())
+
+        self.schedule.after(self.rng.uniform(0.0, TICK), tick)
+
+    def inform(self, name: str) -> None:
+        """Give a process the configuration and the membership list."""
+        self.feed(name, control.ConfigApplied(document=self.document()))
+        self.feed(name, control.MembersRead(members=self.members()))
+
+    def inform_all(self) -> None:
+        """Inform every process, each after a delay of its own."""
+        for name, node in self.entries.items():
+            delay = self.rng.uniform(0.0, 2.0)
+            boot = node.boots
+
+            def tell(name: str = name, boot: int = boot) -> None:
+                if self.entries[name].boots == boot:
+                    self.inform(name)
+
+            self.schedule.after(delay, tell)
+
+    def document(self) -> presets.Document:
+        policy = presets.RankPolicy(
+            target=timedelta(seconds=1),
+            deadline=timedelta(seconds=3),
+            floor=0.3,
+        )
+        preset = presets.Preset(
+            name=ids.PresetName('ordinary'),
+            urgent=policy,
+            standard=policy,
+            bulk=policy,
+            claim_term=self.shape.term,
+            claim_grace=self.shape.grace,
+        )
+        pool = presets.Pool(
+            name=POOL,
+            keyed=True,
+            slots=4,
+            connections=250,
+            shards=self.shape.shards,
+        )
+        route = presets.Route(
+            prefix='/catalogue/',
+            pool=POOL,
+            rank=outcomes.Rank.STANDARD,
+            key_segment=1,
+            idempotent=True,
+        )
+        return presets.Document(
+            pools=(pool,),
+            routes=(route,),
+            presets=(preset,),
+            in_force=preset.name,
+            drained=self.drained,
+            lost_zones=self.lost_zones,
+        )
+
+    def members(self) -> tuple[members.Member, ...]:
+        result = []
+        for name in [*self.entries, *self.upstreams]:
+            if name in self.unlisted:
+                continue
+            upstream = name in self.upstreams
+            state = members.MemberState.LIVE
+            if name in self.leaving:
+                state = members.MemberState.LEAVING
+            role = members.Role.UPSTREAM if upstream else members.Role.ENTRY
+            result.append(
+                members.Member(
+                    vm=ids.VmId(name),
+                    zone=ids.ZoneId(sim_world.zone_of(name)),
+                    role=role,
+                    state=state,
+                    address=members.Address(host='127.0.0.1', port=1),
+                    pool=POOL if upstream else None,
+                )
+            )
+        return tuple(result)
+
+    def feed(self, name: str, event: control.Event) -> None:
+        """Let a process handle an event and carry out its actions."""
+        node = self.entries[name]
+
+        def work() -> None:
+            now = node.clock.elapsed()
+            for action in node.controller.handle(event, now=now):
+                self._carry_out(node, action)
+
+        node.perform(work)
+
+    def _carry_out(self, node: Entry, action: control.Action) -> None:
+        """Carry out an action; the process may pause just before it."""
+        match action:
+            case control.MapCommitted():
+                self._report(node, action.change)
+            case control.Milestone():
+                self._count(action)
+            case control.Released():
+                self.stop(node)
+            case _:
+                boot = node.boots
+                if self.rng.random() < self.pause_before_send:
+                    node.pause(self.rng.uniform(0.1, 15.0))
+
+                def send() -> None:
+                    if node.boots == boot:
+                        self._send(node, action)
+
+                node.perform(send)
+
+    pause_before_send = 0.0
+
+    def stop(self, node: sim_world.Node) -> None:
+        node.stop()
+
+    def _count(self, milestone: control.Milestone) -> None:
+        match milestone.kind:
+            case control.MilestoneKind.CLAIM_TAKEN:
+                self.outcome.takeovers += 1
+            case control.MilestoneKind.CLAIM_EXTENDED:
+                self.outcome.extensions += 1
+            case _:
+                pass
+
+    def _send(self, node: Entry, action: control.Action) -> None:
+        match action:
+            case control.Transact():
+                self._transact(node, action.transaction)
+            case control.ReadMapLog():
+                self._read_log(node, action)
+            case control.ReadClaims():
+                self._read_claims(node, action)
+            case control.SendLease():
+                self._send_lease(node, action)
+            case control.SendHeartbeat():
+                self._peer(
+                    node, action.vm, lambda peer: self._heartbeat(node, peer)
+                )
+            case control.AskConsent():
+                asked = control.ConsentAsked(
+                    vm=ids.VmId(node.name),
+                    domain=action.domain,
+                    epoch=action.epoch,
+                    nonce=action.nonce,
+                )
+                self._peer(
+                    node, action.vm, lambda peer: self.feed(peer.name, asked)
+                )
+            case control.AnswerConsent():
+                answer = control.ConsentAnswered(
+                    vm=ids.VmId(node.name),
+                    domain=action.domain,
+                    epoch=action.epoch,
+                    nonce=action.nonce,
+                    granted=action.granted,
+                )
+                self._peer(
+                    node, action.vm, lambda peer: self.feed(peer.name, answer)
+                )
+            case control.NotifyRelease():
+                notice = control.ReleaseNoticed(domain=action.domain)
+                self._peer(
+                    node, action.vm, lambda peer: self.feed(peer.name, notice)
+                )
+            case _:
+                pass
+
+    def _peer(
+        self, node: Entry, vm: ids.VmId, work: Callable[[Entry], None]
+    ) -> None:
+        peer = self.entries[vm]
+        self.network.send(node.name, vm, lambda: work(peer))
+
+    def _heartbeat(self, node: Entry, peer: Entry) -> None:
+        heard = control.PeerHeard(vm=ids.VmId(peer.name))
+
+        def respond() -> None:
+            self._peer(peer, ids.VmId(node.name), hear)
+
+        def hear(target: Entry) -> None:
+            self.feed(target.name, heard)
+
+        peer.perform(respond)
+
+    def _ask_store(
+        self,
+        node: Entry,
+        request: Callable[[], control.Event],
+        failed: control.Event | None,
+    ) -> None:
+        """Send a request to the store; feed its response or the failure."""
+        boot = node.boots
+        answered = False
+
+        def finish(event: control.Event | None) -> None:
+            nonlocal answered
+            if answered or node.boots != boot:
+                return
+            answered = True
+            if event is not None:
+                self.feed(node.name, event)
+
+        def serve() -> None:
+            if self.faults.store_down:
+                return
+            event = request()
+            self.network.send(
+                sim_world.STORE, node.name, lambda: finish(event)
+            )
+
+        self.network.send(node.name, sim_world.STORE, serve)
+        self.schedule.after(STORE_TIMEOUT, lambda: finish(failed))
+
+    def _transact(self, node: Entry, txn: tables.Transaction) -> None:
+        def request() -> control.Event:
+            result = self.table.transact(txn)
+            self._learn_ranges(txn)
+            return control.TransactResult(txn=txn.txn, result=result)
+
+        ambiguous = control.TransactResult(
+            txn=txn.txn, result=tables.Ambiguous(detail='timeout')
+        )
+        self._ask_store(node, request, ambiguous)
+
+    def _learn_ranges(self, txn: tables.Transaction) -> None:
+        for write in txn.writes:
+            if write.table == tables.MAP_LOG:
+                for shard in maplog.from_value(write.value).shards:
+                    self._ranges[shard.shard_id] = shard.low, shard.high
+
+    def _read_log(self, node: Entry, action: control.ReadMapLog) -> None:
+        def request() -> control.Event:
+            rows = self.table.scan(
+                tables.MAP_LOG, tables.log_key(action.after)
+            )
+            changes = tuple(maplog.from_value(r.value) for r in rows)
+            return control.MapLogRead(token=action.token, changes=changes)
+
+        self._ask_store(node, request, None)
+
+    def _read_claims(self, node: Entry, action: control.ReadClaims) -> None:
+        def request() -> control.Event:
+            rows = self.table.scan(tables.CLAIMS)
+            return control.ClaimsRead(token=action.token, rows=rows)
+
+        self._ask_store(node, request, None)
+
+    def _send_lease(self, node: Entry, action: control.SendLease) -> None:
+        upstream = self.upstreams.get(action.upstream)
+        if upstream is None:
+            return
+        sender = node.boots
+
+        def respond() -> None:
+            now = upstream.clock.elapsed()
+            reply = upstream.guard.handle(action.request, now=now)
+            if reply.accepted and action.request.basis_ns is not None:
+                self._check_sole_owner(upstream)
+            answer = control.LeaseAnswered(
+                upstream=action.upstream, request=action.request, reply=reply
+            )
+
+            def receive() -> None:
+                if node.boots == sender:
+                    self.feed(node.name, answer)
+
+            boot = upstream.boots
+
+            def send() -> None:
+                if upstream.boots == boot:
+                    self.network.send(upstream.name, node.name, receive)
+
+            upstream.perform(send)
+
+        self.network.send(
+            node.name, upstream.name, lambda: upstream.perform(respond)
+        )
+
+    def serving(self, upstream: Upstream) -> list[ids.ShardId]:
+        """Return the shards that an upstream would serve now."""
+        if not upstream.up:
+            return []
+        now = upstream.clock.elapsed()
+        return [s for s in self._ranges if upstream.guard.serves(s, now=now)]
+
+    def _check_sole_owner(self, granted: Upstream) -> None:
+        mine = [self._ranges[s] for s in self.serving(granted)]
+        for other in self.upstreams.values():
+            if other is granted:
+                continue
+            for shard in self.serving(other):
+                low, high = self._ranges[shard]
+                if any(low < h and lo < high for lo, h in mine):
+                    self._violated(
+                        f'{shard} is served by {other.name} and {granted.name}'
+                    )
+                    return
+
+    def _report(self, node: Entry, change: shards.MapChange) -> None:
+        """Check a map change that a process reports as accepted."""
+        self.outcome.moves += len(change.shards)
+        self._reported[change.version] = change.txn
+        self.check_log()
+        for name in self.entries:
+            if name == node.name or self.rng.random() < 0.2:
+                continue
+            self._push(node, name, change)
+
+    def _push(self, node: Entry, name: str, change: shards.MapChange) -> None:
+        event = control.MapChanges(changes=(change,))
+        self._peer(
+            node, ids.VmId(name), lambda peer: self.feed(peer.name, event)
+        )
+
+    def check_log(self) -> None:
+        """Check that every reported change is in the log."""
+        for version, txn in self._reported.items():
+            place = tables.MAP_LOG, tables.log_key(version)
+            row = self.table.rows.get(place)
+            if row is None or row.value['txn'] != txn:
+                self._violated(f'map change {version} of {txn} is lost')
+
+    def _violated(self, text: str) -> None:
+        self.outcome.violations.append(f'{self.schedule.now:.3f} {text}')
+
+    def _sample(self) -> None:
+        """Measure since when each part of the hash space is unserved."""
+        self.schedule.after(SAMPLE_EVERY, self._sample)
+        served: list[tuple[int, int]] = []
+        for upstream in self.upstreams.values():
+            if not upstream.paused:
+                served += [self._ranges[s] for s in self.serving(upstream)]
+        for i in range(self.shape.shards):
+            key = shards.HASH_SPACE * (2 * i + 1) // (2 * self.shape.shards)
+            if any(low <= key < high for low, high in served):
+                self._unserved_since.pop(i, None)
+                continue
+            since = self._unserved_since.setdefault(i, self.schedule.now)
+            gap = self.schedule.now - since
+            total = self.outcome.unserved.get(i, 0.0)
+            self.outcome.unserved[i] = total + SAMPLE_EVERY
+            longest = self.outcome.longest.get(i, 0.0)
+            self.outcome.longest[i] = max(longest, gap)
+
+    def reset_measurements(self) -> None:
+        self.outcome.unserved.clear()
+        self.outcome.longest.clear()
+        self._unserved_since.clear()
+
+    def holder_of(self, domain: str) -> str | None:
+        """Return the process that holds a domain by its own account."""
+        for name, node in self.entries.items():
+            if not node.up:
+                continue
+            now = node.clock.elapsed()
+            if node.controller.holds(ids.DomainId(domain), now=now):
+                return name
+        return None
