--- a/goldcresthaven/candidates.py
+++ b/goldcresthaven/candidates.py
@@ -24,6 +24,9 @@
 UNRENEWED_TERMS = 3
 UNRENEWED_TERMS_IN_ZONE = 2
 STAGGER = timedelta(seconds=1)
+# Two candidates that cannot reach each other would otherwise take the
+# claim from one another at every read of its row.
+RAISE_AGAIN = timedelta(seconds=2)
 READ_GAP = timedelta(seconds=5)
 
 _DEFAULT_TERM = timedelta(seconds=10)
@@ -81,6 +84,7 @@
         self._watches: dict[ids.DomainId, Watch] = {}
         self._promises: dict[ids.DomainId, timedelta] = {}
         self._highest: dict[ids.DomainId, ids.Epoch] = {}
+        self._raised_at: dict[ids.DomainId, timedelta] = {}
         self._read_at = timedelta.min
 
     def heard(self, vm: ids.VmId, *, now: timedelta) -> None:
@@ -154,7 +158,7 @@
         """Return heartbeats to the holders and candidates that matter."""
         watched: set[ids.VmId] = set()
         for domain in domains:
-            ranked = self._ranked(domain)[:PROBING_CANDIDATES]
+            ranked = self._view.ranked(domain)[:PROBING_CANDIDATES]
             if self._view.vm not in ranked:
                 continue
             watched.update(ranked)
@@ -164,9 +168,9 @@
         watched.discard(self._view.vm)
         return self._live.probe(frozenset(watched), now=now)
 
-    def _ranked(self, domain: ids.DomainId) -> tuple[ids.VmId, ...]:
-        zone = views.zone_of(domain)
-        return views.rank(domain, self._view.entries(zone))
+    def raised(self, domain: ids.DomainId, *, now: timedelta) -> None:
+        """Record that this process tries to raise the epoch."""
+        self._raised_at[domain] = now
 
     def wants(self, domain: ids.DomainId, *, now: timedelta) -> bool:
         """Whether this process should raise the epoch now."""
@@ -176,12 +180,15 @@
             return False
         if now < self._promises.get(domain, timedelta.min):
             return False
+        raised = self._raised_at.get(domain)
+        if raised is not None and now < raised + RAISE_AGAIN:
+            return False
         if views.zone_of(domain) == self._view.zone:
             return self._wants_own(domain, now=now)
         return self._wants_foreign(domain, now=now)
 
     def _wants_own(self, domain: ids.DomainId, *, now: timedelta) -> bool:
-        ranked = self._ranked(domain)
+        ranked = self._view.ranked(domain)
         if self._view.vm not in ranked:
             return False
         position = ranked.index(self._view.vm)
--- a/goldcresthaven/keeper.py
+++ b/goldcresthaven/keeper.py
@@ -99,6 +99,7 @@
             row, self._terms(domain), wait=wait, txn=txn
         )
         self._raising[txn] = domain, raised, wait
+        self._candidacy.raised(domain, now=now)
         transaction = tables.Transaction(
             txn=txn,
             conditions=(claims.unchanged(domain, row),),
--- a/goldcresthaven/ownership.py
+++ b/goldcresthaven/ownership.py
@@ -15,7 +15,6 @@
 from goldcresthaven import ids
 from goldcresthaven import keeper
 from goldcresthaven import mapwriter
-from goldcresthaven import members
 from goldcresthaven import mover
 from goldcresthaven import pending
 from goldcresthaven import shards
@@ -106,10 +105,10 @@
     def _inform(self, event: control.Event, now: timedelta) -> None:
         match event:
             case control.MembersRead():
-                self._view.vms = {m.vm: m for m in event.members}
+                self._view.set_members(event.members)
                 self._spread_map(now)
             case control.ConfigApplied():
-                self._view.document = event.document
+                self._view.set_document(event.document)
                 self._spread_map(now)
             case control.ClaimsRead():
                 rows = {
@@ -124,7 +123,7 @@
                 self._view.hot_keys = event.hot_keys
             case control.MapLoaded():
                 if event.shard_map.version > self.shard_map.version:
-                    self._view.shard_map = event.shard_map
+                    self._view.set_map(event.shard_map)
                     self._spread_map(now)
             case control.Stopping():
                 self._keeper.stopping = True
@@ -144,9 +143,7 @@
         return actions
 
     def _reads(self, now: timedelta) -> list[control.Action]:
-        entries = sum(
-            m.role is members.Role.ENTRY for m in self._view.vms.values()
-        )
+        entries = self._view.entry_count()
         every = max(READ_EVERY, timedelta(seconds=entries / FLEET_READS))
         if self._awaiting:
             every = READ_AGAIN
@@ -186,7 +183,7 @@
         missing = False
         for change in sorted(changes, key=lambda c: c.version):
             if change.version == self.shard_map.version + 1:
-                self._view.shard_map = self.shard_map.apply(change)
+                self._view.set_map(self.shard_map.apply(change))
             elif change.version > self.shard_map.version:
                 missing = True
         if self.shard_map.version != before:
--- a/goldcresthaven/rebalance.py
+++ b/goldcresthaven/rebalance.py
@@ -60,7 +60,7 @@
     Upstreams without a home count as usable, because the same change
     gives them one.
     """
-    present = {s.pool for s in view.shard_map.shards.values()}
+    present = view.present_pools()
     result: list[shards.Shard] = []
     for pool in view.keyed_pools():
         if pool.name in present or not pool.shards:
--- a/goldcresthaven/view.py
+++ b/goldcresthaven/view.py
@@ -29,6 +29,20 @@
     return ids.ZoneId(domain.rpartition('/')[0])
 
 
+@dataclass(kw_only=True, slots=True)
+class _Derived:
+    """Results that hold until the map, list or configuration changes."""
+
+    owned: dict[ids.UpstreamId, frozenset[ids.ShardId]] | None = None
+    upstreams: dict[ids.UpstreamId, members.Member] | None = None
+    domains: frozenset[ids.DomainId] | None = None
+    entry_count: int | None = None
+    present: frozenset[ids.PoolName] | None = None
+    ranked: dict[ids.DomainId, tuple[ids.VmId, ...]] = field(
+        default_factory=dict
+    )
+
+
 @dataclass(kw_only=True, slots=True)
 class View:
     """Current map, members, configuration and loads of this process."""
@@ -40,21 +54,45 @@
     document: presets.Document | None = None
     loads: dict[ids.ShardId, float] = field(default_factory=dict)
     hot_keys: tuple[control.HotKey, ...] = ()
-    _owned: dict[ids.UpstreamId, frozenset[ids.ShardId]] = field(
-        default_factory=dict
-    )
-    _owned_version: ids.MapVersion = ids.MapVersion(0)
+    _derived: _Derived = field(default_factory=_Derived)
+
+    def set_map(self, shard_map: shards.ShardMap) -> None:
+        self.shard_map = shard_map
+        self._derived = _Derived()
+
+    def set_members(self, listed: Iterable[members.Member]) -> None:
+        self.vms = {m.vm: m for m in listed}
+        self._derived = _Derived()
+
+    def set_document(self, document: presets.Document) -> None:
+        self.document = document
+        self._derived = _Derived()
 
     def owned(self) -> dict[ids.UpstreamId, frozenset[ids.ShardId]]:
         """Return the shards of each owner in the current map."""
-        if self._owned_version != self.shard_map.version:
+        if self._derived.owned is None:
             owned: dict[ids.UpstreamId, set[ids.ShardId]] = {}
             for shard in self.shard_map.shards.values():
                 if shard.owner is not None:
                     owned.setdefault(shard.owner, set()).add(shard.shard_id)
-            self._owned = {u: frozenset(s) for u, s in owned.items()}
-            self._owned_version = self.shard_map.version
-        return self._owned
+            self._derived.owned = {u: frozenset(s) for u, s in owned.items()}
+        return self._derived.owned
+
+    def entry_count(self) -> int:
+        """Return the number of listed entry VMs."""
+        if self._derived.entry_count is None:
+            self._derived.entry_count = sum(
+                m.role is members.Role.ENTRY for m in self.vms.values()
+            )
+        return self._derived.entry_count
+
+    def present_pools(self) -> frozenset[ids.PoolName]:
+        """Return the pools that have shards."""
+        if self._derived.present is None:
+            self._derived.present = frozenset(
+                s.pool for s in self.shard_map.shards.values()
+            )
+        return self._derived.present
 
     def pool_shards(self, pool: ids.PoolName) -> list[shards.Shard]:
         return [s for s in self.shard_map.shards.values() if s.pool == pool]
@@ -68,12 +106,21 @@
 
     def domains(self) -> frozenset[ids.DomainId]:
         """Return the domains with an upstream that is listed or owns."""
-        homes = self.shard_map.homes
-        return frozenset(
-            homes[u]
-            for u in self.upstreams().keys() | self.owned().keys()
-            if u in homes
-        )
+        if self._derived.domains is None:
+            homes = self.shard_map.homes
+            self._derived.domains = frozenset(
+                homes[u]
+                for u in self.upstreams().keys() | self.owned().keys()
+                if u in homes
+            )
+        return self._derived.domains
+
+    def ranked(self, domain: ids.DomainId) -> tuple[ids.VmId, ...]:
+        """Return the entry VMs of a domain's zone, the best first."""
+        known = self._derived.ranked
+        if domain not in known:
+            known[domain] = rank(domain, self.entries(zone_of(domain)))
+        return known[domain]
 
     @property
     def lost_zones(self) -> frozenset[ids.ZoneId]:
@@ -112,11 +159,13 @@
 
     def upstreams(self) -> dict[ids.UpstreamId, members.Member]:
         """Return the listed upstreams, leaving ones included."""
-        return {
-            ids.UpstreamId(m.vm): m
-            for m in self.vms.values()
-            if m.role is members.Role.UPSTREAM
-        }
+        if self._derived.upstreams is None:
+            self._derived.upstreams = {
+                ids.UpstreamId(m.vm): m
+                for m in self.vms.values()
+                if m.role is members.Role.UPSTREAM
+            }
+        return self._derived.upstreams
 
     def must_leave(self, upstream: ids.UpstreamId) -> bool:
         """Whether an upstream has to give up its shards."""
@@ -150,6 +199,8 @@
         """
         homes = self.shard_map.homes
         listed = self.upstreams()
+        if listed.keys() <= homes.keys():
+            return ()
         owners = self.owned()
         sizes: dict[ids.DomainId, int] = {}
         for upstream, domain in homes.items():
--- a/proofs/ownership_sim.py
+++ b/proofs/ownership_sim.py
@@ -339,6 +339,8 @@
             if self.faults.store_down:
                 return
             event = request()
+            if node.name in self.faults.mute:
+                return
             self.network.send(
                 sim_world.STORE, node.name, lambda: finish(event)
             )
--- /dev/null
+++ b/proofs/sim_splits.py
@@ -0,0 +1,180 @@
+"""Failures that set a claim holder against its successor.
+
+Random failures seldom leave a holder with one of its upstreams on one
+side and a successor with the store on the other. These scripts do, with
+random details, and add a few random failures.
+"""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+from goldcresthaven import control
+from goldcresthaven import ids
+from proofs import ownership_sim
+from proofs import sim_faults
+from proofs import sim_world
+
+SHAPE = ownership_sim.Shape(
+    zones=2,
+    entries=4,
+    upstreams=2,
+    shards=4,
+    term=timedelta(seconds=6),
+    grace=timedelta(seconds=40),
+)
+WARM_UP = 9.0
+DURATION = 60.0
+ZONE = 'z0'
+DOMAIN = 'z0/0'
+
+
+class SplitWorld(sim_faults.FaultyWorld):
+    """A world that runs one script."""
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed, SHAPE)
+
+    def run(self, duration: float = DURATION) -> ownership_sim.Outcome:
+        self.schedule.run(WARM_UP + self.rng.uniform(0.0, 2.0))
+        self.faults.loss = self.rng.choice((0.0, 0.01))
+        holder = self.holder_of(DOMAIN)
+        if holder is not None:
+            self.rng.choice(_SCRIPTS)(self, holder)
+        self._next_request()
+        self.schedule.run(duration)
+        self.check_log()
+        return self.outcome
+
+    def peers(self, holder: str) -> list[str]:
+        """Return the other entry processes of the zone, shuffled."""
+        names = [n for n in self.zone(ZONE) if n in self.entries]
+        names.remove(holder)
+        self.rng.shuffle(names)
+        return names
+
+    def split(self, side: list[str], duration: float) -> None:
+        """Cut a side from the store and everything else."""
+        everyone = [*self.entries, *self.upstreams, sim_world.STORE]
+        rest = [n for n in everyone if n not in side]
+        self.block(sim_world.pairs(side, rest), duration)
+
+    def own_upstream(self) -> str:
+        names = [n for n in self.zone(ZONE) if n in self.upstreams]
+        return self.rng.choice(names)
+
+    def tell_members(self, name: str, without: set[str]) -> None:
+        """Give one process a membership list that lags."""
+        listed = tuple(m for m in self.members() if m.vm not in without)
+        self.feed(name, control.MembersRead(members=listed))
+
+    def drain_now(self, name: str) -> None:
+        self.drained = (ids.UpstreamId(name),)
+        for entry in self.entries:
+            self.inform(entry)
+
+    def split_with_some_peers(self, holder: str) -> None:
+        """Cut off a holder, an upstream and some or no peers."""
+        peers = self.peers(holder)
+        side = [holder, self.own_upstream()]
+        side += peers[: self.rng.randrange(len(peers) + 1)]
+        self.split(side, self.rng.uniform(5.0, 60.0))
+
+    def split_with_strangers_outside(self, holder: str) -> None:
+        """Leave outside only VMs that the holder's row does not name.
+
+        The first of them may be lost after it took over.
+        """
+        first, second, inside = self.peers(holder)
+        strangers = {first, second}
+        for name in (holder, inside):
+            self.tell_members(name, strangers)
+        upstream = self.own_upstream()
+
+        def split() -> None:
+            self.split([holder, inside, upstream], 55.0)
+
+        self.schedule.after(self.rng.uniform(2.5, 5.0), split)
+        if self.rng.random() < 0.7:
+            for name in strangers:
+                delay = self.rng.uniform(10.0, 14.0)
+                self.schedule.after(delay, self.entries[name].stop)
+                if self.rng.random() < 0.7:
+                    break
+
+    def split_after_unseen_renewal(self, holder: str) -> None:
+        """Add a peer by a renewal whose response the holder misses."""
+        stranger, *inside = self.peers(holder)
+        self.tell_members(holder, {stranger})
+        upstream = self.own_upstream()
+
+        def relist() -> None:
+            self.faults.mute.add(holder)
+            self.tell_members(holder, set())
+
+        def split() -> None:
+            self.split([holder, *inside, upstream], 50.0)
+
+        delay = self.rng.uniform(3.0, 5.0)
+        self.schedule.after(delay, relist)
+        self.schedule.after(delay + self.rng.uniform(2.0, 3.0), split)
+
+    def restart_between_holders(self, holder: str) -> None:
+        """Restart an upstream that only the earlier holder reaches."""
+        upstream = self.own_upstream()
+        links = sim_world.pairs([holder], [*self.entries, sim_world.STORE])
+        self.block(links, self.rng.uniform(4.0, 10.0))
+        self.drain_now(upstream)
+        others = [e for e in self.entries if e != holder]
+
+        def isolate() -> None:
+            self.block(sim_world.pairs([upstream], others), 10.0)
+            self.upstreams[upstream].stop()
+            self.start_upstream(upstream)
+
+        self.schedule.after(self.rng.uniform(0.8, 2.0), isolate)
+
+    def release_with_late_grants(self, holder: str) -> None:
+        """Release a claim while grants are late and a drain begins."""
+        self.faults.late = 0.5
+        self.faults.late_by = 1.5
+        self.schedule.after(
+            self.rng.uniform(0.5, 2.0),
+            lambda: self.feed(holder, control.Stopping()),
+        )
+        upstream = self.own_upstream()
+        self.schedule.after(
+            self.rng.uniform(0.5, 3.0), lambda: self.drain_now(upstream)
+        )
+
+    def pause_while_writing(self, holder: str) -> None:
+        """Pause a holder before its writes and take its claim over."""
+        self.pause_before_send = self.rng.choice((0.005, 0.02))
+        self.drain_now(self.own_upstream())
+        self.schedule.after(8.0, self.calm)
+
+    def calm(self) -> None:
+        self.pause_before_send = 0.0
+
+    def map_copy_lags(self, holder: str) -> None:
+        """Cut the peers from each other, so that only the log is fresh."""
+        entries = list(self.entries)
+        self.block(sim_world.pairs(entries, entries), 20.0)
+        self.drain_now(self.own_upstream())
+        delay = self.rng.uniform(0.0, 0.5)
+        self.schedule.after(delay, lambda: self.entries[holder].pause(20.0))
+
+
+_SCRIPTS: tuple[Callable[[SplitWorld, str], None], ...] = (
+    SplitWorld.split_with_some_peers,
+    SplitWorld.split_with_strangers_outside,
+    SplitWorld.split_after_unseen_renewal,
+    SplitWorld.restart_between_holders,
+    SplitWorld.release_with_late_grants,
+    SplitWorld.pause_while_writing,
+    SplitWorld.map_copy_lags,
+)
+
+
+def run(seed: int) -> ownership_sim.Outcome:
+    """Run the product under the script of a seed."""
+    return SplitWorld(seed).run()
--- a/proofs/sim_world.py
+++ b/proofs/sim_world.py
@@ -58,10 +58,14 @@
 
 @dataclass(kw_only=True)
 class Faults:
-    """The failures in force; loss and lateness are probabilities."""
+    """The failures in force; loss and lateness are probabilities.
+
+    The store's responses to the nodes in ``mute`` are lost.
+    """
 
     blocked: set[frozenset[str]] = field(default_factory=set)
     store_down: bool = False
+    mute: set[str] = field(default_factory=set)
     loss: float = 0.0
     late: float = 0.0
     late_by: float = 3.0
