Report lost upstreams in claim rows; add failure cases

The simulation showed two holders passing a shard to and fro: one counted an upstream as lost, the other, which cannot see that, filled it again. A holder now names its lost upstreams in the row. A candidate no longer waits for the process that has just released the claim.

--- a/goldcresthaven/candidates.py
+++ b/goldcresthaven/candidates.py
@@ -34,10 +34,14 @@
 
 @dataclass(kw_only=True, slots=True)
 class Watch:
-    """The last row seen of one domain and since when it is unchanged."""
+    """The last row seen of one domain and since when it is unchanged.
+
+    ``holder`` is the last one named, also after it released the claim.
+    """
 
     row: claims.ClaimRow | None
     since: timedelta
+    holder: ids.VmId | None = None
 
 
 class Liveness:
@@ -106,7 +110,8 @@
         if row is not None:
             self.epoch_seen(domain, row.epoch)
         if watch is None:
-            self._watches[domain] = Watch(row=row, since=now)
+            holder = None if row is None else row.holder
+            self._watches[domain] = Watch(row=row, since=now, holder=holder)
             return
         if row is None or watch.row == row:
             return
@@ -114,7 +119,8 @@
         if old is not None:
             if (row.epoch, row.renewal) <= (old.epoch, old.renewal):
                 return
-        self._watches[domain] = Watch(row=row, since=now)
+        holder = row.holder or watch.holder
+        self._watches[domain] = Watch(row=row, since=now, holder=holder)
 
     def rows_read(
         self, rows: dict[ids.DomainId, claims.ClaimRow], *, now: timedelta
@@ -134,6 +140,14 @@
             for watch in self._watches.values():
                 watch.since = now
 
+    def reported_lost(self) -> dict[ids.DomainId, frozenset[ids.UpstreamId]]:
+        """Return the upstreams that the holders report as lost."""
+        return {
+            domain: watch.row.lost
+            for domain, watch in self._watches.items()
+            if watch.row is not None
+        }
+
     def epoch_seen(self, domain: ids.DomainId, epoch: ids.Epoch) -> None:
         highest = self._highest.get(domain, ids.Epoch(0))
         self._highest[domain] = max(highest, epoch)
@@ -201,7 +215,8 @@
         if holder is not None and holder != self._view.vm:
             if self._live.alive(holder, now=now):
                 return False
-        better = (vm for vm in ranked[:position] if vm != holder)
+        last = self._watches[domain].holder
+        better = (vm for vm in ranked[:position] if vm != last)
         return not any(self._live.alive(vm, now=now) for vm in better)
 
     def _wants_foreign(self, domain: ids.DomainId, *, now: timedelta) -> bool:
--- a/goldcresthaven/claims.py
+++ b/goldcresthaven/claims.py
@@ -42,6 +42,8 @@
     ``peers`` are the VMs that may take over after ``term``; all others
     wait for ``grace``. ``settled`` says that no earlier epoch's claim can
     still be valid. ``txn`` names the transaction that wrote the row.
+    ``lost`` are the upstreams that the holder cannot reach, so that other
+    domains' holders move no shards to them.
     """
 
     epoch: ids.Epoch
@@ -53,6 +55,7 @@
     grace: timedelta
     settled: bool
     txn: ids.TxnId
+    lost: frozenset[ids.UpstreamId] = frozenset()
 
     def to_value(self) -> dict[str, Any]:
         """Return the row's value for the table service."""
@@ -66,6 +69,7 @@
             'grace_ms': self.grace // _MS,
             'settled': self.settled,
             'txn': self.txn,
+            'lost': sorted(self.lost),
         }
 
     @classmethod
@@ -83,6 +87,7 @@
                 grace=int(value['grace_ms']) * _MS,
                 settled=value['settled'] is True,
                 txn=ids.TxnId(value['txn']),
+                lost=frozenset(ids.UpstreamId(u) for u in value['lost']),
             )
         except (KeyError, TypeError, ValueError) as exc:
             raise errors.ProtocolError(
@@ -100,6 +105,7 @@
     peers: frozenset[ids.VmId]
     term: timedelta
     grace: timedelta
+    lost: frozenset[ids.UpstreamId] = frozenset()
 
 
 def takeover_wait(
@@ -152,6 +158,7 @@
         grace=grace,
         settled=settled,
         txn=txn,
+        lost=frozenset() if row is None else row.lost,
     )
 
 
@@ -253,6 +260,7 @@
             grace=terms.grace if settled else max(row.grace, terms.grace),
             settled=settled,
             txn=txn,
+            lost=terms.lost,
         )
 
     def released_row(self, *, txn: ids.TxnId, now: timedelta) -> ClaimRow:
@@ -268,6 +276,7 @@
             grace=row.grace,
             settled=row.settled or now >= self.settled_at,
             txn=txn,
+            lost=row.lost,
         )
 
     def applied(self, row: ClaimRow, *, sent: timedelta) -> None:
--- a/goldcresthaven/domain.py
+++ b/goldcresthaven/domain.py
@@ -139,6 +139,10 @@
             )
             self.upstreams[upstream] = UpstreamState(issuer, now=now)
 
+    def lost(self) -> frozenset[ids.UpstreamId]:
+        """Return the upstreams that cannot be reached."""
+        return frozenset(u for u, s in self.upstreams.items() if s.lost)
+
     def forgive_silence(self, now: timedelta) -> None:
         """Count the silence of upstreams from now on."""
         for state in self.upstreams.values():
--- a/goldcresthaven/keeper.py
+++ b/goldcresthaven/keeper.py
@@ -78,8 +78,13 @@
             peers=frozenset(others[: claims.MAX_PEERS]),
             term=_DEFAULT_TERM if preset is None else preset.claim_term,
             grace=_DEFAULT_GRACE if preset is None else preset.claim_grace,
+            lost=self._lost(domain),
         )
 
+    def _lost(self, domain: ids.DomainId) -> frozenset[ids.UpstreamId]:
+        held = self.held.get(domain)
+        return frozenset() if held is None else held.lost()
+
     def _raise(self, now: timedelta) -> list[control.Action]:
         actions: list[control.Action] = []
         for domain in sorted(self._view.domains()):
@@ -110,7 +115,7 @@
     def _renew(self, now: timedelta) -> list[control.Action]:
         if self._renewing or not self.held:
             return []
-        if not any(h.claim.renewal_due(now) for h in self.held.values()):
+        if not any(_renewal_due(h, now) for h in self.held.values()):
             return []
         txn = self._transactions.new_id()
         rows: dict[ids.DomainId, claims.ClaimRow] = {}
@@ -286,6 +291,12 @@
         return found == row
 
 
+def _renewal_due(held: domains.HeldDomain, now: timedelta) -> bool:
+    """Whether a third of the term is over or the row's news is old."""
+    changed = held.log_read and held.lost() != held.claim.row.lost
+    return changed or held.claim.renewal_due(now)
+
+
 def _failed_rows(
     result: tables.Result,
 ) -> dict[ids.DomainId, claims.ClaimRow]:
--- a/goldcresthaven/mover.py
+++ b/goldcresthaven/mover.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from datetime import timedelta
 
+from goldcresthaven import candidates
 from goldcresthaven import control
 from goldcresthaven import domain as domains
 from goldcresthaven import ids
@@ -29,9 +30,15 @@
 class Mover:
     """Plans and writes the map changes of this process."""
 
-    def __init__(self, view: views.View, writer: mapwriter.MapWriter) -> None:
+    def __init__(
+        self,
+        view: views.View,
+        candidacy: candidates.Candidacy,
+        writer: mapwriter.MapWriter,
+    ) -> None:
         self.log_was_read = False
         self._view = view
+        self._candidacy = candidacy
         self._writer = writer
         self._targets: dict[ids.ShardId, ids.UpstreamId] = {}
         self._plan_at = timedelta.min
@@ -79,12 +86,9 @@
         return actions
 
     def _plan(self, held: Held, now: timedelta) -> None:
-        lost = frozenset(
-            upstream
-            for domain in held.values()
-            for upstream, state in domain.upstreams.items()
-            if state.lost
-        )
+        known = self._candidacy.reported_lost()
+        known.update({name: d.lost() for name, d in held.items()})
+        lost = frozenset().union(*known.values())
         moves: list[placement.Move] = []
         for pool in self._view.keyed_pools():
             moves.extend(rebalance.plan_pool(self._view, pool.name, lost))
--- a/goldcresthaven/ownership.py
+++ b/goldcresthaven/ownership.py
@@ -47,7 +47,7 @@
             self._view, self._candidacy, self._transactions
         )
         self._writer = mapwriter.MapWriter(self._transactions)
-        self._mover = mover.Mover(self._view, self._writer)
+        self._mover = mover.Mover(self._view, self._candidacy, self._writer)
         self._token = 0
         self._read_at: timedelta | None = None
         self._awaiting: dict[ids.DomainId, int] = {}
--- a/proofs/knockouts.py
+++ b/proofs/knockouts.py
@@ -20,6 +20,7 @@
 from goldcresthaven import ids
 from goldcresthaven import leases
 from goldcresthaven import mapwriter
+from goldcresthaven import ownership
 from goldcresthaven import tables
 
 
@@ -166,6 +167,15 @@
     held.log_read = True
 
 
+def _ignore_log(
+    controller: Any, event: control.MapLogRead, now: timedelta
+) -> list[control.Action]:
+    """Learn of map changes from peers only."""
+    controller._mover.log_was_read = True
+    controller._awaiting.clear()
+    return []
+
+
 def _always_valid(claim: claims.HeldClaim, now: timedelta) -> bool:
     return True
 
@@ -266,7 +276,17 @@
         ),
     ),
     _one('5 release before a move', _DOMAIN, 'release', _released_unconfirmed),
-    _one('6 read the log', _DOMAIN, '__init__', _log_unread),
+    Knockout(
+        rule='6 read the log',
+        patches=(
+            Patch(target=_DOMAIN, name='__init__', value=_log_unread),
+            Patch(
+                target=ownership.Controller,
+                name='_log_read',
+                value=_ignore_log,
+            ),
+        ),
+    ),
     _one('7 check the claim', _CLAIM, 'valid', _always_valid),
     _one('8 epoch condition', mapwriter, 'conditions', _no_epoch_condition),
     _one('8 absent condition', mapwriter, 'conditions', _no_absent_condition),
--- /dev/null
+++ b/proofs/ownership_cases.py
@@ -0,0 +1,149 @@
+"""Single failures and how long keys stay unserved because of them.
+
+Each case returns the run's outcome; the longest gap is in seconds of true
+time, measured every 50 ms.
+"""
+
+from datetime import timedelta
+
+from goldcresthaven import control
+from goldcresthaven import ids
+from proofs import ownership_sim
+from proofs import sim_world
+
+SHAPE = ownership_sim.Shape(
+    zones=3,
+    entries=3,
+    upstreams=2,
+    shards=12,
+    term=timedelta(seconds=10),
+    grace=timedelta(seconds=60),
+)
+WARM_UP = 15.0
+ZONE = 'z0'
+DOMAIN = ids.DomainId('z0/0')
+
+
+class Case(ownership_sim.World):
+    """A world that is warmed up and has no random failures."""
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed, SHAPE)
+        phase = self.rng.uniform(0.0, 3.0)
+        self.schedule.run(WARM_UP + phase)
+        self.reset_measurements()
+
+    def lose_holder(self) -> None:
+        holder = self.holder_of(DOMAIN)
+        assert holder is not None
+        self.entries[holder].stop()
+
+    def lose_upstream(self) -> None:
+        self.upstreams[f'{ZONE}-u0'].stop()
+
+    def cut_zone(self) -> None:
+        inside = self.zone(ZONE)
+        everyone = [*self.entries, *self.upstreams, sim_world.STORE]
+        outside = [n for n in everyone if n not in inside]
+        self.faults.blocked |= sim_world.pairs(inside, outside)
+
+    def lose_peer(self) -> None:
+        holder = self.holder_of(DOMAIN)
+        names = [n for n in self.zone(ZONE) if n in self.entries]
+        names = [n for n in names if n != holder]
+        self.entries[self.rng.choice(names)].stop()
+
+    def finish(self, after: float) -> ownership_sim.Outcome:
+        self.schedule.run(self.schedule.now + after)
+        self.check_log()
+        return self.outcome
+
+
+def longest_gap(outcome: ownership_sim.Outcome) -> float:
+    """Return the longest time for which any key was unserved."""
+    return max(outcome.longest.values(), default=0.0)
+
+
+def holder_lost(seed: int) -> ownership_sim.Outcome:
+    """Lose a claim holder while its upstreams are well."""
+    case = Case(seed)
+    case.lose_holder()
+    return case.finish(20.0)
+
+
+def upstream_lost(seed: int) -> ownership_sim.Outcome:
+    """Lose an upstream while its claim holder is well."""
+    case = Case(seed)
+    case.lose_upstream()
+    return case.finish(20.0)
+
+
+def holder_and_upstream_lost(seed: int) -> ownership_sim.Outcome:
+    """Lose both at once, as in a rack failure."""
+    case = Case(seed)
+    case.lose_holder()
+    case.lose_upstream()
+    return case.finish(30.0)
+
+
+def zone_cut_off(seed: int) -> ownership_sim.Outcome:
+    """Cut a zone off from the store and the other zones, then heal it."""
+    case = Case(seed)
+    case.cut_zone()
+    case.schedule.run(case.schedule.now + 35.0)
+    case.faults.blocked.clear()
+    return case.finish(30.0)
+
+
+def zone_cut_off_beyond_grace(seed: int) -> ownership_sim.Outcome:
+    """Cut a zone off for longer than its grace; others take its keys."""
+    case = Case(seed)
+    case.cut_zone()
+    return case.finish(120.0)
+
+
+def zone_confirmed_lost(seed: int) -> ownership_sim.Outcome:
+    """Lose a whole zone; an operator confirms it after 5 s."""
+    case = Case(seed)
+    for name in case.zone(ZONE):
+        (case.entries | case.upstreams)[name].stop()
+    case.schedule.run(case.schedule.now + 5.0)
+    case.lost_zones = (ids.ZoneId(ZONE),)
+    case.inform_all()
+    return case.finish(30.0)
+
+
+def store_down(seed: int) -> ownership_sim.Outcome:
+    """Stop the store for three terms while all peers consent."""
+    case = Case(seed)
+    case.faults.store_down = True
+    case.schedule.run(case.schedule.now + 30.0)
+    case.faults.store_down = False
+    return case.finish(20.0)
+
+
+def store_down_with_silent_peer(seed: int) -> ownership_sim.Outcome:
+    """Stop the store and one peer of a zone; its claim ends at the term."""
+    case = Case(seed)
+    case.lose_peer()
+    case.faults.store_down = True
+    case.schedule.run(case.schedule.now + 30.0)
+    case.faults.store_down = False
+    return case.finish(20.0)
+
+
+def upstream_drained(seed: int) -> ownership_sim.Outcome:
+    """Drain an upstream that works."""
+    case = Case(seed)
+    case.drained = (ids.UpstreamId(f'{ZONE}-u0'),)
+    case.inform_all()
+    return case.finish(15.0)
+
+
+def holder_released(seed: int) -> ownership_sim.Outcome:
+    """Stop a claim holder gracefully."""
+    case = Case(seed)
+    holder = case.holder_of(DOMAIN)
+    assert holder is not None
+    case.feed(holder, control.Stopping())
+    return case.finish(15.0)
--- a/proofs/ownership_sim.py
+++ b/proofs/ownership_sim.py
@@ -244,6 +244,7 @@
                 node.perform(send)
 
     pause_before_send = 0.0
+    gossip_loss = 0.2
 
     def stop(self, node: sim_world.Node) -> None:
         node.stop()
@@ -439,7 +440,7 @@
         self._reported[change.version] = change.txn
         self.check_log()
         for name in self.entries:
-            if name == node.name or self.rng.random() < 0.2:
+            if name == node.name or self.rng.random() < self.gossip_loss:
                 continue
             self._push(node, name, change)
 
--- a/proofs/sim_splits.py
+++ b/proofs/sim_splits.py
@@ -40,7 +40,8 @@
         holder = self.holder_of(DOMAIN)
         if holder is not None:
             self.rng.choice(_SCRIPTS)(self, holder)
-        self._next_request()
+        if self.rng.random() < 0.5:
+            self._next_request()
         self.schedule.run(duration)
         self.check_log()
         return self.outcome
@@ -58,19 +59,23 @@
         rest = [n for n in everyone if n not in side]
         self.block(sim_world.pairs(side, rest), duration)
 
+    def own_upstreams(self) -> list[str]:
+        return [n for n in self.zone(ZONE) if n in self.upstreams]
+
     def own_upstream(self) -> str:
-        names = [n for n in self.zone(ZONE) if n in self.upstreams]
-        return self.rng.choice(names)
+        return self.rng.choice(self.own_upstreams())
 
     def tell_members(self, name: str, without: set[str]) -> None:
         """Give one process a membership list that lags."""
         listed = tuple(m for m in self.members() if m.vm not in without)
         self.feed(name, control.MembersRead(members=listed))
 
-    def drain_now(self, name: str) -> None:
+    def drain_now(self, name: str, unaware: str = '') -> None:
+        """Drain an upstream; one process may not learn of it."""
         self.drained = (ids.UpstreamId(name),)
         for entry in self.entries:
-            self.inform(entry)
+            if entry != unaware and self.entries[entry].up:
+                self.inform(entry)
 
     def split_with_some_peers(self, holder: str) -> None:
         """Cut off a holder, an upstream and some or no peers."""
@@ -122,8 +127,10 @@
         """Restart an upstream that only the earlier holder reaches."""
         upstream = self.own_upstream()
         links = sim_world.pairs([holder], [*self.entries, sim_world.STORE])
+        other = [u for u in self.own_upstreams() if u != upstream]
+        links |= sim_world.pairs([holder], other)
         self.block(links, self.rng.uniform(4.0, 10.0))
-        self.drain_now(upstream)
+        self.drain_now(upstream, unaware=holder)
         others = [e for e in self.entries if e != holder]
 
         def isolate() -> None:
@@ -131,20 +138,34 @@
             self.upstreams[upstream].stop()
             self.start_upstream(upstream)
 
-        self.schedule.after(self.rng.uniform(0.8, 2.0), isolate)
+        self.schedule.after(self.rng.uniform(1.2, 3.0), isolate)
 
     def release_with_late_grants(self, holder: str) -> None:
         """Release a claim while grants are late and a drain begins."""
-        self.faults.late = 0.5
-        self.faults.late_by = 1.5
-        self.schedule.after(
-            self.rng.uniform(0.5, 2.0),
-            lambda: self.feed(holder, control.Stopping()),
-        )
         upstream = self.own_upstream()
-        self.schedule.after(
-            self.rng.uniform(0.5, 3.0), lambda: self.drain_now(upstream)
-        )
+
+        def slow_down() -> None:
+            delay = self.rng.uniform(0.8, 1.4)
+            self.faults.slow[holder, upstream] = delay
+
+        def release() -> None:
+            self.feed(holder, control.Stopping())
+            self.drain_now(upstream, unaware=holder)
+
+        delay = self.rng.uniform(0.5, 2.0)
+        self.schedule.after(delay, slow_down)
+        delay += self.rng.uniform(0.2, 0.6)
+        self.schedule.after(delay, release)
+
+    def meet_again(self, holder: str) -> None:
+        """Separate a holder from its peers just long enough to lose it."""
+        peers = self.peers(holder)
+        store = {frozenset((holder, sim_world.STORE))}
+        self.block(store, self.rng.uniform(20.0, 50.0))
+        apart = sim_world.pairs([holder], peers)
+        self.block(apart, self.rng.uniform(1.0, 3.0))
+        others = [e for e in self.entries if e != holder]
+        self.block(sim_world.pairs(self.own_upstreams(), others), 50.0)
 
     def pause_while_writing(self, holder: str) -> None:
         """Pause a holder before its writes and take its claim over."""
@@ -156,10 +177,11 @@
         self.pause_before_send = 0.0
 
     def map_copy_lags(self, holder: str) -> None:
-        """Cut the peers from each other, so that only the log is fresh."""
-        entries = list(self.entries)
-        self.block(sim_world.pairs(entries, entries), 20.0)
-        self.drain_now(self.own_upstream())
+        """Lose a holder just after a move that its peers did not hear of."""
+        self.gossip_loss = self.rng.choice((0.5, 1.0))
+        self.add_upstream('z1-j0')
+        for name in self.entries:
+            self.inform(name)
         delay = self.rng.uniform(0.0, 0.5)
         self.schedule.after(delay, lambda: self.entries[holder].pause(20.0))
 
@@ -172,6 +194,7 @@
     SplitWorld.release_with_late_grants,
     SplitWorld.pause_while_writing,
     SplitWorld.map_copy_lags,
+    SplitWorld.meet_again,
 )
 
 
--- a/proofs/sim_world.py
+++ b/proofs/sim_world.py
@@ -60,12 +60,14 @@
 class Faults:
     """The failures in force; loss and lateness are probabilities.
 
-    The store's responses to the nodes in ``mute`` are lost.
+    The store's responses to the nodes in ``mute`` are lost. ``slow`` holds
+    the delays of single directions of links.
     """
 
     blocked: set[frozenset[str]] = field(default_factory=set)
     store_down: bool = False
     mute: set[str] = field(default_factory=set)
+    slow: dict[tuple[str, str], float] = field(default_factory=dict)
     loss: float = 0.0
     late: float = 0.0
     late_by: float = 3.0
@@ -91,7 +93,8 @@
             return
         if self._rng.random() < faults.loss:
             return
-        self._schedule.after(self._delay(), deliver)
+        slow = faults.slow.get((source, target), 0.0)
+        self._schedule.after(slow + self._delay(), deliver)
         if self._rng.random() < faults.duplicate:
             self._schedule.after(self._delay(), deliver)
 
