--- /dev/null
+++ b/goldcresthaven/slot_manager.py
@@ -0,0 +1,493 @@
+"""Slot leases, the side of the claim holder of a domain.
+
+The manager gives each slot of an upstream to one entry at a time. A slot is
+free again when its holder returned it, when a later demand proves that the
+holder does not have it, or when the holder has been silent for so long that
+its lease and the longest request that it could have started are over.
+
+The state is in memory only. A successor starts with no knowledge of its
+predecessor's grants; see ``Manager``.
+"""
+
+from collections.abc import Collection
+from collections.abc import Iterable
+from collections.abc import Sequence
+from dataclasses import dataclass
+from dataclasses import field
+from datetime import timedelta
+import heapq
+
+from goldcresthaven import admission
+from goldcresthaven import ids
+from goldcresthaven import outcomes
+from goldcresthaven import presets
+from goldcresthaven import slots
+
+CLOCK_DRIFT = 1.01  # two clocks run apart by at most 1%
+
+Reply = slots.SlotGrant | slots.SlotRecall
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Address:
+    """A message and the entry that it is for."""
+
+    entry: ids.VmId
+    message: Reply
+
+
+# An entry process: VM and boot. A process that restarted on the same VM is
+# another one, and what its predecessor held ends by silence.
+_Process = tuple[ids.VmId, ids.BootId]
+
+
+@dataclass(kw_only=True, slots=True)
+class _Lease:
+    lease: int
+    entry: _Process
+    upstream: ids.UpstreamId
+    level: int
+    basis: timedelta
+    recalled: bool = False
+
+
+@dataclass(kw_only=True, slots=True)
+class _Entry:
+    """What the manager knows of one entry process.
+
+    ``heard`` is the manager's reading when the demand with ``basis``, the
+    last one answered, arrived.
+    """
+
+    seq: int = 0
+    basis: timedelta = admission.ZERO
+    heard: timedelta = admission.ZERO
+    return_seq: int = 0
+    loose: tuple[ids.UpstreamId, ...] = ()
+    leases: dict[int, _Lease] = field(default_factory=dict)
+
+
+@dataclass(kw_only=True, slots=True)
+class _Waiting:
+    count: int
+    due: timedelta
+    version: int
+
+
+class _Upstream:
+    """The slots of one upstream and the entries that wait for them."""
+
+    def __init__(
+        self,
+        *,
+        slot_count: int,
+        bulk_cap: int,
+        floors: Sequence[float],
+        drain_grace: timedelta,
+    ) -> None:
+        self.slot_count = slot_count
+        self.bulk_cap = bulk_cap
+        self.shares = admission.Shares(floors=floors, slots=slot_count)
+        self.leases: dict[int, _Lease] = {}
+        self.held = [0] * admission.RANK_COUNT
+        self.queued = [0] * admission.RANK_COUNT
+        self.drain_grace = drain_grace
+        self.grant_until: timedelta | None = None
+        self.loose = 0
+        self._waiting: list[dict[_Process, _Waiting]] = [
+            {} for _ in range(admission.RANK_COUNT)
+        ]
+        self._order: list[list[tuple[timedelta, int, _Process]]] = [
+            [] for _ in range(admission.RANK_COUNT)
+        ]
+        self._version = 0
+
+    def set_want(
+        self, now: timedelta, entry: _Process, want: slots.Want
+    ) -> None:
+        self.advance(now)
+        for level in range(admission.RANK_COUNT):
+            waiting = self._waiting[level]
+            old = waiting.pop(entry, None)
+            if old is not None:
+                self.queued[level] -= old.count
+            count = want.queued[level]
+            if not count:
+                continue
+            self._version += 1
+            due = now + want.slack[level]
+            waiting[entry] = _Waiting(
+                count=count, due=due, version=self._version
+            )
+            self.queued[level] += count
+            heapq.heappush(self._order[level], (due, self._version, entry))
+
+    def forget(self, now: timedelta, entry: _Process) -> None:
+        """Drop an entry's demand."""
+        self.advance(now)
+        for level in range(admission.RANK_COUNT):
+            old = self._waiting[level].pop(entry, None)
+            if old is not None:
+                self.queued[level] -= old.count
+
+    def advance(self, now: timedelta) -> None:
+        self.shares.advance(now, self.queued, self.held)
+
+    def next_level(self, now: timedelta) -> int | None:
+        """Return the level that gets the next slot, or None."""
+        if self.grant_until is not None and now >= self.grant_until:
+            return None
+        if len(self.leases) + self.loose >= self.slot_count:
+            return None
+        bulk = self.held[admission.BULK_LEVEL]
+        allowed = admission.RANK_COUNT
+        if bulk >= self.bulk_cap:
+            allowed = admission.BULK_LEVEL
+        return self.shares.choose(self.queued, allowed)
+
+    def pop_waiting(self, level: int) -> _Process:
+        """Return the entry with the earliest deadline; count one off."""
+        order = self._order[level]
+        waiting = self._waiting[level]
+        while True:
+            _, version, entry = order[0]
+            one = waiting.get(entry)
+            if one is not None and one.version == version:
+                break
+            heapq.heappop(order)
+        self.queued[level] -= 1
+        one.count -= 1
+        if not one.count:
+            del waiting[entry]
+            heapq.heappop(order)
+        return entry
+
+    def unmet(self) -> int:
+        """Return how many more slots would be used at once."""
+        bulk_room = self.bulk_cap - self.held[admission.BULK_LEVEL]
+        bulk = min(self.queued[admission.BULK_LEVEL], max(bulk_room, 0))
+        return sum(self.queued[: admission.BULK_LEVEL]) + bulk
+
+
+class Manager:
+    """The slots of the upstreams of one domain, under one claim.
+
+    A manager that took over (``settle_until`` in the future) grants nothing
+    until the former manager's grants have ended: until ``settle_until``,
+    which its owner computes from the claim term, the lease and the longest
+    deadline, or until every process in ``expected`` has sent a demand with
+    the new epoch, since such a process rejects the old manager's grants
+    and has reported the slots on which requests still run.
+
+    ``longest`` is the longest deadline by rank: no request that an entry
+    starts runs longer.
+    """
+
+    def __init__(
+        self,
+        *,
+        domain: ids.DomainId,
+        epoch: ids.Epoch,
+        preset: presets.Preset,
+        settle_until: timedelta = admission.ZERO,
+        expected: Collection[ids.VmId] = (),
+    ) -> None:
+        self.domain = domain
+        self.epoch = epoch
+        self.claim_until: timedelta | None = None
+        self._settle_until = settle_until
+        self._missing = set(expected)
+        self._entries: dict[_Process, _Entry] = {}
+        self._upstreams: dict[ids.UpstreamId, _Upstream] = {}
+        self._next_lease = 1
+        self._set_policy(preset)
+
+    def _set_policy(self, preset: presets.Preset) -> None:
+        policies = [preset.rank(rank) for rank in outcomes.RANKS]
+        self._floors = [policy.floor for policy in policies]
+        self._longest = [policy.deadline for policy in policies]
+
+    def add_upstream(
+        self,
+        upstream: ids.UpstreamId,
+        *,
+        slot_count: int,
+        bulk_cap: int,
+        drain_grace: timedelta = admission.ZERO,
+    ) -> None:
+        """Manage an upstream's slots.
+
+        ``drain_grace`` is how long a leaving upstream still gets work: it
+        is above zero in keyed pools, whose keys have to move first.
+        """
+        self._upstreams[upstream] = _Upstream(
+            slot_count=slot_count,
+            bulk_cap=bulk_cap,
+            floors=self._floors,
+            drain_grace=drain_grace,
+        )
+
+    def drain(self, now: timedelta, upstream: ids.UpstreamId) -> list[Address]:
+        """Grant no more slots of an upstream and recall those given."""
+        state = self._upstreams.get(upstream)
+        if state is None or state.grant_until is not None:
+            return []
+        state.grant_until = now + state.drain_grace
+        if state.drain_grace:
+            return []
+        return self._recall(state.leases.values())
+
+    def undrain(self, upstream: ids.UpstreamId) -> None:
+        state = self._upstreams.get(upstream)
+        if state is not None:
+            state.grant_until = None
+
+    def settled(self, now: timedelta) -> bool:
+        return now >= self._settle_until
+
+    def demand(
+        self, now: timedelta, message: slots.SlotDemand
+    ) -> list[Address]:
+        """Answer an entry's demand, and grant what became possible.
+
+        A demand that arrives after a later one is dropped: its list of
+        leases is out of date.
+        """
+        if message.epoch != self.epoch:
+            return []
+        process = (message.entry, message.boot)
+        entry = self._entries.setdefault(process, _Entry())
+        if message.seq <= entry.seq:
+            return []
+        entry.seq = message.seq
+        self._free_missing(now, entry, message)
+        entry.basis = message.basis
+        entry.heard = now
+        touched = self._apply_wants(now, process, message.wants)
+        touched |= self._apply_loose(entry, message.loose)
+        found: list[Address] = []
+        for upstream in message.draining:
+            found += self.drain(now, upstream)
+        if self._missing:
+            self._missing.discard(message.entry)
+            if not self._missing:
+                self._settle_until = now
+                touched.update(self._upstreams)
+        return found + self._grant(now, touched, process)
+
+    def returned(
+        self, now: timedelta, message: slots.SlotReturn
+    ) -> list[Address]:
+        """Free returned slots; a late or repeated return does no harm."""
+        if message.epoch != self.epoch:
+            return []
+        process = (message.entry, message.boot)
+        entry = self._entries.get(process)
+        if entry is None:
+            return []
+        touched: set[ids.UpstreamId] = set()
+        for lease_id in message.leases:
+            lease = entry.leases.get(lease_id)
+            if lease is not None:
+                touched.add(lease.upstream)
+                self._free(now, lease)
+        if message.seq > max(entry.seq, entry.return_seq):
+            entry.return_seq = message.seq
+            touched |= self._apply_wants(now, process, message.wants)
+        return self._grant(now, touched, None)
+
+    def tick(self, now: timedelta) -> list[Address]:
+        """Free the slots of entries that have been silent too long.
+
+        To be called a few times a second.
+        """
+        touched: set[ids.UpstreamId] = set()
+        found: list[Address] = []
+        for upstream, state in self._upstreams.items():
+            until = state.grant_until
+            if until is not None and now >= until:
+                found += self._recall(
+                    one for one in state.leases.values() if not one.recalled
+                )
+        for name, entry in list(self._entries.items()):
+            silent = now - entry.heard
+            if silent < slots.LEASE:
+                continue
+            for lease in list(entry.leases.values()):
+                bound = slots.LEASE + self._longest[lease.level]
+                if silent >= bound * CLOCK_DRIFT:
+                    touched.add(lease.upstream)
+                    self._free(now, lease)
+            for upstream, state in self._upstreams.items():
+                state.forget(now, name)
+                touched.add(upstream)
+            if silent >= (slots.LEASE + max(self._longest)) * CLOCK_DRIFT:
+                touched |= self._apply_loose(entry, ())
+            if not entry.leases and not entry.loose:
+                del self._entries[name]
+        return found + self._grant(now, touched, None)
+
+    def held(self, upstream: ids.UpstreamId) -> int:
+        """Return how many slots of an upstream are given out."""
+        return len(self._upstreams[upstream].leases)
+
+    def _free_missing(
+        self, now: timedelta, entry: _Entry, message: slots.SlotDemand
+    ) -> None:
+        """Free the leases that a demand proves its sender does not hold.
+
+        A lease above ``last_lease`` may still be on its way to the entry,
+        unless the entry's clock shows that it would come too late.
+        """
+        held = set(message.held)
+        for lease in list(entry.leases.values()):
+            if lease.lease in held:
+                continue
+            late = message.basis >= lease.basis + slots.LEASE
+            if lease.lease <= message.last_lease or late:
+                self._free(now, lease)
+
+    def _free(self, now: timedelta, lease: _Lease) -> None:
+        state = self._upstreams[lease.upstream]
+        state.advance(now)
+        del state.leases[lease.lease]
+        state.held[lease.level] -= 1
+        del self._entries[lease.entry].leases[lease.lease]
+
+    def _apply_wants(
+        self,
+        now: timedelta,
+        entry: _Process,
+        wants: tuple[slots.Want, ...],
+    ) -> set[ids.UpstreamId]:
+        touched: set[ids.UpstreamId] = set()
+        for want in wants:
+            state = self._upstreams.get(want.upstream)
+            if state is not None:
+                state.set_want(now, entry, want)
+                touched.add(want.upstream)
+        return touched
+
+    def _apply_loose(
+        self, entry: _Entry, loose: tuple[ids.UpstreamId, ...]
+    ) -> set[ids.UpstreamId]:
+        if loose == entry.loose:
+            return set()
+        touched = {u for u in entry.loose + loose if u in self._upstreams}
+        for upstream in touched:
+            change = loose.count(upstream) - entry.loose.count(upstream)
+            self._upstreams[upstream].loose += change
+        entry.loose = loose
+        return touched
+
+    def _may_grant(self, now: timedelta) -> bool:
+        if self.claim_until is not None and now >= self.claim_until:
+            return False
+        return self.settled(now)
+
+    def _grant(
+        self,
+        now: timedelta,
+        touched: Iterable[ids.UpstreamId],
+        answer_to: _Process | None,
+    ) -> list[Address]:
+        """Allocate free slots of the touched upstreams; build messages."""
+        granted: dict[_Process, list[slots.Slot]] = {}
+        if answer_to is not None:
+            granted[answer_to] = []
+        touched = list(touched)
+        found: list[Address] = []
+        if self._may_grant(now):
+            for upstream in touched:
+                self._allocate(now, upstream, granted)
+                found += self._recall_for(self._upstreams[upstream])
+        for name, new in granted.items():
+            seen = {slot.upstream for slot in new}
+            if name == answer_to:
+                seen.update(touched)
+            found.append(self._grant_message(now, name, new, seen))
+        return found
+
+    def _grant_message(
+        self,
+        now: timedelta,
+        entry: _Process,
+        new: list[slots.Slot],
+        seen: Iterable[ids.UpstreamId],
+    ) -> Address:
+        message = slots.SlotGrant(
+            domain=self.domain,
+            epoch=self.epoch,
+            basis=self._entries[entry].basis,
+            slots=tuple(new),
+            backlog=tuple(
+                admission.Backlog(
+                    upstream=upstream,
+                    queued=tuple(self._upstreams[upstream].queued),
+                )
+                for upstream in seen
+            ),
+            settling=not self.settled(now),
+        )
+        return Address(entry=entry[0], message=message)
+
+    def _allocate(
+        self,
+        now: timedelta,
+        upstream: ids.UpstreamId,
+        granted: dict[_Process, list[slots.Slot]],
+    ) -> None:
+        state = self._upstreams[upstream]
+        state.advance(now)
+        while (level := state.next_level(now)) is not None:
+            name = state.pop_waiting(level)
+            entry = self._entries.get(name)
+            if entry is None or now - entry.heard >= slots.LEASE:
+                continue
+            lease = _Lease(
+                lease=self._next_lease,
+                entry=name,
+                upstream=upstream,
+                level=level,
+                basis=entry.basis,
+            )
+            self._next_lease += 1
+            state.leases[lease.lease] = lease
+            state.held[level] += 1
+            entry.leases[lease.lease] = lease
+            lease.recalled = state.unmet() > 0
+            granted.setdefault(name, []).append(
+                slots.Slot(
+                    lease=lease.lease,
+                    upstream=upstream,
+                    level=level,
+                    contended=lease.recalled,
+                )
+            )
+
+    def _recall_for(self, state: _Upstream) -> list[Address]:
+        """Recall as many slots as there are requests without one."""
+        unmet = state.unmet()
+        if not unmet or len(state.leases) < state.slot_count:
+            return []
+        chosen = [
+            lease for lease in state.leases.values() if not lease.recalled
+        ]
+        return self._recall(chosen[:unmet])
+
+    def _recall(self, leases: Iterable[_Lease]) -> list[Address]:
+        by_entry: dict[_Process, list[int]] = {}
+        for lease in leases:
+            lease.recalled = True
+            by_entry.setdefault(lease.entry, []).append(lease.lease)
+        return [
+            Address(
+                entry=name[0],
+                message=slots.SlotRecall(
+                    domain=self.domain,
+                    epoch=self.epoch,
+                    leases=tuple(lease_ids),
+                ),
+            )
+            for name, lease_ids in by_entry.items()
+        ]
