--- a/proofs/sole_owner.py
+++ b/proofs/sole_owner.py
@@ -20,9 +20,7 @@
 SEEDS = range(60)
 
 
-def _take_any(
-    guard: Any, req: leases.LeaseRequest, *, now: timedelta
-) -> None:
+def _take_any(guard: Any, req: leases.LeaseRequest, *, now: timedelta) -> None:
     guard._sent[req.basis_ns] = now
 
 
@@ -43,9 +41,7 @@
         knockouts.Patch(
             target=leases.LeaseGuard, name='_check_grant', value=_take_any
         ),
-        knockouts.Patch(
-            target=claims, name='takeover_wait', value=_no_wait
-        ),
+        knockouts.Patch(target=claims, name='takeover_wait', value=_no_wait),
         knockouts.Patch(
             target=domain.HeldDomain, name='cleared', value=_cleared
         ),
