--- a/goldcresthaven/codec.py
+++ b/goldcresthaven/codec.py
@@ -16,6 +16,7 @@
 from collections.abc import Callable
 import dataclasses
 from dataclasses import dataclass
+from datetime import timedelta
 import enum
 import functools
 import io
@@ -51,6 +52,8 @@
     high: int
 
 
+_MICROSECOND = timedelta(microseconds=1)
+
 MAX_U63 = (1 << 63) - 1
 MAX_U64 = (1 << 64) - 1
 
@@ -186,6 +189,8 @@
         return _for_tuple(_for_hint(typing.get_args(hint)[0]), limit)
     if hint is int:
         return _for_int(limit)
+    if hint is timedelta:
+        return _for_timedelta(limit)
     if hint in (str, bytes):
         return _for_bytes(hint, limit)
     if hint is bool:
@@ -208,6 +213,21 @@
     return _Codec(dump=check, load=check)
 
 
+def _for_timedelta(limit: Any) -> _Codec:
+    """Encode a duration as its whole microseconds."""
+    number = _for_int(limit)
+
+    def dump_duration(value: Any, path: str) -> Any:
+        if type(value) is not timedelta:
+            raise _fail(path, 'not a duration')
+        return number.dump(value // _MICROSECOND, path)
+
+    def load_duration(value: Any, path: str) -> Any:
+        return number.load(value, path) * _MICROSECOND
+
+    return _Codec(dump=dump_duration, load=load_duration)
+
+
 def _for_bytes(kind: Any, limit: Any) -> _Codec:
     assert isinstance(limit, Size), 'a text or bytes field needs a Size'
 
--- a/goldcresthaven/messages.py
+++ b/goldcresthaven/messages.py
@@ -14,8 +14,9 @@
 from goldcresthaven import codec
 from goldcresthaven import errors
 from goldcresthaven import events
+from goldcresthaven import fields
 from goldcresthaven import ids
-from goldcresthaven import outcomes
+from goldcresthaven import slots
 
 MAX_MESSAGE_BYTES = 1 << 20
 # Frames before authentication; a Hello has about 250 bytes.
@@ -23,21 +24,10 @@
 # Leaves room in one message for the frame and a second log's entries.
 MAX_ENTRY_BYTES = 384 << 10
 MAX_SNAPSHOT_CHUNK_BYTES = 512 << 10
-MAX_ITEMS = 4096
+MAX_ITEMS = fields.MAX_ITEMS
 # All events of one message; leaves room for the frame.
 MAX_EVENT_BYTES = MAX_MESSAGE_BYTES - 1024
 
-Vm = Annotated[ids.VmId, codec.Size(128)]
-Zone = Annotated[ids.ZoneId, codec.Size(128)]
-Boot = Annotated[ids.BootId, codec.Size(128)]
-Domain = Annotated[ids.DomainId, codec.Size(128)]
-ShardKey = Annotated[ids.ShardId, codec.Size(192)]
-Upstream = Annotated[ids.UpstreamId, codec.Size(128)]
-Epoch = Annotated[ids.Epoch, codec.Range(0, codec.MAX_U63)]
-MapVersion = Annotated[ids.MapVersion, codec.Range(0, codec.MAX_U63)]
-ConfigVersion = Annotated[ids.ConfigVersion, codec.Range(0, codec.MAX_U63)]
-DurationMs = Annotated[int, codec.Range(0, 86_400_000)]
-
 
 class LogName(Enum):
     """The two replicated logs; values are the table names."""
@@ -75,9 +65,9 @@
 class Hello:
     """First frame in each direction of a connection."""
 
-    vm: Vm
-    zone: Zone
-    boot: Boot
+    vm: fields.Vm
+    zone: fields.Zone
+    boot: fields.Boot
     credential: Credential
 
 
@@ -86,8 +76,8 @@
     """Asks whether a peer is alive and tells it the sender's versions."""
 
     stamp: events.Stamp
-    map_version: MapVersion
-    config_version: ConfigVersion
+    map_version: fields.MapVersion
+    config_version: fields.ConfigVersion
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -95,8 +85,8 @@
     """Answer to Heartbeat with the answering process's versions."""
 
     stamp: events.Stamp
-    map_version: MapVersion
-    config_version: ConfigVersion
+    map_version: fields.MapVersion
+    config_version: fields.ConfigVersion
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -179,84 +169,29 @@
 class ConsentRequest:
     """Asks a peer not to raise the domain's epoch for a while."""
 
-    domain: Domain
-    epoch: Epoch
-    duration_ms: DurationMs
+    domain: fields.Domain
+    epoch: fields.Epoch
+    duration_ms: fields.DurationMs
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ConsentReply:
     """``epoch`` is the highest epoch of the domain that the peer knows."""
 
-    domain: Domain
-    epoch: Epoch
+    domain: fields.Domain
+    epoch: fields.Epoch
     granted: bool
-    duration_ms: DurationMs = 0
+    duration_ms: fields.DurationMs = 0
     reason: Annotated[str, codec.Size(256)] = ''
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class SlotItem:
-    """Slots of one upstream for one rank.
-
-    Times are relative to the receipt of the message, because the clocks of
-    two VMs differ. ``lease_id`` is 0 in a demand.
-    """
-
-    upstream: Upstream
-    rank: outcomes.Rank
-    count: codec.Count = 0
-    earliest_deadline_ms: DurationMs = 0
-    lease_id: codec.U63 = 0
-    expiry_ms: DurationMs = 0
-    epoch: Epoch = ids.Epoch(0)
-
-
-Items = Annotated[tuple[SlotItem, ...], codec.Size(MAX_ITEMS)]
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class SlotDemand:
-    """Work that waits at an entry process, by upstream and rank.
-
-    ``seq`` increases with each demand; it replaces the earlier one.
-    """
-
-    items: Items
-    seq: codec.U63 = 0
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class SlotGrant:
-    """Slots that the manager leases to an entry process."""
-
-    items: Items
-    seq: codec.U63 = 0
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class SlotReturn:
-    """Leased slots that the entry process no longer uses."""
-
-    items: Items
-    seq: codec.U63 = 0
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class SlotRecall:
-    """Leased slots that the manager wants back."""
-
-    items: Items
-    seq: codec.U63 = 0
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RouteLeaseRequest:
     """Asks the claim holder for the right to send to a shard's owner."""
 
-    domain: Domain
-    shard: ShardKey
-    map_version: MapVersion
+    domain: fields.Domain
+    shard: fields.ShardKey
+    map_version: fields.MapVersion
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -266,10 +201,10 @@
     ``owner`` is None and ``duration_ms`` 0 when it is refused.
     """
 
-    domain: Domain
-    shard: ShardKey
-    epoch: Epoch
-    duration_ms: DurationMs = 0
+    domain: fields.Domain
+    shard: fields.ShardKey
+    epoch: fields.Epoch
+    duration_ms: fields.DurationMs = 0
     owner: Annotated[ids.UpstreamId | None, codec.Size(128)] = None
     reason: Annotated[str, codec.Size(256)] = ''
 
@@ -309,12 +244,12 @@
 class StatusReply:
     """State of one process; ``details`` is JSON for the operator."""
 
-    vm: Vm
-    zone: Zone
-    boot: Boot
+    vm: fields.Vm
+    zone: fields.Zone
+    boot: fields.Boot
     ready: bool
-    map_version: MapVersion
-    config_version: ConfigVersion
+    map_version: fields.MapVersion
+    config_version: fields.ConfigVersion
     preset: Annotated[str, codec.Size(128)] = ''
     uptime_ms: codec.U63 = 0
     details: Annotated[bytes, codec.Size(64 << 10)] = b'{}'
@@ -337,10 +272,10 @@
     | SnapshotReply
     | ConsentRequest
     | ConsentReply
-    | SlotDemand
-    | SlotGrant
-    | SlotReturn
-    | SlotRecall
+    | slots.SlotDemand
+    | slots.SlotGrant
+    | slots.SlotReturn
+    | slots.SlotRecall
     | RouteLeaseRequest
     | RouteLeaseGrant
     | TimelineQuery
@@ -361,10 +296,10 @@
     7: SnapshotReply,
     8: ConsentRequest,
     9: ConsentReply,
-    10: SlotDemand,
-    11: SlotGrant,
-    12: SlotReturn,
-    13: SlotRecall,
+    10: slots.SlotDemand,
+    11: slots.SlotGrant,
+    12: slots.SlotReturn,
+    13: slots.SlotRecall,
     14: RouteLeaseRequest,
     15: RouteLeaseGrant,
     16: TimelineQuery,
--- /dev/null
+++ b/goldcresthaven/slot_gate.py
@@ -0,0 +1,471 @@
+"""Connects the load policy to the request path and to the peers.
+
+The policy (``scheduler``, ``slot_manager``) takes events and returns
+actions. This module feeds it the requests that wait in ``admit``, the
+slot messages of peers and the time, and carries its actions out.
+"""
+
+import collections
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+from datetime import timedelta
+import random
+from typing import Protocol
+
+from goldcresthaven import admission
+from goldcresthaven import aio
+from goldcresthaven import clock as clock_module
+from goldcresthaven import dispatch
+from goldcresthaven import ids
+from goldcresthaven import members
+from goldcresthaven import outcomes
+from goldcresthaven import presets
+from goldcresthaven import retries
+from goldcresthaven import routing
+from goldcresthaven import scheduler as scheduler_module
+from goldcresthaven import slot_manager
+from goldcresthaven import slots
+
+TICK = timedelta(milliseconds=5)
+SYNC_INTERVAL = timedelta(milliseconds=100)
+# A manager may grant for this long after the claim was last checked.
+CLAIM_CHECK = 4 * TICK
+
+Send = Callable[[ids.VmId, slots.Message], Awaitable[object]]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Holder:
+    """The claim holder of a domain, who manages its slots."""
+
+    vm: ids.VmId
+    epoch: ids.Epoch
+
+
+class Claims(Protocol):
+    """What the gate needs to know of domains and claims."""
+
+    def domains(self) -> Mapping[ids.UpstreamId, ids.DomainId]:
+        """Return the domain of each upstream."""
+
+    def holder(self, domain: ids.DomainId) -> Holder | None:
+        """Return the holder according to the newest row seen."""
+
+    def holds(self, domain: ids.DomainId, *, now: timedelta) -> bool:
+        """Return whether this process's own claim is valid now."""
+
+    def entries(self) -> frozenset[ids.VmId]:
+        """Return the entry VMs that are not leaving."""
+
+
+@dataclass(kw_only=True, slots=True)
+class _Waiter:
+    routed: routing.Routed
+    request: admission.Request
+    caller_gone: Callable[[], bool]
+    done: aio.Event = field(default_factory=aio.Event)
+    result: dispatch.Admitted | outcomes.NotRun | None = None
+
+
+class SlotGate:
+    """Admission through rank queues and slot leases; a ``dispatch.Gate``.
+
+    ``send`` queues a message to another VM and must not wait for it.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm: ids.VmId,
+        boot: ids.BootId,
+        clock: clock_module.Clock,
+        views: dispatch.Views,
+        claims: Claims,
+        send: Send,
+        rng: random.Random,
+    ) -> None:
+        self._vm = vm
+        self._boot = boot
+        self._clock = clock
+        self._views = views
+        self._claims = claims
+        self._send = send
+        self._rng = rng
+        self._scheduler: scheduler_module.Scheduler | None = None
+        self._preset: presets.Preset | None = None
+        self._pools: dict[ids.PoolName, presets.Pool] = {}
+        self._known: dict[ids.UpstreamId, ids.DomainId] = {}
+        self._left: set[ids.UpstreamId] = set()
+        self._managers: dict[ids.DomainId, slot_manager.Manager] = {}
+        self._waiters: dict[ids.RequestId, _Waiter] = {}
+        self._local: collections.deque[slots.Message] = collections.deque()
+        self._delivering = False
+        self._map_version = ids.MapVersion(0)
+
+    async def admit(
+        self,
+        routed: routing.Routed,
+        *,
+        tried: Iterable[ids.UpstreamId],
+        caller_gone: Callable[[], bool],
+    ) -> dispatch.Admitted | outcomes.NotRun:
+        if self._scheduler is None:
+            await self._sync()
+        if self._scheduler is None:
+            return outcomes.NotRun(
+                reason=outcomes.Reason.NOT_READY,
+                retry_after=retries.RETRY_AFTER,
+            )
+        waiter = _Waiter(
+            routed=routed,
+            request=_request(routed, attempt=len(tuple(tried))),
+            caller_gone=caller_gone,
+        )
+        self._waiters[routed.request_id] = waiter
+        now = self._clock.elapsed()
+        try:
+            await self._perform(self._scheduler.arrive(now, waiter.request))
+            if waiter.result is None:
+                await waiter.done.wait()
+        finally:
+            self._waiters.pop(routed.request_id, None)
+            if waiter.result is None:
+                await self._abandon(routed.request_id)
+        assert waiter.result is not None
+        return waiter.result
+
+    async def _abandon(self, request_id: ids.RequestId) -> None:
+        """Take a request out whose task was cancelled while it waited."""
+        assert self._scheduler is not None
+        now = self._clock.elapsed()
+        await self._perform(self._scheduler.caller_gone(now, request_id))
+
+    async def release(
+        self,
+        routed: routing.Routed,
+        admitted: dispatch.Admitted,
+        attempt: retries.Attempt | None,
+    ) -> None:
+        assert self._scheduler is not None
+        outcome: outcomes.Outcome = outcomes.NotRun(
+            reason=outcomes.Reason.CALLER_GONE
+        )
+        if attempt is not None:
+            outcome = retries.classify(attempt)
+        actions = self._scheduler.finished(
+            self._clock.elapsed(),
+            routed.request_id,
+            outcome,
+            draining=attempt is not None and attempt.draining,
+        )
+        await self._perform(actions)
+
+    async def run(self) -> None:
+        """Drive the policy's timers until cancelled."""
+        next_sync = timedelta()
+        while True:
+            now = self._clock.elapsed()
+            if now >= next_sync:
+                next_sync = now + SYNC_INTERVAL
+                await self._sync()
+                await self._drop_gone(now)
+            await self._tick(now)
+            await aio.sleep(TICK)
+
+    async def stop(self) -> None:
+        """Return idle slots before a planned shutdown."""
+        if self._scheduler is not None:
+            await self._perform(self._scheduler.stop(self._clock.elapsed()))
+
+    async def received(self, message: slots.Message) -> None:
+        """Take a slot message from a peer or from this process."""
+        now = self._clock.elapsed()
+        match message:
+            case slots.SlotDemand():
+                manager = self._managers.get(message.domain)
+                if manager is not None:
+                    await self._reply(manager.demand(now, message))
+            case slots.SlotReturn():
+                manager = self._managers.get(message.domain)
+                if manager is not None:
+                    await self._reply(manager.returned(now, message))
+            case slots.SlotGrant() | slots.SlotRecall():
+                if self._scheduler is not None:
+                    await self._perform(self._scheduler.message(now, message))
+
+    # Time
+
+    async def _tick(self, now: timedelta) -> None:
+        for domain, manager in self._managers.items():
+            valid = self._claims.holds(domain, now=now)
+            manager.claim_until = now + CLAIM_CHECK if valid else now
+            await self._reply(manager.tick(now))
+        if self._scheduler is not None:
+            await self._perform(self._scheduler.tick(now))
+
+    async def _drop_gone(self, now: timedelta) -> None:
+        for waiter in list(self._waiters.values()):
+            if waiter.result is None and waiter.caller_gone():
+                await self._finish(
+                    waiter,
+                    outcomes.NotRun(reason=outcomes.Reason.CALLER_GONE),
+                )
+                await self._abandon(waiter.request.request_id)
+
+    # Actions
+
+    async def _perform(
+        self, actions: Iterable[scheduler_module.Action]
+    ) -> None:
+        for action in actions:
+            match action:
+                case scheduler_module.Dispatch():
+                    await self._dispatch(action)
+                case scheduler_module.Refuse():
+                    waiter = self._waiters.get(action.request.request_id)
+                    if waiter is not None:
+                        await self._finish(waiter, action.outcome)
+                case scheduler_module.Send():
+                    await self._post(action.to, action.message)
+
+    async def _dispatch(self, action: scheduler_module.Dispatch) -> None:
+        request_id = action.request.request_id
+        waiter = self._waiters.get(request_id)
+        view = self._views.current()
+        member = None if view is None else view.upstreams.get(action.upstream)
+        if waiter is None or view is None or member is None:
+            assert self._scheduler is not None
+            gone = outcomes.NotRun(reason=outcomes.Reason.NO_UPSTREAM)
+            if waiter is not None:
+                await self._finish(waiter, gone)
+            now = self._clock.elapsed()
+            await self._perform(
+                self._scheduler.finished(now, request_id, gone)
+            )
+            return
+        limit = view.connection_limit(waiter.routed.pool)
+        admitted = dispatch.Admitted(
+            upstream=action.upstream,
+            address=member.address,
+            connection_limit=limit,
+        )
+        await self._finish(waiter, admitted)
+
+    async def _finish(
+        self, waiter: _Waiter, result: dispatch.Admitted | outcomes.NotRun
+    ) -> None:
+        waiter.result = result
+        await waiter.done.set()
+
+    async def _reply(self, replies: Iterable[slot_manager.Address]) -> None:
+        for reply in replies:
+            await self._post(reply.entry, reply.message)
+
+    async def _post(self, to: ids.VmId, message: slots.Message) -> None:
+        if to != self._vm:
+            await self._send(to, message)
+            return
+        # Messages to this process are queued, since handling one may post
+        # the next.
+        self._local.append(message)
+        if self._delivering:
+            return
+        self._delivering = True
+        try:
+            while self._local:
+                await self.received(self._local.popleft())
+        finally:
+            self._delivering = False
+
+    # Configuration
+
+    async def _sync(self) -> None:
+        """Follow the configuration, the upstreams and the claims."""
+        view = self._views.current()
+        if view is None:
+            return
+        now = self._clock.elapsed()
+        self._follow_document(view.document)
+        await self._follow_upstreams(now, view)
+        await self._follow_claims(now, view)
+        if view.shard_map.version != self._map_version:
+            self._map_version = view.shard_map.version
+            await self._move_queued(now, view)
+
+    def _follow_document(self, document: presets.Document) -> None:
+        preset = document.preset
+        if self._scheduler is None:
+            self._scheduler = scheduler_module.Scheduler(
+                entry=self._vm, boot=self._boot, preset=preset, rng=self._rng
+            )
+        elif preset != self._preset:
+            self._scheduler.set_preset(preset)
+        self._preset = preset
+        for pool in document.pools:
+            if pool.name not in self._pools:
+                self._pools[pool.name] = pool
+                self._scheduler.add_pool(pool)
+
+    async def _follow_upstreams(
+        self, now: timedelta, view: dispatch.View
+    ) -> None:
+        assert self._scheduler is not None
+        domains = self._claims.domains()
+        started = bool(self._known)
+        for upstream, member in view.upstreams.items():
+            domain = domains.get(upstream)
+            if domain is None or member.pool not in self._pools:
+                continue
+            if upstream not in self._known:
+                self._known[upstream] = domain
+                self._scheduler.add_upstream(
+                    now, upstream, member.pool, domain, new=started
+                )
+            await self._follow_drain(now, upstream, _leaving(view, member))
+        for upstream in self._known.keys() - view.upstreams.keys():
+            await self._follow_drain(now, upstream, True)
+
+    async def _follow_drain(
+        self, now: timedelta, upstream: ids.UpstreamId, leaving: bool
+    ) -> None:
+        assert self._scheduler is not None
+        if leaving == (upstream in self._left):
+            return
+        manager = self._managers.get(self._known[upstream])
+        if leaving:
+            self._left.add(upstream)
+            await self._perform(self._scheduler.drain(now, upstream))
+            if manager is not None:
+                await self._reply(manager.drain(now, upstream))
+        else:
+            self._left.discard(upstream)
+            self._scheduler.undrain(now, upstream)
+            if manager is not None:
+                manager.undrain(upstream)
+
+    async def _follow_claims(
+        self, now: timedelta, view: dispatch.View
+    ) -> None:
+        assert self._scheduler is not None
+        for domain in set(self._known.values()):
+            holder = self._claims.holder(domain)
+            if holder is None:
+                continue
+            if holder.vm == self._vm:
+                self._manage(now, domain, holder.epoch, view)
+            else:
+                self._managers.pop(domain, None)
+            await self._perform(
+                self._scheduler.set_manager(
+                    now, domain, holder.vm, holder.epoch
+                )
+            )
+
+    def _manage(
+        self,
+        now: timedelta,
+        domain: ids.DomainId,
+        epoch: ids.Epoch,
+        view: dispatch.View,
+    ) -> None:
+        manager = self._managers.get(domain)
+        if manager is None or manager.epoch != epoch:
+            manager = self._new_manager(now, domain, epoch, view)
+            self._managers[domain] = manager
+        for upstream, home in self._known.items():
+            if home == domain and not manager.manages(upstream):
+                self._add_to(manager, upstream, view)
+
+    def _new_manager(
+        self,
+        now: timedelta,
+        domain: ids.DomainId,
+        epoch: ids.Epoch,
+        view: dispatch.View,
+    ) -> slot_manager.Manager:
+        preset = view.document.preset
+        longest = max(preset.rank(r).deadline for r in outcomes.RANKS)
+        settle = slot_manager.settle_time(preset.claim_term, longest)
+        # Nobody managed the slots before the first epoch.
+        first = epoch <= 1
+        return slot_manager.Manager(
+            domain=domain,
+            epoch=epoch,
+            preset=preset,
+            settle_until=now if first else now + settle,
+            expected=() if first else self._claims.entries(),
+        )
+
+    def _add_to(
+        self,
+        manager: slot_manager.Manager,
+        upstream: ids.UpstreamId,
+        view: dispatch.View,
+    ) -> None:
+        member = view.upstreams.get(upstream)
+        if member is None or member.pool is None:
+            return
+        pool = self._pools[member.pool]
+        cap = view.document.preset.bulk_cap
+        if cap is None:
+            cap = max(pool.slots - 1, 1)
+        grace = slot_manager.KEYED_DRAIN_GRACE if pool.keyed else timedelta()
+        manager.add_upstream(
+            upstream,
+            slot_count=pool.slots,
+            bulk_cap=min(cap, pool.slots),
+            drain_grace=grace,
+        )
+
+    async def _move_queued(self, now: timedelta, view: dispatch.View) -> None:
+        """Queue keyed requests again whose shard has a new owner."""
+        assert self._scheduler is not None
+        for waiter in list(self._waiters.values()):
+            if waiter.result is not None or waiter.request.owner is None:
+                continue
+            owner = _owner(view, waiter.routed)
+            if owner is None or owner == waiter.request.owner:
+                continue
+            request_id = waiter.request.request_id
+            await self._perform(self._scheduler.caller_gone(now, request_id))
+            waiter.request = _request(
+                waiter.routed, attempt=waiter.request.attempt, owner=owner
+            )
+            await self._perform(self._scheduler.arrive(now, waiter.request))
+
+
+def _leaving(view: dispatch.View, member: members.Member) -> bool:
+    drained = ids.UpstreamId(member.vm) in view.document.drained
+    return drained or member.state is members.MemberState.LEAVING
+
+
+def _owner(
+    view: dispatch.View, routed: routing.Routed
+) -> ids.UpstreamId | None:
+    """Return the current owner, or None when the shard was split."""
+    if routed.shard is None:
+        return None
+    shard = view.shard_map.shards.get(routed.shard.shard_id)
+    return None if shard is None else shard.owner
+
+
+def _request(
+    routed: routing.Routed,
+    *,
+    attempt: int,
+    owner: ids.UpstreamId | None = None,
+) -> admission.Request:
+    return admission.Request(
+        request_id=routed.request_id,
+        pool=routed.pool.name,
+        rank=routed.rank,
+        arrived=routed.arrived,
+        deadline=routed.deadline,
+        owner=owner or routed.owner,
+        idempotent=routed.idempotent,
+        attempt=attempt,
+    )
--- a/goldcresthaven/slot_manager.py
+++ b/goldcresthaven/slot_manager.py
@@ -227,6 +227,9 @@
             drain_grace=drain_grace,
         )
 
+    def manages(self, upstream: ids.UpstreamId) -> bool:
+        return upstream in self._upstreams
+
     def drain(self, now: timedelta, upstream: ids.UpstreamId) -> list[Address]:
         """Grant no more slots of an upstream and recall those given."""
         state = self._upstreams.get(upstream)
