Build the path of an invalid field only when it is invalid

Encoding and decoding a slot demand with three items took 84 us with a path for each value and takes 73 us without (one run each, busy machine). Errors name the fields and no longer the index in a list.

--- a/goldcresthaven/codec.py
+++ b/goldcresthaven/codec.py
@@ -58,17 +58,34 @@
 U63 = Annotated[int, Range(0, MAX_U63)]
 U64 = Annotated[int, Range(0, MAX_U64)]
 
-_Convert = Callable[[Any, str], Any]
+_Convert = Callable[[Any], Any]
 
 
 @dataclass(frozen=True)
 class _Codec:
-    """Two conversions; each gets the value and its path for errors."""
+    """Two conversions; both raise _Invalid."""
 
     dump: _Convert
     load: _Convert
 
 
+class _Invalid(Exception):
+    """A value breaks its limits.
+
+    The path to it is put together only while the exception passes up:
+    building it for each value made a slot message 15% slower.
+    """
+
+    def __init__(self, problem: str) -> None:
+        super().__init__(problem)
+        self.problem = problem
+        self.path = ''
+
+    def at(self, name: str) -> '_Invalid':
+        self.path = f'.{name}{self.path}'
+        return self
+
+
 class _RejectTags(dict[int, Any]):
     """Refuses all CBOR tags.
 
@@ -123,7 +140,10 @@
     Raises ProtocolError when a field breaks its own limits.
     """
     cls: Any = type(value)
-    return typing.cast(list[Any], _for_class(cls).dump(value, cls.__name__))
+    try:
+        return typing.cast(list[Any], _for_class(cls).dump(value))
+    except _Invalid as exc:
+        raise _fail(cls.__name__ + exc.path, exc.problem) from None
 
 
 def load(cls: type[T], value: Any) -> T:
@@ -132,7 +152,10 @@
     Raises ProtocolError when a type, range or size is wrong.
     """
     codec = _for_class(typing.cast(Any, cls))
-    return typing.cast(T, codec.load(value, cls.__name__))
+    try:
+        return typing.cast(T, codec.load(value))
+    except _Invalid as exc:
+        raise _fail(cls.__name__ + exc.path, exc.problem) from None
 
 
 @functools.cache
@@ -143,23 +166,29 @@
         for f in dataclasses.fields(cls)
     ]
 
-    def dump_object(value: Any, path: str) -> Any:
+    def dump_object(value: Any) -> Any:
         if type(value) is not cls:
-            raise _fail(path, f'not a {cls.__name__}')
-        return [
-            codec.dump(getattr(value, name), f'{path}.{name}')
-            for name, codec, _ in fields
-        ]
-
-    def load_object(value: Any, path: str) -> Any:
+            raise _Invalid(f'not a {cls.__name__}')
+        items = []
+        for name, codec, _ in fields:
+            try:
+                items.append(codec.dump(getattr(value, name)))
+            except _Invalid as exc:
+                raise exc.at(name) from None
+        return items
+
+    def load_object(value: Any) -> Any:
         if type(value) is not list:
-            raise _fail(path, 'not an array')
+            raise _Invalid('not an array')
         args = {}
         for pos, (name, codec, required) in enumerate(fields):
             if pos < len(value):
-                args[name] = codec.load(value[pos], f'{path}.{name}')
+                try:
+                    args[name] = codec.load(value[pos])
+                except _Invalid as exc:
+                    raise exc.at(name) from None
             elif required:
-                raise _fail(path, f'{name} is missing')
+                raise _Invalid(f'{name} is missing')
         return cls(**args)
 
     return _Codec(dump=dump_object, load=load_object)
@@ -198,11 +227,11 @@
 def _for_int(limit: Any) -> _Codec:
     assert isinstance(limit, Range), 'an integer field needs a Range'
 
-    def check(value: Any, path: str) -> Any:
+    def check(value: Any) -> Any:
         if type(value) is not int:
-            raise _fail(path, 'not an integer')
+            raise _Invalid('not an integer')
         if not limit.low <= value <= limit.high:
-            raise _fail(path, f'not in {limit.low}..{limit.high}')
+            raise _Invalid(f'not in {limit.low}..{limit.high}')
         return value
 
     return _Codec(dump=check, load=check)
@@ -211,24 +240,24 @@
 def _for_bytes(kind: Any, limit: Any) -> _Codec:
     assert isinstance(limit, Size), 'a text or bytes field needs a Size'
 
-    def check(value: Any, path: str) -> Any:
+    def check(value: Any) -> Any:
         if type(value) is not kind:
-            raise _fail(path, f'not {kind.__name__}')
+            raise _Invalid(f'not {kind.__name__}')
         try:
             size = len(value.encode() if kind is str else value)
         except UnicodeEncodeError as exc:
-            raise _fail(path, 'not valid Unicode') from exc
+            raise _Invalid('not valid Unicode') from exc
         if size > limit.high:
-            raise _fail(path, f'{size} bytes exceed {limit.high}')
+            raise _Invalid(f'{size} bytes exceed {limit.high}')
         return value
 
     return _Codec(dump=check, load=check)
 
 
 def _for_bool() -> _Codec:
-    def check(value: Any, path: str) -> Any:
+    def check(value: Any) -> Any:
         if type(value) is not bool:
-            raise _fail(path, 'not a boolean')
+            raise _Invalid('not a boolean')
         return value
 
     return _Codec(dump=check, load=check)
@@ -237,14 +266,14 @@
 def _for_enum(kind: Any) -> _Codec:
     members = {member.value: member for member in kind}
 
-    def dump_member(value: Any, path: str) -> Any:
+    def dump_member(value: Any) -> Any:
         if not isinstance(value, kind):
-            raise _fail(path, f'not a {kind.__name__}')
+            raise _Invalid(f'not a {kind.__name__}')
         return value.value
 
-    def load_member(value: Any, path: str) -> Any:
+    def load_member(value: Any) -> Any:
         if type(value) is not str or value not in members:
-            raise _fail(path, f'not a {kind.__name__}')
+            raise _Invalid(f'not a {kind.__name__}')
         return members[value]
 
     return _Codec(dump=dump_member, load=load_member)
@@ -257,11 +286,11 @@
     assert not others, 'a union field may only add None to one type'
     codec = _for_hint(Annotated[inner, limit] if limit else inner)
 
-    def dump_value(value: Any, path: str) -> Any:
-        return None if value is None else codec.dump(value, path)
+    def dump_value(value: Any) -> Any:
+        return None if value is None else codec.dump(value)
 
-    def load_value(value: Any, path: str) -> Any:
-        return None if value is None else codec.load(value, path)
+    def load_value(value: Any) -> Any:
+        return None if value is None else codec.load(value)
 
     return _Codec(dump=dump_value, load=load_value)
 
@@ -269,18 +298,18 @@
 def _for_tuple(item: _Codec, limit: Any) -> _Codec:
     assert isinstance(limit, Size), 'a tuple field needs a Size'
 
-    def check(value: Any, kind: Any, path: str) -> None:
+    def check(value: Any, kind: Any) -> None:
         if type(value) is not kind:
-            raise _fail(path, 'not an array')
+            raise _Invalid('not an array')
         if len(value) > limit.high:
-            raise _fail(path, f'{len(value)} items exceed {limit.high}')
+            raise _Invalid(f'{len(value)} items exceed {limit.high}')
 
-    def dump_items(value: Any, path: str) -> Any:
-        check(value, tuple, path)
-        return [item.dump(v, f'{path}[{i}]') for i, v in enumerate(value)]
+    def dump_items(value: Any) -> Any:
+        check(value, tuple)
+        return [item.dump(v) for v in value]
 
-    def load_items(value: Any, path: str) -> Any:
-        check(value, list, path)
-        return tuple(item.load(v, f'{path}[{i}]') for i, v in enumerate(value))
+    def load_items(value: Any) -> Any:
+        check(value, list)
+        return tuple(item.load(v) for v in value)
 
     return _Codec(dump=dump_items, load=load_items)
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -131,6 +131,14 @@
                 with self.assertRaises(errors.ProtocolError):
                     messages.decode(cbor2.dumps(value))
 
+    def test_error_names_the_field(self) -> None:
+        """Guards against a rejected message that nobody can trace."""
+        bad = cbor2.dumps([10, 'm', 0, [['u1', 'urgent', -1]]])
+        with self.assertRaisesRegex(
+            errors.ProtocolError, r'SlotDemand\.items\.count: not in 0'
+        ):
+            messages.decode(bad)
+
     def test_adjacent_releases(self) -> None:
         """Guards against a rolling update that breaks communication."""
         tag, kind, number, items, seq = cbor2.loads(messages.encode(EXAMPLE))
