--- /dev/null
+++ b/bench/endpoint.py
@@ -0,0 +1,167 @@
+"""Model of one upstream endpoint."""
+
+import collections
+from collections.abc import Callable
+from dataclasses import dataclass
+import random
+
+from bench import deployments
+from bench import sim
+from goldcresthaven import ids
+from goldcresthaven import outcomes
+
+QUEUE_LIMIT = 100  # beyond its slots; further requests are shed
+COLD_FACTOR = 3.0  # service time right after a start
+COLD_TIME = 5.0  # seconds until it is normal
+REPORT_INTERVAL = 1.0  # seconds
+
+
+@dataclass(kw_only=True, slots=True, eq=False)
+class Job:
+    """An attempt at an endpoint; ``reply`` is called when it ends.
+
+    ``deadline`` is when the caller's deadline passes and ``gone`` when the
+    caller disconnected, in virtual seconds; both are only for the metrics.
+    """
+
+    rank: outcomes.Rank
+    deadline: float
+    reply: Callable[['Job', outcomes.Outcome, bool], None]
+    shard: int | None = None
+    gone: float | None = None
+    started: float = 0.0
+    ends: float = 0.0
+    done: bool = False
+    version: int = 0
+
+
+class Endpoint:
+    """Slots, an own first-come-first-served queue, and faults.
+
+    It does not look at deadlines and does not notice a closed connection,
+    since the router can demand neither from an upstream.
+    """
+
+    def __init__(
+        self,
+        world: sim.Simulation,
+        *,
+        name: ids.UpstreamId,
+        zone: int,
+        slot_count: int,
+        rng: random.Random,
+        on_work: Callable[['Endpoint', Job, float], None],
+    ) -> None:
+        self.name = name
+        self.zone = zone
+        self.slot_count = slot_count
+        self.draining = False
+        self.owned: set[int] | None = None
+        self.busy_time = 0.0
+        self.received_draining = 0
+        self.most_running = 0
+        self._world = world
+        self._rng = rng
+        self._on_work = on_work
+        self._queue: collections.deque[Job] = collections.deque()
+        self._running: set[Job] = set()
+        self._frozen_since: float | None = None
+        self._started: float | None = None
+        self._lost = False
+
+    @property
+    def load(self) -> int:
+        """Requests running and queued."""
+        return len(self._running) + len(self._queue)
+
+    def submit(self, job: Job) -> None:
+        """Take an attempt that arrived over the network."""
+        if self._lost:
+            job.reply(job, _CONNECT_FAILED, False)
+            return
+        if self.draining:
+            self.received_draining += 1
+        if self.owned is not None and job.shard not in self.owned:
+            self._answer(job, _NOT_OWNER)
+        elif len(self._running) < self.slot_count:
+            self._start(job)
+        elif len(self._queue) < QUEUE_LIMIT:
+            self._queue.append(job)
+        else:
+            self._answer(job, _SHED)
+
+    def freeze(self) -> None:
+        self._frozen_since = self._world.now
+
+    def thaw(self) -> None:
+        """Continue; what was running takes up where it stopped."""
+        if self._frozen_since is None:
+            return
+        since = self._frozen_since
+        self._frozen_since = None
+        for job in self._running:
+            job.ends += self._world.now - max(since, job.started)
+            self._schedule(job)
+        while self._queue and len(self._running) < self.slot_count:
+            self._start(self._queue.popleft())
+
+    def restart(self) -> None:
+        """Start again, cold and empty."""
+        self._queue.clear()
+        self._running.clear()
+        self.draining = False
+        self._lost = False
+        self._started = self._world.now
+
+    def stop(self) -> None:
+        self._lost = True
+
+    def _answer(self, job: Job, outcome: outcomes.Outcome) -> None:
+        if self._frozen_since is None:
+            job.done = True
+            job.reply(job, outcome, self.draining)
+
+    def _service(self, rank: outcomes.Rank) -> float:
+        shape = deployments.SERVICE_SHAPE
+        mean = deployments.SERVICE[rank]
+        service = self._rng.gammavariate(shape, mean / shape)
+        if self._started is None:
+            return service
+        age = (self._world.now - self._started) / COLD_TIME
+        if age >= 1.0:
+            self._started = None
+            return service
+        return service * (COLD_FACTOR - (COLD_FACTOR - 1.0) * age)
+
+    def _start(self, job: Job) -> None:
+        self._running.add(job)
+        self.most_running = max(self.most_running, len(self._running))
+        job.started = self._world.now
+        job.ends = job.started + self._service(job.rank)
+        if self._frozen_since is None:
+            self._schedule(job)
+
+    def _schedule(self, job: Job) -> None:
+        job.version += 1
+        self._world.after(
+            job.ends - self._world.now, self._finish, job, job.version
+        )
+
+    def _finish(self, job: Job, version: int) -> None:
+        if self._frozen_since is not None or version != job.version:
+            return
+        if job not in self._running:
+            return
+        self._running.discard(job)
+        spent = job.ends - job.started
+        self.busy_time += spent
+        self._on_work(self, job, spent)
+        self._answer(job, _DONE)
+        if self._queue:
+            self._start(self._queue.popleft())
+
+
+_DONE = outcomes.Done(status=200)
+_SHED = outcomes.NotRun(reason=outcomes.Reason.SHED)
+_NOT_OWNER = outcomes.NotRun(reason=outcomes.Reason.NOT_OWNER, status=421)
+_CONNECT_FAILED = outcomes.NotRun(reason=outcomes.Reason.CONNECT_FAILED)
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,371 @@
+"""Callers, network, endpoints and entry processes of one simulated run."""
+
+from dataclasses import dataclass
+import random
+from typing import Protocol
+
+from bench import deployments
+from bench import endpoint
+from bench import metrics
+from bench import sim
+from goldcresthaven import ids
+from goldcresthaven import outcomes
+
+CONNECT_TIME = 1 * sim.MS
+IMPATIENT = 0.05  # share of callers that leave before their deadline
+MOVE_TIME = 0.3  # seconds from a drain signal until keys have moved
+GOSSIP_TIME = 0.05  # seconds until an entry knows of a move, at most
+LIST_LAG = 2.0  # seconds that the membership list lags
+
+
+@dataclass(kw_only=True, slots=True, eq=False)
+class Attempt:
+    """One attempt of a call, from an entry to an endpoint."""
+
+    entry: 'Entry'
+    call: metrics.Call
+    where: endpoint.Endpoint
+    latency: float
+    over: bool = False
+    job: endpoint.Job | None = None
+
+    def replied(
+        self, job: endpoint.Job, outcome: outcomes.Outcome, draining: bool
+    ) -> None:
+        self.entry.world.after(
+            self.latency, self.entry.received, self, outcome, draining
+        )
+
+
+class Entry:
+    """An entry process: the network side shared by all routers."""
+
+    def __init__(self, fleet: 'Fleet', number: int, zone: int) -> None:
+        self.fleet = fleet
+        self.world = fleet.world
+        self.vm = ids.VmId(f'entry-{number}')
+        self.zone = zone
+        self.live = True
+        self.accepting = True
+        # The owner of each shard as this entry knows it.
+        self.owners = {
+            pool: list(owners) for pool, owners in fleet.owners.items()
+        }
+        self._open: dict[ids.UpstreamId, int] = {}
+        self._in_use: dict[ids.UpstreamId, int] = {}
+
+    def receive(self, call: metrics.Call) -> None:
+        """Take a caller's request."""
+        raise NotImplementedError
+
+    def ended(
+        self, attempt: Attempt, outcome: outcomes.Outcome, draining: bool
+    ) -> None:
+        """Take the end of an attempt."""
+        raise NotImplementedError
+
+    def caller_gone(self, call: metrics.Call) -> None:
+        """Take a caller's disconnection."""
+
+    def owner_moved(self, pool: str, shard: int, name: ids.UpstreamId) -> None:
+        self.owners[pool][shard] = name
+
+    def list_says_leaving(self, name: ids.UpstreamId) -> None:
+        """Take a change of the membership list."""
+
+    def list_says_live(self, name: ids.UpstreamId) -> None:
+        """Take a change of the membership list."""
+
+    def shut_down(self) -> None:
+        """Prepare for a planned stop."""
+
+    def submit(
+        self, call: metrics.Call, name: ids.UpstreamId, timeout: float
+    ) -> Attempt:
+        """Send an attempt; it ends by a response or after ``timeout``."""
+        where = self.fleet.endpoints[name]
+        latency = self.fleet.latency(self.zone, where.zone)
+        attempt = Attempt(entry=self, call=call, where=where, latency=latency)
+        call.attempts += 1
+        self.fleet.metrics.attempted(call)
+        job = endpoint.Job(
+            rank=call.rank,
+            deadline=call.deadline,
+            reply=attempt.replied,
+            shard=call.shard,
+            gone=call.gone,
+        )
+        attempt.job = job
+        delay = latency + self._connect(name)
+        self.world.after(delay, where.submit, job)
+        self.world.after(timeout, self._timed_out, attempt)
+        return attempt
+
+    def _connect(self, name: ids.UpstreamId) -> float:
+        used = self._in_use.get(name, 0) + 1
+        self._in_use[name] = used
+        if used <= self._open.get(name, 0):
+            return 0.0
+        self._open[name] = used
+        return CONNECT_TIME
+
+    def received(
+        self, attempt: Attempt, outcome: outcomes.Outcome, draining: bool
+    ) -> None:
+        if attempt.over or not self.live:
+            return
+        attempt.over = True
+        self._in_use[attempt.where.name] -= 1
+        if attempt.job is not None:
+            attempt.call.spent = attempt.job.ends - attempt.job.started
+        self.ended(attempt, outcome, draining)
+
+    def _timed_out(self, attempt: Attempt) -> None:
+        """Close the connection of an attempt that took too long."""
+        if attempt.over or not self.live:
+            return
+        attempt.over = True
+        name = attempt.where.name
+        self._in_use[name] -= 1
+        self._open[name] -= 1
+        self.ended(attempt, _TIMEOUT, False)
+
+    def answer(self, call: metrics.Call, outcome: outcomes.Outcome) -> None:
+        """Send a response to the caller."""
+        if not call.finished:
+            call.finished = True
+            self.world.after(
+                self.fleet.deployment.caller_latency,
+                self.fleet.answered,
+                call,
+                outcome,
+            )
+
+
+class Router(Protocol):
+    """Makes the entry processes of a fleet."""
+
+    def __call__(self, fleet: 'Fleet', number: int, zone: int) -> Entry: ...
+
+
+class Fleet:
+    """Everything in one run."""
+
+    def __init__(
+        self,
+        deployment: deployments.Deployment,
+        router: Router,
+        *,
+        seed: int,
+        begin: float,
+        end: float,
+    ) -> None:
+        self.world = sim.Simulation()
+        self.deployment = deployment
+        self.rng = random.Random(seed)
+        self.metrics = metrics.Metrics(
+            begin=begin,
+            end=end,
+            targets={
+                rank: deployment.preset.rank(rank).target.total_seconds()
+                for rank in outcomes.RANKS
+            },
+        )
+        self.endpoints: dict[ids.UpstreamId, endpoint.Endpoint] = {}
+        self.by_pool: dict[str, list[ids.UpstreamId]] = {}
+        self.owners: dict[str, list[ids.UpstreamId]] = {}
+        self.reports: dict[ids.UpstreamId, float] = {}
+        self.epochs: dict[ids.DomainId, int] = {}
+        self.store_up = True
+        self.hot_shard: int | None = None
+        self._router = router
+        self._calls = 0
+        self._add_endpoints(seed)
+        self.entries: list[Entry] = []
+        self.by_vm: dict[ids.VmId, Entry] = {}
+        for number in range(deployments.ENTRIES):
+            self.add_entry(number)
+
+    def _add_endpoints(self, seed: int) -> None:
+        number = 0
+        for pool in self.deployment.pools:
+            names: list[ids.UpstreamId] = []
+            for i in range(pool.endpoints):
+                number += 1
+                name = ids.UpstreamId(f'{pool.settings.name}-{i}')
+                names.append(name)
+                self.endpoints[name] = endpoint.Endpoint(
+                    self.world,
+                    name=name,
+                    zone=number % self.deployment.zones,
+                    slot_count=pool.settings.slots,
+                    rng=random.Random(seed * 1000 + number),
+                    on_work=self.metrics.worked,
+                )
+            self.by_pool[pool.settings.name] = names
+            if pool.settings.keyed:
+                self.owners[pool.settings.name] = [
+                    names[shard % len(names)]
+                    for shard in range(pool.settings.shards)
+                ]
+
+    def add_entry(self, number: int) -> Entry:
+        entry = self._router(self, number, number % self.deployment.zones)
+        self.entries.append(entry)
+        self.by_vm[entry.vm] = entry
+        return entry
+
+    def latency(self, one: int, other: int) -> float:
+        if one == other:
+            return deployments.LOCAL_LATENCY
+        return self.deployment.zone_latency
+
+    # Callers
+
+    def offer(
+        self,
+        pool: deployments.PoolShape,
+        rank: outcomes.Rank,
+        load: float,
+        *,
+        begin: float = 0.0,
+        end: float = 1e9,
+        source: bool = False,
+    ) -> None:
+        """Send calls worth a share of the pool's slot time."""
+        rate = pool.rate(rank, load)
+        if rate > 0.0:
+            self.world.after(
+                begin + self.rng.expovariate(rate),
+                self._call,
+                pool,
+                rank,
+                rate,
+                end,
+                source,
+            )
+
+    def _call(
+        self,
+        pool: deployments.PoolShape,
+        rank: outcomes.Rank,
+        rate: float,
+        end: float,
+        source: bool,
+    ) -> None:
+        now = self.world.now
+        if now >= end:
+            return
+        self.world.after(
+            self.rng.expovariate(rate),
+            self._call,
+            pool,
+            rank,
+            rate,
+            end,
+            source,
+        )
+        self._calls += 1
+        policy = self.deployment.preset.rank(rank)
+        deadline = policy.deadline.total_seconds()
+        call = metrics.Call(
+            number=self._calls,
+            pool=pool.settings.name,
+            rank=rank,
+            sent=now,
+            deadline=now + deadline,
+            idempotent=rank is not outcomes.Rank.URGENT,
+            source=source,
+        )
+        if pool.settings.keyed:
+            call.shard = self.rng.randrange(pool.settings.shards)
+            if source and self.hot_shard is not None:
+                call.shard = self.hot_shard
+        self.metrics.sent(call)
+        entry = self._pick_entry()
+        latency = self.deployment.caller_latency
+        self.world.after(latency, entry.receive, call)
+        if self.rng.random() < IMPATIENT:
+            patience = self.rng.uniform(0.1, 1.0) * deadline
+            self.world.after(patience, self._leave, entry, call)
+
+    def _pick_entry(self) -> Entry:
+        """Choose as the platform's load balancer does."""
+        while True:
+            entry = self.entries[self.rng.randrange(len(self.entries))]
+            if entry.accepting:
+                return entry
+
+    def _leave(self, entry: Entry, call: metrics.Call) -> None:
+        if call.finished:
+            return
+        call.gone = self.world.now
+        self.metrics.left(call)
+        self.world.after(
+            self.deployment.caller_latency, entry.caller_gone, call
+        )
+
+    def answered(self, call: metrics.Call, outcome: outcomes.Outcome) -> None:
+        self.metrics.answered(self.world.now, call, outcome)
+
+    # Events that scenarios schedule
+
+    def replace_upstream(self, pool: str, index: int, away: float) -> None:
+        """Drain an endpoint, move its keys, restart it cold, move back."""
+        name = self.by_pool[pool][index]
+        where = self.endpoints[name]
+        where.draining = True
+        self.world.after(LIST_LAG, self._list_changed, name, True)
+        if pool in self.owners:
+            self.world.after(MOVE_TIME, self.move_keys, pool, name)
+        self.world.after(away, self._restarted, pool, name)
+
+    def _restarted(self, pool: str, name: ids.UpstreamId) -> None:
+        where = self.endpoints[name]
+        self.metrics.new_work_while_draining += where.received_draining
+        where.received_draining = 0
+        where.restart()
+        self._list_changed(name, False)
+        if pool in self.owners:
+            where.owned = None
+            names = self.by_pool[pool]
+            for shard in range(len(self.owners[pool])):
+                if names[shard % len(names)] == name:
+                    self._move(pool, shard, name)
+
+    def _list_changed(self, name: ids.UpstreamId, leaving: bool) -> None:
+        for entry in self.entries:
+            if leaving:
+                entry.list_says_leaving(name)
+            else:
+                entry.list_says_live(name)
+
+    def move_keys(self, pool: str, name: ids.UpstreamId) -> None:
+        """Give an endpoint's keys to the other owners."""
+        others = [
+            one
+            for one in self.by_pool[pool]
+            if one != name and not self.endpoints[one].draining
+        ]
+        self.endpoints[name].owned = set()
+        for shard, owner in enumerate(self.owners[pool]):
+            if owner == name:
+                self._move(pool, shard, others[shard % len(others)])
+
+    def _move(self, pool: str, shard: int, name: ids.UpstreamId) -> None:
+        self.owners[pool][shard] = name
+        for entry in self.entries:
+            delay = self.rng.uniform(0.0, GOSSIP_TIME)
+            self.world.after(delay, entry.owner_moved, pool, shard, name)
+
+    def report_loads(self, mode: str, interval: float, lag: float) -> None:
+        """Publish the endpoints' loads, lagging or wrong."""
+        for name, where in self.endpoints.items():
+            load = float(where.load)
+            if mode == 'wrong':
+                load = 0.0 if where.zone == 0 else 10.0 * self.rng.random()
+            self.world.after(lag, self.reports.__setitem__, name, load)
+        self.world.after(interval, self.report_loads, mode, interval, lag)
+
+
+_TIMEOUT = outcomes.Unknown(reason=outcomes.Reason.TIMEOUT, status=504)
--- /dev/null
+++ b/bench/routers.py
@@ -0,0 +1,131 @@
+"""Routers that the load policy is compared with."""
+
+from collections.abc import Callable
+
+from bench import fleet
+from bench import metrics
+from goldcresthaven import ids
+from goldcresthaven import outcomes
+
+FIXED_TIMEOUT = 5.0  # seconds
+FIXED_RETRIES = 3
+
+Choice = Callable[['Direct', str], ids.UpstreamId]
+
+
+class Direct(fleet.Entry):
+    """Sends every request at once; upstreams queue first come first served.
+
+    With ``choose_random`` it is the naive baseline: a fixed timeout and
+    three retries, whatever the work is. The other choices stand in for
+    slot leases in the comparison of rules, and there ``careful`` adds our
+    deadlines and retry limits, so that only the balancing differs.
+    """
+
+    def __init__(
+        self,
+        owner: fleet.Fleet,
+        number: int,
+        zone: int,
+        *,
+        choice: Choice,
+        careful: bool,
+    ) -> None:
+        super().__init__(owner, number, zone)
+        self.running: dict[ids.UpstreamId, int] = {}
+        self._choice = choice
+        self._careful = careful
+        self._left: set[ids.UpstreamId] = set()
+        self._budget = 10.0
+
+    def candidates(self, pool: str) -> list[ids.UpstreamId]:
+        names = self.fleet.by_pool[pool]
+        return [name for name in names if name not in self._left] or names
+
+    def receive(self, call: metrics.Call) -> None:
+        self._budget = min(self._budget + 0.1, 10.0)
+        self._attempt(call)
+
+    def _attempt(self, call: metrics.Call) -> None:
+        timeout = FIXED_TIMEOUT
+        if self._careful:
+            timeout = call.deadline - self.world.now
+        if timeout <= 0.0:
+            self.answer(call, _TOO_LATE)
+            return
+        if call.shard is not None:
+            name = self.owners[call.pool][call.shard]
+        else:
+            name = self._choice(self, call.pool)
+        self.running[name] = self.running.get(name, 0) + 1
+        self.submit(call, name, timeout)
+
+    def ended(
+        self,
+        attempt: fleet.Attempt,
+        outcome: outcomes.Outcome,
+        draining: bool,
+    ) -> None:
+        self.running[attempt.where.name] -= 1
+        if draining and self._careful:
+            self._left.add(attempt.where.name)
+        call = attempt.call
+        if isinstance(outcome, outcomes.Done) or not self._retries(
+            call, outcome
+        ):
+            self.answer(call, outcome)
+        else:
+            self._attempt(call)
+
+    def _retries(self, call: metrics.Call, outcome: outcomes.Outcome) -> bool:
+        if call.attempts > FIXED_RETRIES:
+            return False
+        if not self._careful:
+            return True
+        if isinstance(outcome, outcomes.Unknown) and not call.idempotent:
+            return False
+        if self._budget < 1.0:
+            return False
+        self._budget -= 1.0
+        return True
+
+    def list_says_leaving(self, name: ids.UpstreamId) -> None:
+        self._left.add(name)
+
+    def list_says_live(self, name: ids.UpstreamId) -> None:
+        self._left.discard(name)
+
+
+def choose_random(entry: Direct, pool: str) -> ids.UpstreamId:
+    return entry.fleet.rng.choice(entry.candidates(pool))
+
+
+def choose_two(entry: Direct, pool: str) -> ids.UpstreamId:
+    """Take the better of two by this entry's own counts."""
+    names = entry.candidates(pool)
+    one, two = (entry.fleet.rng.choice(names) for _ in range(2))
+    left = entry.running.get(one, 0)
+    return one if left <= entry.running.get(two, 0) else two
+
+
+def choose_reported(entry: Direct, pool: str) -> ids.UpstreamId:
+    """Take the one that reports the least load."""
+    reports = entry.fleet.reports
+    names = list(entry.candidates(pool))
+    entry.fleet.rng.shuffle(names)
+    return min(names, key=lambda name: reports.get(name, 0.0))
+
+
+def naive(owner: fleet.Fleet, number: int, zone: int) -> fleet.Entry:
+    return Direct(owner, number, zone, choice=choose_random, careful=False)
+
+
+def two_choices(owner: fleet.Fleet, number: int, zone: int) -> fleet.Entry:
+    return Direct(owner, number, zone, choice=choose_two, careful=True)
+
+
+def least_reported(owner: fleet.Fleet, number: int, zone: int) -> fleet.Entry:
+    return Direct(owner, number, zone, choice=choose_reported, careful=True)
+
+
+_TOO_LATE = outcomes.NotRun(reason=outcomes.Reason.DEADLINE_PASSED)
--- a/goldcresthaven/scheduler.py
+++ b/goldcresthaven/scheduler.py
@@ -306,9 +306,17 @@
                 taken.append(request)
         return taken
 
+    def stop(self, now: timedelta) -> list[Action]:
+        """Return all idle slots before a planned shutdown."""
+        for one in self._upstreams.values():
+            idle = self._slots.idle_of(one.name)
+            if idle:
+                self._give_back(now, idle)
+        return self._taken()
+
     def tick(self, now: timedelta) -> list[Action]:
         """Do what depends on time alone; to be called every 5 ms."""
-        if now >= self._next_expiry:
+        if self._queued and now >= self._next_expiry:
             self._next_expiry = now + EXPIRY_INTERVAL
             for line in self._lines.values():
                 self._expire(now, line)
@@ -400,10 +408,10 @@
             while len(queue):
                 request: admission.Request = queue.pop()
                 del self._queued[request.request_id]
-                if request.deadline > now:
+                if request.deadline >= now + queue.service:
                     return request
                 self._drop_want(line, level)
-                self._refuse(request, _EXPIRED)
+                self._refuse(request, _TOO_LATE)
         return None
 
     def _serve_fallback(self, now: timedelta, line: _Line) -> None:
@@ -614,6 +622,10 @@
         return taken
 
 
+_TOO_LATE = outcomes.NotRun(
+    reason=outcomes.Reason.CANNOT_MEET_DEADLINE,
+    retry_after=admission.MIN_RETRY_AFTER,
+)
 _EXPIRED = outcomes.NotRun(
     reason=outcomes.Reason.DEADLINE_PASSED,
     retry_after=admission.MIN_RETRY_AFTER,
--- a/goldcresthaven/slot_manager.py
+++ b/goldcresthaven/slot_manager.py
@@ -18,12 +18,27 @@
 import heapq
 
 from goldcresthaven import admission
+from goldcresthaven import health
 from goldcresthaven import ids
 from goldcresthaven import outcomes
 from goldcresthaven import presets
 from goldcresthaven import slots
 
 CLOCK_DRIFT = 1.01  # two clocks run apart by at most 1%
+# Keyed work has one place to go, so its slots are granted for this long
+# after a drain signal while its keys move. The limit is 3 s in all.
+KEYED_DRAIN_GRACE = health.DRAIN_GRACE
+
+
+def settle_time(claim_term: timedelta, longest: timedelta) -> timedelta:
+    """Return when a new manager may grant without hearing from everyone.
+
+    The former manager may grant until its claim ends. Such a slot may
+    start a request for one lease, and the request may run until the
+    longest deadline of the preset.
+    """
+    return claim_term + (slots.LEASE + longest) * CLOCK_DRIFT
+
 
 Reply = slots.SlotGrant | slots.SlotRecall
 
