--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -1,8 +1,8 @@
 """Callers, network, endpoints and entry processes of one simulated run."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 import random
-from typing import Protocol
 
 from bench import deployments
 from bench import endpoint
@@ -142,10 +142,8 @@
             )
 
 
-class Router(Protocol):
-    """Makes the entry processes of a fleet."""
-
-    def __call__(self, fleet: 'Fleet', number: int, zone: int) -> Entry: ...
+# Makes an entry process of a fleet from its number and zone.
+Router = Callable[['Fleet', int, int], Entry]
 
 
 class Fleet:
--- a/bench/runs.py
+++ b/bench/runs.py
@@ -66,7 +66,7 @@
 def _figures(owner: fleet.Fleet, scenario: scenarios.Scenario) -> Figures:
     found: Figures = {}
     measured = scenario.measured
-    shapes = {p.settings.name: p for p in owner.deployment.pools}
+    shapes = {str(p.settings.name): p for p in owner.deployment.pools}
     capacity = sum(p.slots for p in shapes.values()) * measured
     groups = owner.metrics.groups
     for rank in outcomes.RANKS:
--- /dev/null
+++ b/proofs/drain.py
@@ -0,0 +1,198 @@
+"""Promise 6: a leaving upstream gets no new work after at most 3 s.
+
+One signal out of membership list, operator and upstream comes at a random
+moment; the list lags, and messages to the slot manager are late or lost.
+The naive variant trusts only the list.
+"""
+
+from collections.abc import Iterable
+from datetime import timedelta
+import random
+
+from goldcresthaven import admission
+from goldcresthaven import ids
+from goldcresthaven import outcomes
+from goldcresthaven import presets
+from goldcresthaven import scheduler
+from goldcresthaven import slot_manager
+from goldcresthaven import slots
+from proofs import report
+
+LIMIT = timedelta(seconds=3)
+STEP = timedelta(milliseconds=5)
+STEPS = 2400
+LIST_LAG = timedelta(seconds=6)
+SERVICE = timedelta(milliseconds=40)
+LOSS = 0.05
+
+POOL = presets.Pool(
+    name=ids.PoolName('orders'), keyed=False, slots=2, connections=100
+)
+LEAVING = ids.UpstreamId('orders-0')
+STAYING = ids.UpstreamId('orders-1')
+DOMAIN = ids.DomainId('zone-0/0')
+ENTRIES = tuple(ids.VmId(f'entry-{i}') for i in range(3))
+PRESET = presets.Preset.model_validate(
+    {
+        'name': 'ordinary',
+        'urgent': {'target': '500ms', 'deadline': '2s', 'floor': 0.5},
+        'standard': {'target': '1s', 'deadline': '3s', 'floor': 0.3},
+        'bulk': {'target': '8s', 'deadline': '30s', 'floor': 0.1},
+    }
+)
+SIGNALS = ('list', 'operator', 'upstream')
+
+
+class _Run:
+    """Three entry processes, one manager, two upstreams."""
+
+    def __init__(self, seed: int, *, list_only: bool) -> None:
+        self.rng = random.Random(seed)
+        self.now = timedelta()
+        self.signal = self.rng.choice(SIGNALS)
+        self.drained = timedelta(seconds=self.rng.uniform(1.0, 4.0))
+        self.violated = False
+        self._list_only = list_only
+        self._count = 0
+        self._late: list[tuple[timedelta, ids.VmId, slots.Message]] = []
+        self._ends: list[
+            tuple[timedelta, ids.VmId, ids.RequestId, ids.UpstreamId]
+        ] = []
+        self.manager = slot_manager.Manager(
+            domain=DOMAIN, epoch=ids.Epoch(1), preset=PRESET
+        )
+        for name in (LEAVING, STAYING):
+            self.manager.add_upstream(name, slot_count=2, bulk_cap=1)
+        self.entries = {vm: self._entry(vm) for vm in ENTRIES}
+
+    def _entry(self, vm: ids.VmId) -> scheduler.Scheduler:
+        entry = scheduler.Scheduler(
+            entry=vm,
+            boot=ids.BootId('1'),
+            preset=PRESET,
+            rng=random.Random(self.rng.random()),
+        )
+        entry.add_pool(POOL)
+        for name in (LEAVING, STAYING):
+            entry.add_upstream(self.now, name, POOL.name, DOMAIN)
+        self._do(
+            vm, entry.set_manager(self.now, DOMAIN, ENTRIES[0], ids.Epoch(1))
+        )
+        return entry
+
+    def step(self) -> None:
+        self._deliver()
+        self._finish()
+        self._signals()
+        for vm, entry in self.entries.items():
+            if self.rng.random() < 0.15:
+                self._do(vm, entry.arrive(self.now, self._request()))
+            self._do(vm, entry.tick(self.now))
+        self._reply(self.manager.tick(self.now))
+        self.now += STEP
+
+    def _request(self) -> admission.Request:
+        self._count += 1
+        return admission.Request(
+            request_id=ids.RequestId(str(self._count)),
+            pool=POOL.name,
+            rank=outcomes.Rank.URGENT,
+            arrived=self.now,
+            deadline=self.now + timedelta(seconds=2),
+        )
+
+    def _signals(self) -> None:
+        """Pass on what the list or the operator says, when it is due."""
+        due = self.drained
+        if self.signal == 'list' or self._list_only:
+            due += LIST_LAG
+        elif self.signal == 'upstream':
+            return
+        if not due <= self.now < due + STEP:
+            return
+        for vm, entry in self.entries.items():
+            self._do(vm, entry.drain(self.now, LEAVING))
+        self._reply(self.manager.drain(self.now, LEAVING))
+
+    def _do(self, vm: ids.VmId, actions: Iterable[scheduler.Action]) -> None:
+        for action in actions:
+            match action:
+                case scheduler.Dispatch(request=request, upstream=upstream):
+                    self._check(upstream)
+                    end = self.now + SERVICE
+                    self._ends.append((end, vm, request.request_id, upstream))
+                case scheduler.Send(to=to, message=message):
+                    self._post(to, message)
+                case scheduler.Refuse():
+                    pass
+
+    def _check(self, upstream: ids.UpstreamId) -> None:
+        # The list is the first signal only when it says so, 6 s late.
+        since = self.drained
+        if self.signal == 'list':
+            since += LIST_LAG
+        if upstream == LEAVING and self.now > since + LIMIT:
+            self.violated = True
+
+    def _post(self, to: ids.VmId, message: slots.Message) -> None:
+        if self.rng.random() >= LOSS:
+            delay = timedelta(seconds=self.rng.expovariate(50.0))
+            self._late.append((self.now + delay, to, message))
+
+    def _deliver(self) -> None:
+        due = [one for one in self._late if one[0] <= self.now]
+        self._late = [one for one in self._late if one[0] > self.now]
+        for _, to, message in due:
+            match message:
+                case slots.SlotDemand():
+                    self._reply(self.manager.demand(self.now, message))
+                case slots.SlotReturn():
+                    self._reply(self.manager.returned(self.now, message))
+                case _:
+                    entry = self.entries[to]
+                    self._do(to, entry.message(self.now, message))
+
+    def _reply(self, replies: Iterable[slot_manager.Address]) -> None:
+        for reply in replies:
+            self._post(reply.entry, reply.message)
+
+    def _finish(self) -> None:
+        due = [one for one in self._ends if one[0] <= self.now]
+        self._ends = [one for one in self._ends if one[0] > self.now]
+        for _, vm, name, upstream in due:
+            leaving = upstream == LEAVING and self.now >= self.drained
+            told = leaving and self.signal == 'upstream'
+            self._do(
+                vm,
+                self.entries[vm].finished(
+                    self.now,
+                    name,
+                    outcomes.Done(status=200),
+                    draining=told and not self._list_only,
+                ),
+            )
+
+
+def _violates(seed: int, *, list_only: bool) -> bool:
+    run = _Run(seed, list_only=list_only)
+    for _ in range(STEPS):
+        run.step()
+    return run.violated
+
+
+def _naive(seed: int) -> bool:
+    return _violates(seed, list_only=True)
+
+
+def _ours(seed: int) -> bool:
+    return _violates(seed, list_only=False)
+
+
+def proof() -> report.Proof:
+    return report.Proof(
+        number=6,
+        name='drain',
+        naive=_naive,
+        ours=_ours,
+        seeds=range(20),
+    )
--- /dev/null
+++ b/tests/test_slots.py
@@ -0,0 +1,278 @@
+"""Tests of slot leases under lost and late messages and lost processes."""
+
+from datetime import timedelta
+import random
+import unittest
+
+from goldcresthaven import ids
+from goldcresthaven import presets
+from goldcresthaven import slot_manager
+from goldcresthaven import slots
+
+UPSTREAM = ids.UpstreamId('orders-0')
+DOMAIN = ids.DomainId('zone-0/0')
+MANAGER = ids.VmId('manager')
+SLOTS = 3
+BULK_CAP = 2
+STEP = timedelta(milliseconds=10)
+POLICY = presets.RankPolicy.model_validate(
+    {'target': '100ms', 'deadline': '400ms', 'floor': 0.3}
+)
+PRESET = presets.Preset(
+    name=ids.PresetName('test'), urgent=POLICY, standard=POLICY, bulk=POLICY
+)
+
+
+def make_manager(
+    epoch: int,
+    *,
+    settle_until: timedelta = timedelta(),
+    expected: tuple[ids.VmId, ...] = (),
+) -> slot_manager.Manager:
+    manager = slot_manager.Manager(
+        domain=DOMAIN,
+        epoch=ids.Epoch(epoch),
+        preset=PRESET,
+        settle_until=settle_until,
+        expected=expected,
+    )
+    manager.add_upstream(UPSTREAM, slot_count=SLOTS, bulk_cap=BULK_CAP)
+    return manager
+
+
+class Worker:
+    """An entry process that uses each slot for a random time."""
+
+    def __init__(self, name: str, rng: random.Random) -> None:
+        self.vm = ids.VmId(name)
+        self.offset = timedelta(seconds=rng.uniform(0.0, 1000.0))
+        self.alive = True
+        self.book = slots.EntrySlots(entry=self.vm, boot=ids.BootId('1'))
+        self.book.add_upstream(UPSTREAM, DOMAIN)
+        self.running: list[tuple[timedelta, slots.Held]] = []
+        self._rng = rng
+        self.follow(1)
+
+    def follow(self, epoch: int) -> None:
+        self.book.set_manager(DOMAIN, MANAGER, ids.Epoch(epoch))
+
+    def step(self, now: timedelta) -> list[slots.Message]:
+        """Start and end requests; return the messages to the manager."""
+        if not self.alive:
+            return []
+        now += self.offset
+        found: list[slots.Message] = []
+        self._finish(now)
+        for level in range(3):
+            held = self.book.take(now, UPSTREAM, level)
+            if held is not None and self._rng.random() < 0.7:
+                length = timedelta(seconds=self._rng.uniform(0.01, 0.4))
+                self.running.append((now + length, held))
+            elif held is not None and self.book.release(now, held):
+                found.append(self.book.give_back([held]))
+        for idle in self.book.idle_too_long(now):
+            found.append(self.book.give_back(idle))
+        if self._rng.random() < 0.2:
+            found.append(self.book.demand(now, DOMAIN, (self._want(),)))
+        return found
+
+    def _finish(self, now: timedelta) -> None:
+        ended = [one for one in self.running if one[0] <= now]
+        self.running = [one for one in self.running if one[0] > now]
+        for _, held in ended:
+            self.book.release(now, held)
+
+    def _want(self) -> slots.Want:
+        queued = tuple(self._rng.randrange(3) for _ in range(3))
+        slack = (timedelta(seconds=self._rng.random()),) * 3
+        return slots.Want(upstream=UPSTREAM, queued=queued, slack=slack)
+
+
+class Network:
+    """Delivers messages late, repeatedly, out of order or not at all."""
+
+    def __init__(self, seed: int, *, loss: float) -> None:
+        self.rng = random.Random(seed)
+        self.now = timedelta()
+        self.loss = loss
+        self.manager = make_manager(1)
+        self.workers = [Worker(f'entry-{i}', self.rng) for i in range(4)]
+        self.by_vm = {worker.vm: worker for worker in self.workers}
+        self._late: list[
+            tuple[timedelta, ids.VmId, slots.Message, timedelta]
+        ] = []
+
+    def step(self) -> None:
+        due = [one for one in self._late if one[0] <= self.now]
+        self._late = [one for one in self._late if one[0] > self.now]
+        for _, to, message, _ in due:
+            self._deliver(to, message)
+        for worker in self.workers:
+            for message in worker.step(self.now):
+                self._post(MANAGER, message)
+        self._reply(self.manager.tick(self.now))
+        self.now += STEP
+
+    def _deliver(self, to: ids.VmId, message: slots.Message) -> None:
+        match message:
+            case slots.SlotDemand():
+                self._reply(self.manager.demand(self.now, message))
+            case slots.SlotReturn():
+                self._reply(self.manager.returned(self.now, message))
+            case slots.SlotGrant():
+                worker = self.by_vm[to]
+                if worker.alive:
+                    worker.book.accept(self.now + worker.offset, message)
+            case slots.SlotRecall():
+                worker = self.by_vm[to]
+                idle = worker.book.recall(message) if worker.alive else []
+                if idle:
+                    self._post(MANAGER, worker.book.give_back(idle))
+
+    def _reply(self, replies: list[slot_manager.Address]) -> None:
+        for reply in replies:
+            self._post(reply.entry, reply.message)
+
+    def _post(self, to: ids.VmId, message: slots.Message) -> None:
+        while self.rng.random() >= self.loss:
+            delay = timedelta(seconds=self.rng.expovariate(8.0))
+            self._late.append((self.now + delay, to, message, self.now))
+            if self.rng.random() < 0.9:
+                return
+
+    def running(self) -> int:
+        """Return the requests that run at the upstream.
+
+        Those of a lost process run on until they end by themselves.
+        """
+        return sum(
+            end > self.now + worker.offset
+            for worker in self.workers
+            for end, _ in worker.running
+        )
+
+
+class SlotLimitTest(unittest.TestCase):
+    def test_limit_holds_whatever_is_lost(self) -> None:
+        """Guards against more requests at an upstream than its slots."""
+        used = 0
+        for seed in range(30):
+            network = Network(seed, loss=0.2)
+            for step in range(600):
+                if step == 300:
+                    network.workers[seed % 4].alive = False
+                network.step()
+                self.assertLessEqual(network.running(), SLOTS, seed)
+                used = max(used, network.running())
+        self.assertEqual(used, SLOTS)
+
+    def test_limit_holds_during_a_takeover(self) -> None:
+        """Guards against a new manager granting slots still in use."""
+        for seed in range(30):
+            network = Network(seed, loss=0.2)
+            for step in range(700):
+                if step == 300:
+                    network.manager = make_manager(
+                        2,
+                        settle_until=network.now
+                        + slot_manager.settle_time(
+                            timedelta(), timedelta(milliseconds=400)
+                        ),
+                        expected=tuple(network.by_vm),
+                    )
+                if 300 <= step < 340 and step % 10 == 0:
+                    network.workers[(step - 300) // 10].follow(2)
+                network.step()
+                self.assertLessEqual(network.running(), SLOTS, seed)
+
+    def test_slots_of_a_lost_process_come_back(self) -> None:
+        """Guards against slots that nobody can use any more."""
+        network = Network(1, loss=0.0)
+        for _ in range(100):
+            network.step()
+        for worker in network.workers:
+            worker.alive = False
+        for _ in range(400):
+            network.step()
+        self.assertEqual(network.manager.held(UPSTREAM), 0)
+
+
+class PlainManager:
+    """Allocation from the definition: scan all entries for each slot."""
+
+    def __init__(self) -> None:
+        self.wants: dict[int, list[tuple[int, timedelta]]] = {}
+        self.held: dict[int, tuple[int, int]] = {}
+
+    def grant(self) -> list[tuple[int, int]]:
+        """Return (entry, level) of each slot given, most urgent first."""
+        given: list[tuple[int, int]] = []
+        while len(self.held) < SLOTS:
+            found = self._next()
+            if found is None:
+                break
+            level, _, entry = found
+            count, due = self.wants[entry][level]
+            self.wants[entry][level] = (count - 1, due)
+            self.held[len(given) + 1000] = (entry, level)
+            given.append((entry, level))
+        return given
+
+    def _next(self) -> tuple[int, timedelta, int] | None:
+        bulk = sum(level == 2 for _, level in self.held.values())
+        waiting = [
+            (level, due, entry)
+            for entry, wants in self.wants.items()
+            for level, (count, due) in enumerate(wants)
+            if count and (level < 2 or bulk < BULK_CAP)
+        ]
+        return min(waiting, default=None)
+
+
+class AllocationTest(unittest.TestCase):
+    def test_agrees_with_plain_manager(self) -> None:
+        """Guards against a wrong order of ranks, deadlines or the cap."""
+        for seed in range(200):
+            rng = random.Random(seed)
+            manager = make_manager(1, settle_until=timedelta(seconds=1))
+            plain = PlainManager()
+            for entry in range(4):
+                queued = tuple(rng.randrange(3) for _ in range(3))
+                slack = tuple(
+                    timedelta(seconds=rng.random()) for _ in range(3)
+                )
+                plain.wants[entry] = list(zip(queued, slack))
+                manager.demand(
+                    timedelta(milliseconds=500),
+                    self._demand(entry, 1, queued, slack),
+                )
+            zero = (timedelta(),) * 3
+            plain.wants[9] = [(0, zero[0])] * 3
+            replies = manager.demand(
+                timedelta(seconds=1), self._demand(9, 1, (0, 0, 0), zero)
+            )
+            given = [
+                (int(reply.entry.removeprefix('entry-')), slot.level)
+                for reply in replies
+                if isinstance(reply.message, slots.SlotGrant)
+                for slot in reply.message.slots
+            ]
+            self.assertEqual(sorted(given), sorted(plain.grant()), seed)
+
+    def _demand(
+        self,
+        entry: int,
+        seq: int,
+        queued: tuple[int, ...],
+        slack: tuple[timedelta, ...],
+    ) -> slots.SlotDemand:
+        want = slots.Want(upstream=UPSTREAM, queued=queued, slack=slack)
+        return slots.SlotDemand(
+            entry=ids.VmId(f'entry-{entry}'),
+            boot=ids.BootId('1'),
+            domain=DOMAIN,
+            epoch=ids.Epoch(1),
+            seq=seq,
+            basis=timedelta(),
+            wants=(want,),
+        )
