Add node.Node, the shared object of an entry process

Interface first, so that the slot gate and the operator server can be written against it: messages to peers and their handlers, the view, who holds a domain, timeline and metrics.

--- /dev/null
+++ b/goldcresthaven/node.py
@@ -0,0 +1,168 @@
+"""What the parts of an entry process share: state, peers and records."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from datetime import timedelta
+import random
+import secrets
+from typing import Any
+from typing import TypeVar
+
+from goldcresthaven import auth
+from goldcresthaven import clock as clock_module
+from goldcresthaven import dispatch
+from goldcresthaven import errors
+from goldcresthaven import ids
+from goldcresthaven import members
+from goldcresthaven import messages
+from goldcresthaven import metrics as metrics_module
+from goldcresthaven import ownership
+from goldcresthaven import peer_link
+from goldcresthaven import peer_session
+from goldcresthaven import peer_state
+from goldcresthaven import replica
+from goldcresthaven import timeline as timeline_module
+
+M = TypeVar('M')
+Handler = Callable[[ids.VmId, M], Awaitable[messages.Message | None]]
+
+_REFUSALS = {
+    peer_state.Change.REFUSED: 'peer.refused',
+    peer_state.Change.MALFORMED: 'peer.malformed',
+    peer_state.Change.TOO_SLOW: 'peer.too-slow',
+}
+
+
+class Node:
+    """One entry process, as its parts see it.
+
+    ``state`` is what requests are routed by, ``controller`` holds the
+    claims, ``timeline`` and ``metrics`` take what is worth recording. The
+    handler of a message type is registered before ``listen``.
+
+    Example::
+
+        node.on(messages.SlotDemand, manager.demanded)
+        manager = node.holder(node.domain_of(upstream))
+        await node.send(manager, messages.SlotDemand(items=items))
+    """
+
+    def __init__(
+        self,
+        *,
+        vm: ids.VmId,
+        zone: ids.ZoneId,
+        ring: auth.KeyRing,
+        clock: clock_module.Clock,
+        metrics: metrics_module.Metrics,
+        max_events: int = timeline_module.MAX_EVENTS,
+    ) -> None:
+        self.vm = vm
+        self.zone = zone
+        self.boot = ids.BootId(secrets.token_hex(8))
+        self.clock = clock
+        self.metrics = metrics
+        self.rng = random.Random(secrets.randbits(64))
+        self.hybrid = timeline_module.HybridClock(clock)
+        self.timeline = timeline_module.Timeline(
+            vm=vm, boot=self.boot, hybrid=self.hybrid, max_events=max_events
+        )
+        self.verifier = auth.Verifier(ring, target=vm, time=clock)
+        self.controller = ownership.Controller(
+            vm=vm, zone=zone, boot=self.boot
+        )
+        self.state = replica.Replica()
+        self._handlers: dict[type[Any], Handler[Any]] = {}
+        self.links = self._make_links()
+
+    def current(self) -> dispatch.View | None:
+        """Return the view that requests are routed by, or None."""
+        return self.state.current()
+
+    def holder(self, domain: ids.DomainId) -> ids.VmId | None:
+        """Return the VM that manages a domain, as far as is known here.
+
+        A process that has lost its claim does not name itself.
+        """
+        holder = self.controller.holder(domain)
+        if holder == self.vm and not self.holds(domain):
+            return None
+        return holder
+
+    def holds(self, domain: ids.DomainId) -> bool:
+        """Whether this process may manage the domain's upstreams now."""
+        return self.controller.holds(domain, now=self.clock.elapsed())
+
+    def domain_of(self, upstream: ids.UpstreamId) -> ids.DomainId | None:
+        """Return the domain of an upstream, or None before it has one."""
+        return self.state.shard_map.homes.get(upstream)
+
+    def entries(self) -> dict[ids.VmId, members.Member]:
+        """Return the other entry VMs of the membership list."""
+        return {
+            m.vm: m
+            for m in self.state.listed
+            if m.role is members.Role.ENTRY and m.vm != self.vm
+        }
+
+    def on(self, kind: type[M], handler: Handler[M]) -> None:
+        """Register the handler of a message type; see ``PeerLinks``.
+
+        The handler must not wait for I/O. What it returns is the reply to
+        a request.
+        """
+        assert kind not in self._handlers
+        self._handlers[kind] = handler
+
+    async def listen(self, address: members.Address) -> int:
+        """Accept peers; returns the port, chosen when it is 0."""
+        return await self.links.listen(address.host, address.port)
+
+    async def send(self, vm: ids.VmId, message: messages.Message) -> bool:
+        """Queue a message to a peer; see ``PeerLinks.send``."""
+        return await self.links.send(vm, message)
+
+    async def request(
+        self, vm: ids.VmId, message: messages.Message, timeout: timedelta
+    ) -> messages.Message:
+        """Return a peer's reply; see ``PeerLinks.request``."""
+        return await self.links.request(vm, message, timeout)
+
+    def _make_links(self) -> peer_link.PeerLinks:
+        return peer_link.PeerLinks(
+            identity=peer_session.Identity(
+                vm=self.vm, zone=self.zone, boot=self.boot
+            ),
+            security=peer_session.Security(
+                verifier=self.verifier,
+                time=self.clock,
+                nonce=lambda: secrets.token_bytes(auth.NONCE_BYTES),
+            ),
+            time=self.clock,
+            address_of=self._address_of,
+            handler=self._handle,
+            on_event=self._note_link,
+            rng=self.rng,
+        )
+
+    def _address_of(self, vm: ids.VmId) -> members.Address | None:
+        for member in self.state.listed:
+            if member.vm == vm and member.role is members.Role.ENTRY:
+                return member.address
+        return None
+
+    async def _handle(
+        self, vm: ids.VmId, message: messages.Message
+    ) -> messages.Message | None:
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            raise errors.ProtocolError(
+                f'{type(message).__name__} is not handled here',
+                remedy='check that both processes run adjacent releases',
+            )
+        return await handler(vm, message)
+
+    def _note_link(self, event: peer_state.LinkEvent) -> None:
+        name = _REFUSALS.get(event.change)
+        if name is not None:
+            self.metrics.count(name)
--- a/goldcresthaven/replica.py
+++ b/goldcresthaven/replica.py
@@ -1,56 +1,51 @@
-"""This process's copy of the configuration and of the map.
+"""What this process routes requests by.
 
-Both only move forward: an older or repeated entry is ignored, and an entry
-that does not follow the copy is left for later.
+The controller's map, the newest configuration and the membership list are
+put together here. Each only moves forward: an older entry is ignored.
 """
 
-from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
 
+from goldcresthaven import config_log
 from goldcresthaven import dispatch
 from goldcresthaven import ids
 from goldcresthaven import members
-from goldcresthaven import presets
 from goldcresthaven import shards
 
 
 @dataclass(kw_only=True)
 class Replica:
-    """State that requests are routed by."""
+    """The state in force; every part of the process reads it here."""
 
-    config_version: ids.ConfigVersion = ids.ConfigVersion(0)
-    document: presets.Document | None = None
+    entry: config_log.Entry | None = None
     shard_map: shards.ShardMap = field(default_factory=shards.ShardMap)
     listed: tuple[members.Member, ...] = ()
     _view: dispatch.View | None = None
 
+    @property
+    def config_version(self) -> ids.ConfigVersion:
+        if self.entry is None:
+            return ids.ConfigVersion(0)
+        return self.entry.version
+
     def current(self) -> dispatch.View | None:
         """Return the view, or None before the first configuration."""
         return self._view
 
-    def offer_config(
-        self, version: ids.ConfigVersion, document: presets.Document
-    ) -> bool:
+    def offer_config(self, entry: config_log.Entry) -> bool:
         """Adopt a configuration if it is newer; return whether it was."""
-        if version <= self.config_version:
+        if entry.version <= self.config_version:
             return False
-        self.config_version = version
-        self.document = document
+        self.entry = entry
         self._rebuild()
         return True
 
-    def offer_changes(self, changes: Iterable[shards.MapChange]) -> bool:
-        """Apply the map changes that follow; return whether any did.
-
-        Raises MapError when a change that follows does not fit.
-        """
-        before = self.shard_map.version
-        for change in sorted(changes, key=lambda c: c.version):
-            if change.version == self.shard_map.version + 1:
-                self.shard_map = self.shard_map.apply(change)
-        if self.shard_map.version == before:
+    def offer_map(self, shard_map: shards.ShardMap) -> bool:
+        """Adopt a map if it is newer; return whether it was."""
+        if shard_map.version <= self.shard_map.version:
             return False
+        self.shard_map = shard_map
         self._rebuild()
         return True
 
@@ -61,12 +56,12 @@
             self._rebuild()
 
     def _rebuild(self) -> None:
-        if self.document is None:
+        if self.entry is None:
             return
         entries = sum(m.role is members.Role.ENTRY for m in self.listed)
         self._view = dispatch.View(
             config_version=self.config_version,
-            document=self.document,
+            document=self.entry.document,
             shard_map=self.shard_map,
             upstreams={
                 ids.UpstreamId(m.vm): m
