--- a/goldcresthaven/ownership.py
+++ b/goldcresthaven/ownership.py
@@ -68,6 +68,11 @@
         row = self._candidacy.row(domain)
         return None if row is None else row.holder
 
+    def epoch(self, domain: ids.DomainId) -> ids.Epoch | None:
+        """Return the epoch of the last row seen."""
+        row = self._candidacy.row(domain)
+        return None if row is None else row.epoch
+
     def handle(
         self, event: control.Event, *, now: timedelta
     ) -> list[control.Action]:
--- /dev/null
+++ b/goldcresthaven/slot_links.py
@@ -0,0 +1,66 @@
+"""Connects the slot gate to the entry process's peers and claims."""
+
+from collections.abc import Mapping
+from datetime import timedelta
+
+from goldcresthaven import dispatch
+from goldcresthaven import ids
+from goldcresthaven import members
+from goldcresthaven import messages
+from goldcresthaven import node as node_module
+from goldcresthaven import slot_gate
+from goldcresthaven import slots
+
+
+class NodeClaims:
+    """Domains and claims as the ownership controller knows them."""
+
+    def __init__(self, node: node_module.Node) -> None:
+        self._node = node
+
+    def domains(self) -> Mapping[ids.UpstreamId, ids.DomainId]:
+        return self._node.state.shard_map.homes
+
+    def holder(self, domain: ids.DomainId) -> slot_gate.Holder | None:
+        vm = self._node.holder(domain)
+        epoch = self._node.controller.epoch(domain)
+        if vm is None or epoch is None:
+            return None
+        return slot_gate.Holder(vm=vm, epoch=epoch)
+
+    def holds(self, domain: ids.DomainId, *, now: timedelta) -> bool:
+        return self._node.controller.holds(domain, now=now)
+
+    def entries(self) -> frozenset[ids.VmId]:
+        others = self._node.peers().values()
+        live = members.MemberState.LIVE
+        return frozenset(m.vm for m in others if m.state is live) | {
+            self._node.vm
+        }
+
+
+def connect(
+    node: node_module.Node, views: dispatch.Views
+) -> slot_gate.SlotGate:
+    """Return a gate that exchanges slot messages with the peers."""
+    gate = slot_gate.SlotGate(
+        vm=node.vm,
+        boot=node.boot,
+        clock=node.clock,
+        views=views,
+        claims=NodeClaims(node),
+        send=node.links.send,
+        rng=node.rng,
+    )
+
+    async def received(
+        vm: ids.VmId, message: slots.Message
+    ) -> messages.Message | None:
+        await gate.received(message)
+        return None
+
+    node.on(slots.SlotDemand, received)
+    node.on(slots.SlotReturn, received)
+    node.on(slots.SlotGrant, received)
+    node.on(slots.SlotRecall, received)
+    return gate
