--- a/goldcresthaven/control_driver.py
+++ b/goldcresthaven/control_driver.py
@@ -291,6 +291,7 @@
             return
         if isinstance(reply, messages.HeartbeatAck):
             self._node.hybrid.receive(reply.stamp)
+            await self.spread.noticed(vm, reply)
             await self.tell(control.PeerHeard(vm=vm))
 
     async def _ask_consent(self, action: control.AskConsent) -> None:
@@ -322,6 +323,7 @@
         self, vm: ids.VmId, message: messages.Heartbeat
     ) -> messages.Message | None:
         stamp = self._node.hybrid.receive(message.stamp)
+        await self.spread.noticed(vm, message)
         # A process that takes no claims must not keep others from it.
         if not self._node.ready or self._node.stopping:
             return messages.Refusal(reason='takes no claims')
--- a/goldcresthaven/messages.py
+++ b/goldcresthaven/messages.py
@@ -219,7 +219,7 @@
 class MembersReply:
     """A piece of the membership list; ``more`` says that it goes on."""
 
-    members: Annotated[tuple[ListedMember, ...], codec.Size(MAX_ITEMS)]
+    members: Annotated[tuple[ListedMember, ...], codec.Size(fields.MAX_ITEMS)]
     more: bool = False
 
 
