Stop the endless exchange of slots of an upstream that is not usable

Cause: under overload, requests are sent shortly before their deadlines and time out; the breaker took five of these as failures of the upstream. A slot granted for it was returned at once with the same demand and granted again, without end when manager and entry are one process.

Demand for an upstream that is not usable is now reported as zero, and a timeout counts as a failure only after four mean service times.

Frozen time no longer counts as slot time in the benchmark.

--- a/bench/endpoint.py
+++ b/bench/endpoint.py
@@ -100,7 +100,10 @@
         since = self._frozen_since
         self._frozen_since = None
         for job in self._running:
-            job.ends += self._world.now - max(since, job.started)
+            pause = self._world.now - max(since, job.started)
+            job.ends += pause
+            # Frozen time is not slot time that anybody could use.
+            job.started += pause
             self._schedule(job)
         while self._queue and len(self._running) < self.slot_count:
             self._start(self._queue.popleft())
--- a/goldcresthaven/scheduler.py
+++ b/goldcresthaven/scheduler.py
@@ -31,6 +31,7 @@
 EXPIRY_INTERVAL = timedelta(milliseconds=10)
 UPKEEP_INTERVAL = timedelta(milliseconds=100)
 NO_SLACK = timedelta()
+FAIR_TIME = 4  # mean service times after which a timeout is a failure
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -230,7 +231,7 @@
         running = self._running.pop(request_id)
         one = self._upstreams[running.upstream]
         one.running -= 1
-        one.health.record(now, health.judge(outcome))
+        one.health.record(now, self._verdict(now, running, outcome))
         if draining:
             one.health.drain(now)
         if isinstance(outcome, outcomes.Done):
@@ -245,6 +246,21 @@
             self._serve(now, one, running.held)
         return self._taken()
 
+    def _verdict(
+        self, now: timedelta, running: _Running, outcome: outcomes.Outcome
+    ) -> health.Verdict:
+        """Judge an outcome; a timeout counts after a fair time only.
+
+        Under overload requests are dispatched shortly before their
+        deadlines, and their timeouts say nothing about the upstream.
+        """
+        if _is_timeout(outcome):
+            one = self._upstreams[running.upstream]
+            service = one.line.queue.ranks[running.request.level].service
+            if now - running.started < service * FAIR_TIME:
+                return health.Verdict.NEUTRAL
+        return health.judge(outcome)
+
     def caller_gone(
         self, now: timedelta, request_id: ids.RequestId
     ) -> list[Action]:
@@ -469,13 +485,17 @@
             self._actions.append(Send(to=session.manager, message=message))
 
     def _want(self, now: timedelta, one: _Upstream) -> slots.Want:
-        one.told = list(one.want)
+        # A slot that cannot be used now would come back at once and be
+        # granted again, in an endless exchange of messages.
+        one.told = [0] * admission.RANK_COUNT
+        if self._accepts(now, one):
+            one.told = list(one.want)
         slack: list[timedelta] = []
         for queue in one.line.queue.ranks:
             earliest = queue.earliest()
             slack.append(NO_SLACK if earliest is None else earliest - now)
         return slots.Want(
-            upstream=one.name, queued=tuple(one.want), slack=tuple(slack)
+            upstream=one.name, queued=tuple(one.told), slack=tuple(slack)
         )
 
     def _send_demands(self, now: timedelta) -> None:
@@ -532,6 +552,9 @@
             for name, one in line.upstreams.items()
             if self._accepts(now, one)
         ]
+        for one in line.upstreams.values():
+            if one.want != one.told:
+                self._mark_changed(one)
         usable = max(len(line.usable), 1)
         line.queue.slots = usable * line.pool.slots
         if not line.usable:
@@ -540,6 +563,11 @@
             if any(one.want) and name not in line.usable:
                 self._move_want(now, line, one)
 
+    def _mark_changed(self, one: _Upstream) -> None:
+        session = self._slots.session_of(one.name)
+        if session is not None:
+            session.dirty.add(one.name)
+
     def _move_want(self, now: timedelta, line: _Line, one: _Upstream) -> None:
         session = self._slots.session_of(one.name)
         for level in range(admission.RANK_COUNT):
@@ -632,6 +660,13 @@
 )
 
 
+def _is_timeout(outcome: outcomes.Outcome) -> bool:
+    match outcome:
+        case outcomes.Unknown(reason=outcomes.Reason.TIMEOUT):
+            return True
+    return False
+
+
 def _no_upstream(request: admission.Request) -> outcomes.NotRun:
     reason = outcomes.Reason.NO_UPSTREAM
     if request.owner is not None:
