Require two mean service times at dispatch

Cause: under overload the queue is as long as the deadline allows, so work is dispatched with little time left, and about half of what was sent with one mean service time left ended too late.

--- a/goldcresthaven/admission.py
+++ b/goldcresthaven/admission.py
@@ -27,7 +27,7 @@
 DEFAULT_SERVICE = timedelta(milliseconds=50)  # until one was measured
 # Mean service times that must be left at dispatch. With 1, about half of
 # the requests sent at that point ended after their deadlines.
-SERVICE_MARGIN = 1
+SERVICE_MARGIN = 2
 SERVICE_WEIGHT = 0.1  # weight of a new sample in the mean service time
 # A rank may be this far ahead of or behind its floor, in seconds of one
 # slot. Without a lower bound a rank that filled spare slots would later
