Prove that each ownership rule is needed; make runs repeatable

Requests were sent in the order of a set of strings, so a seed gave different runs in different processes. One seed of each of the 18 knock-outs is a test, among them the two counterexamples to the design: a restarted upstream forgets the epoch that fenced it, and a second takeover shortened the wait that the first one owed.

--- a/goldcresthaven/candidates.py
+++ b/goldcresthaven/candidates.py
@@ -134,7 +134,7 @@
         self._read_at = now
         for domain, row in rows.items():
             self.seen(domain, row, now=now)
-        for domain in self._view.domains() - rows.keys():
+        for domain in sorted(self._view.domains() - rows.keys()):
             self.seen(domain, None, now=now)
         if gap:
             for watch in self._watches.values():
--- a/goldcresthaven/domain.py
+++ b/goldcresthaven/domain.py
@@ -125,7 +125,7 @@
         """Take a new map; ``keyed`` are the upstreams that need leases."""
         self._map = shard_map
         old, self._owned = self._owned, owned
-        for upstream in keyed:
+        for upstream in sorted(keyed):
             if shard_map.homes.get(upstream) == self.claim.domain:
                 self._watch(upstream, now=now)
         for upstream, state in self.upstreams.items():
--- a/goldcresthaven/ownership.py
+++ b/goldcresthaven/ownership.py
@@ -213,7 +213,7 @@
         actions = self._keeper.resolved(
             event.txn, event.result, first_sent=known.first_sent, now=now
         )
-        for domain in self._keeper.held.keys() - before:
+        for domain in sorted(self._keeper.held.keys() - before):
             self._give_map(self._keeper.held[domain], now)
             actions.append(self._read_log())
             self._awaiting[domain] = self._token
--- a/goldcresthaven/placement.py
+++ b/goldcresthaven/placement.py
@@ -85,9 +85,9 @@
         self._source = {s.shard_id: s.owner for s in pool_shards}
         self._owner: dict[ids.ShardId, ids.UpstreamId] = {}
         self._owned: dict[ids.UpstreamId, set[ids.ShardId]] = {
-            u: set() for u in upstreams
+            u: set() for u in sorted(upstreams)
         }
-        self._load = {u: 0.0 for u in upstreams}
+        self._load = {u: 0.0 for u in sorted(upstreams)}
         self._orphans: list[ids.ShardId] = []
         self._order: list[ids.ShardId] = []
         for shard in pool_shards:
--- /dev/null
+++ b/tests/test_knockouts.py
@@ -0,0 +1,64 @@
+"""Tests that the simulation needs each ownership rule.
+
+Every seed is one with which the product holds and the same product
+without the rule does not.
+"""
+
+import unittest
+
+from proofs import knockouts
+from proofs import sim_faults
+from proofs import sim_splits
+
+SEEDS = {
+    '1 epoch': 4,
+    '1 sequence': 68,
+    '1 basis': 4,
+    '2 bound': 4,
+    '3 wait for the bound': 0,
+    '4 wait after a raise': 0,
+    '5 release before a move': 1,
+    '6 read the log': 5,
+    '7 check the claim': 0,
+    '8 epoch condition': 50,
+    '8 absent condition': 0,
+    'consent of all peers': 0,
+    'consent at all': 0,
+    'consent refused': 2,
+    'consent of both peer sets': 0,
+    'grace for other VMs': 0,
+    '4 response after the old claim': 2,
+    '4 inherited wait': 0,
+}
+
+# The design did not contain these rules; the seeds are counterexamples.
+ADDED = ('4 response after the old claim', '4 inherited wait')
+
+
+class KnockoutTest(unittest.TestCase):
+    def test_each_rule_is_needed(self) -> None:
+        """Guards against a rule that the simulation does not exercise."""
+        for rule in knockouts.RULES:
+            with self.subTest(rule=rule.rule):
+                outcome = rule.run(SEEDS[rule.rule])
+                self.assertNotEqual(outcome.violations, [])
+
+    def test_rules_that_the_simulation_added(self) -> None:
+        """Guards against the return of two counterexamples.
+
+        An upstream that restarts forgets the epoch that it has seen, so
+        the earlier holder can grant again. A second takeover must not
+        shorten the wait that the first one owes.
+        """
+        for rule in knockouts.RULES:
+            if rule.rule in ADDED:
+                with self.subTest(rule=rule.rule):
+                    seed = SEEDS[rule.rule]
+                    outcome = sim_splits.run(seed, rule.script)
+                    self.assertEqual(outcome.violations, [])
+
+    def test_random_failures_hold_with_all_rules(self) -> None:
+        """Guards against a product that fails with a knock-out's seed."""
+        for seed in (4, 50, 68):
+            with self.subTest(seed=seed):
+                self.assertEqual(sim_faults.run(seed).violations, [])
