--- a/goldcresthaven/candidates.py
+++ b/goldcresthaven/candidates.py
@@ -16,6 +16,9 @@
 
 HEARTBEAT_EVERY = timedelta(milliseconds=250)
 SILENT_AFTER = timedelta(milliseconds=750)
+# After a pause of its own a process cannot tell which peers were silent,
+# and would otherwise take over every claim that it watches.
+OWN_PAUSE = timedelta(milliseconds=500)
 
 # Only the best-ranked probe each other and the holder. A zone may have
 # hundreds of entry VMs, and all probing one holder would overload it.
@@ -51,6 +54,7 @@
         self._heard: dict[ids.VmId, timedelta] = {}
         self._watched: dict[ids.VmId, timedelta] = {}
         self._send_at = timedelta.min
+        self._probed_at = timedelta.min
 
     def heard(self, vm: ids.VmId, *, now: timedelta) -> None:
         self._heard[vm] = now
@@ -59,6 +63,9 @@
         self, vms: frozenset[ids.VmId], *, now: timedelta
     ) -> list[control.Action]:
         """Return heartbeats when they are due."""
+        if now > self._probed_at + OWN_PAUSE:
+            self._watched = dict.fromkeys(self._watched, now)
+        self._probed_at = now
         for vm in vms:
             self._watched.setdefault(vm, now)
         for vm in self._watched.keys() - vms:
--- a/goldcresthaven/peer_session.py
+++ b/goldcresthaven/peer_session.py
@@ -69,7 +69,15 @@
         self.peer: messages.Hello | None = None
 
     def send(self, data: bytes) -> None:
-        """Queue one encoded frame for ``output``."""
+        """Queue one encoded frame for ``output``.
+
+        Raises ConnectionLost when either side has begun to close.
+        """
+        if self._protocol.state.name != 'OPEN':
+            raise errors.ConnectionLost(
+                'the connection is being closed',
+                remedy='see the log of the peer if this repeats',
+            )
         self._protocol.send_binary(data)
 
     def close(self, code: int = ws_frames.CloseCode.GOING_AWAY) -> None:
--- /dev/null
+++ b/tests/test_liveness.py
@@ -0,0 +1,73 @@
+"""Tests of the liveness of watched peers."""
+
+from datetime import timedelta
+import unittest
+
+from goldcresthaven import candidates
+from goldcresthaven import control
+from goldcresthaven import ids
+
+A, B = ids.VmId('a'), ids.VmId('b')
+BOTH = frozenset((A, B))
+MS = timedelta(milliseconds=1)
+
+
+class LivenessTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now = timedelta(seconds=1)
+        self.live = candidates.Liveness()
+        self.sent = 0
+
+    def run_for(
+        self, ms: int, *, answering: tuple[ids.VmId, ...]
+    ) -> list[tuple[int, ids.VmId]]:
+        """Tick every 50 ms; returns when each peer became silent."""
+        silent = []
+        for step in range(ms // 50):
+            before = {vm for vm in BOTH if self.live.alive(vm, now=self.now)}
+            if step:
+                self.now += 50 * MS
+            for action in self.live.probe(BOTH, now=self.now):
+                assert isinstance(action, control.SendHeartbeat)
+                self.sent += 1
+                if action.vm in answering:
+                    self.live.heard(action.vm, now=self.now)
+            silent += [
+                (step * 50, vm)
+                for vm in sorted(before)
+                if not self.live.alive(vm, now=self.now)
+            ]
+        return silent
+
+    def test_silent_peer_is_noticed(self) -> None:
+        """Guards against a lost holder that nobody replaces."""
+        self.assertEqual(self.run_for(2000, answering=(A,)), [(750, B)])
+        self.assertTrue(self.live.alive(A, now=self.now))
+        # Both are probed every 250 ms, the first time at once.
+        self.assertEqual(self.sent, 2 * 8)
+
+    def test_peer_that_returns(self) -> None:
+        """Guards against a peer that counts as lost for ever."""
+        self.run_for(1000, answering=(A,))
+        self.live.heard(B, now=self.now)
+        self.assertTrue(self.live.alive(B, now=self.now))
+        self.assertEqual(self.run_for(1000, answering=(A,))[0][1], B)
+
+    def test_own_pause_suspects_nobody(self) -> None:
+        """Guards against takeovers by a process that was itself paused."""
+        self.run_for(500, answering=(A, B))
+        self.now += timedelta(seconds=60)
+        self.live.probe(BOTH, now=self.now)
+        self.assertTrue(self.live.alive(A, now=self.now))
+        self.assertEqual(self.run_for(500, answering=(A, B)), [])
+        found = self.run_for(1000, answering=())
+        self.assertEqual([vm for _, vm in found], [A, B])
+
+    def test_new_peer_has_the_full_time(self) -> None:
+        """Guards against suspicion of a peer that was never asked."""
+        self.run_for(1000, answering=())
+        self.live.probe(frozenset((A,)), now=self.now)
+        self.assertFalse(self.live.alive(B, now=self.now))
+        self.live.probe(BOTH, now=self.now)
+        self.assertTrue(self.live.alive(B, now=self.now))
+        self.assertFalse(self.live.alive(A, now=self.now))
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -209,6 +209,29 @@
 
         self.run_pair(body)
 
+    def test_send_after_the_peer_closed(self) -> None:
+        """Guards against a writer that ends with an unknown exception."""
+        ring = test_auth.ring('k1')
+        server = peer_session.ServerSession(
+            identity=identity(B), security=security(B, ring)
+        )
+        client = peer_session.ClientSession(
+            identity=identity(A),
+            security=security(A, ring),
+            target=B,
+            authority='127.0.0.1:1',
+        )
+        while client.peer is None:
+            server.receive(client.output())
+            client.receive(server.output())
+        client.send(messages.encode(messages.Frame(message=QUERY)))
+        self.assertEqual(1, len(server.receive(client.output())))
+        server.close()
+        with self.assertRaises(errors.ConnectionLost):
+            client.receive(server.output())
+        with self.assertRaises(errors.ConnectionLost):
+            client.send(messages.encode(messages.Frame(message=QUERY)))
+
     def test_silent_peer(self) -> None:
         """Guards against waiting for ever, and for TCP to notice."""
 
