--- a/goldcresthaven/admission.py
+++ b/goldcresthaven/admission.py
@@ -28,6 +28,9 @@
 ZERO = timedelta()
 MIN_RETRY_AFTER = timedelta(seconds=1)  # Retry-After has whole seconds
 DEFAULT_SERVICE = timedelta(milliseconds=50)  # until one was measured
+# Mean service times that must be left at dispatch. With 1, about half of
+# the requests sent at that point ended after their deadlines.
+SERVICE_MARGIN = 2
 SERVICE_WEIGHT = 0.1  # weight of a new sample in the mean service time
 # A rank may be this far ahead of or behind its floor, in seconds of one
 # slot. Without a lower bound a rank that filled spare slots would later
@@ -62,8 +65,8 @@
 class Shares:
     """Which rank is served next at one upstream: urgent first, with floors.
 
-    While ranks compete, a rank with waiting work earns its floor times the
-    slots and pays for the slots that it holds. A rank with credit left is
+    While ranks compete, a rank with work earns its floor times the slots
+    and pays for the slots that it holds. A rank with credit left is
     owed service and goes before the others; the rest goes by rank.
     """
 
@@ -78,15 +81,12 @@
         """Account for the time since the last call."""
         elapsed = (now - self._updated).total_seconds()
         self._updated = now
-        if elapsed <= 0.0:
+        if elapsed <= 0.0 or not any(waiting):
             return
         for level in range(RANK_COUNT):
-            if waiting[level]:
-                gain = self._income[level] - held[level]
-            elif any(waiting):
-                gain = -held[level]
-            else:
+            if not waiting[level] and not held[level]:
                 continue
+            gain = self._income[level] - held[level]
             credit = self._credit[level] + elapsed * gain
             self._credit[level] = min(
                 max(credit, -CREDIT_LIMIT_S), CREDIT_LIMIT_S
@@ -251,8 +251,9 @@
         wait = self.expected_wait(request.level)
         if queue.full(request.size):
             return _refusal(outcomes.Reason.QUEUE_FULL, wait)
-        if wait + queue.service > remaining and len(queue):
-            excess = wait + queue.service - remaining
+        needed = wait + queue.service * SERVICE_MARGIN
+        if needed > remaining and len(queue):
+            excess = needed - remaining
             return _refusal(outcomes.Reason.CANNOT_MEET_DEADLINE, excess)
         queue.add(request)
         return None
