Repeat a raise at once when only a renewal came before it

A holder that renews after a candidate's last read of its row and is then lost makes the first raise fail; the candidate then waited RAISE_AGAIN (2 s) and the leases ended. A raise that met a higher epoch still waits, so that two candidates do not take a claim from each other.

--- a/goldcresthaven/candidates.py
+++ b/goldcresthaven/candidates.py
@@ -209,6 +209,15 @@
         """Record that this process tries to raise the epoch."""
         self._raised_at[domain] = now
 
+    def raise_missed(self, domain: ids.DomainId) -> None:
+        """Allow another try at once: the row was older than the holder's.
+
+        The holder may have renewed after the last read of its row and
+        before it was lost. Waiting for RAISE_AGAIN would let its leases
+        end.
+        """
+        self._raised_at.pop(domain, None)
+
     def wants(self, domain: ids.DomainId, *, now: timedelta) -> bool:
         """Whether this process should raise the epoch now."""
         if domain not in self._watches:
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -1,11 +1,16 @@
 """Tests of the ownership controller on virtual clocks."""
 
 from collections.abc import Callable
+from datetime import timedelta
 import unittest
 
+from goldcresthaven import claims
 from goldcresthaven import control
 from goldcresthaven import ids
+from goldcresthaven import members
+from goldcresthaven import ownership
 from goldcresthaven import shards
+from goldcresthaven import tables
 from proofs import durable_assignment
 from proofs import ownership_cases
 from proofs import ownership_sim
@@ -129,3 +134,109 @@
         self.assertTrue(
             any(durable_assignment.naive(seed) for seed in range(0, 20, 2))
         )
+
+
+class RaiseTest(unittest.TestCase):
+    def test_renewal_before_the_loss(self) -> None:
+        """Guards against leases that end while a raise waits to be repeated.
+
+        The holder renewed its claim after the last read of its row.
+        """
+        controller = _candidate()
+        _read(controller, renewal=7)
+        first = _raise(controller, at=timedelta(milliseconds=800))
+        self.assertEqual(1, len(first))
+        conflict = control.TransactResult(
+            txn=first[0].transaction.txn,
+            result=tables.Conflict(rows=(_row(renewal=8),)),
+        )
+        now = timedelta(milliseconds=810)
+        again = controller.handle(conflict, now=now)
+        self.assertEqual(1, len(_transactions(again)))
+
+    def test_raise_by_another_candidate(self) -> None:
+        """Guards against two candidates that take a claim from each other."""
+        controller = _candidate()
+        _read(controller, renewal=7)
+        first = _raise(controller, at=timedelta(milliseconds=800))
+        conflict = control.TransactResult(
+            txn=first[0].transaction.txn,
+            result=tables.Conflict(rows=(_row(renewal=1, epoch=4),)),
+        )
+        now = timedelta(milliseconds=810)
+        again = controller.handle(conflict, now=now)
+        self.assertEqual([], _transactions(again))
+
+
+VM, HOLDER = ids.VmId('b'), ids.VmId('a')
+DOMAIN = ids.DomainId('z/0')
+
+
+def _candidate() -> ownership.Controller:
+    """Return the only candidate of a domain that another VM holds."""
+    controller = ownership.Controller(vm=VM, zone=ids.ZoneId('z'), boot='1')
+    address = members.Address(host='127.0.0.1', port=1)
+    upstream = ids.UpstreamId('u')
+    listed = (
+        members.Member(
+            vm=ids.VmId(vm),
+            zone=ids.ZoneId('z'),
+            role=role,
+            state=members.MemberState.LIVE,
+            address=address,
+        )
+        for vm, role in (
+            (VM, members.Role.ENTRY),
+            (HOLDER, members.Role.ENTRY),
+            (upstream, members.Role.UPSTREAM),
+        )
+    )
+    change = shards.MapChange(
+        version=ids.MapVersion(1),
+        txn=ids.TxnId('t'),
+        shards=(),
+        homes=((upstream, DOMAIN),),
+    )
+    zero = timedelta()
+    controller.handle(control.MembersRead(members=tuple(listed)), now=zero)
+    controller.handle(control.MapChanges(changes=(change,)), now=zero)
+    return controller
+
+
+def _row(*, renewal: int, epoch: int = 3) -> tables.Row:
+    row = claims.ClaimRow(
+        epoch=ids.Epoch(epoch),
+        holder=HOLDER,
+        zone=ids.ZoneId('z'),
+        renewal=renewal,
+        peers=frozenset({VM}),
+        term=timedelta(seconds=10),
+        grace=timedelta(seconds=600),
+        settled=True,
+        txn=ids.TxnId(f'a/{renewal}'),
+    )
+    return tables.Row(key=DOMAIN, version=renewal, value=row.to_value())
+
+
+def _read(controller: ownership.Controller, *, renewal: int) -> None:
+    event = control.ClaimsRead(token=1, rows=(_row(renewal=renewal),))
+    controller.handle(event, now=timedelta())
+
+
+def _raise(
+    controller: ownership.Controller, *, at: timedelta
+) -> list[control.Transact]:
+    """Tick until the silence of the holder is noticed."""
+    now = timedelta()
+    while now < at:
+        actions = controller.handle(control.Tick(), now=now)
+        if _transactions(actions):
+            return _transactions(actions)
+        now += control.TICK_EVERY
+    return _transactions(controller.handle(control.Tick(), now=at))
+
+
+def _transactions(
+    actions: list[control.Action],
+) -> list[control.Transact]:
+    return [a for a in actions if isinstance(a, control.Transact)]
