--- a/goldcresthaven/scheduler.py
+++ b/goldcresthaven/scheduler.py
@@ -166,6 +166,17 @@
         self._slots.add_upstream(upstream, domain)
         self._refresh_line(now, line)
 
+    def set_domain(
+        self, upstream: ids.UpstreamId, domain: ids.DomainId
+    ) -> None:
+        """Note the domain of an upstream that had none so far."""
+        self._slots.add_upstream(upstream, domain)
+        session = self._slots.session_of(upstream)
+        if session is not None:
+            session.dirty.add(upstream)
+            if any(self._upstreams[upstream].want):
+                session.wanted.add(upstream)
+
     def set_preset(self, preset: presets.Preset) -> None:
         self._preset = preset
         for line in self._lines.values():
--- a/goldcresthaven/slot_gate.py
+++ b/goldcresthaven/slot_gate.py
@@ -34,6 +34,9 @@
 SYNC_INTERVAL = timedelta(milliseconds=100)
 # A manager may grant for this long after the claim was last checked.
 CLAIM_CHECK = 4 * TICK
+# An upstream that the map does not know yet has no manager, so it gets one
+# request at a time.
+NO_DOMAIN = ids.DomainId('')
 
 Send = Callable[[ids.VmId, slots.Message], Awaitable[object]]
 
@@ -317,14 +320,16 @@
         domains = self._claims.domains()
         started = bool(self._known)
         for upstream, member in view.upstreams.items():
-            domain = domains.get(upstream)
-            if domain is None or member.pool not in self._pools:
+            if member.pool is None or member.pool not in self._pools:
                 continue
+            domain = domains.get(upstream, NO_DOMAIN)
             if upstream not in self._known:
-                self._known[upstream] = domain
                 self._scheduler.add_upstream(
                     now, upstream, member.pool, domain, new=started
                 )
+            elif domain != self._known[upstream]:
+                self._scheduler.set_domain(upstream, domain)
+            self._known[upstream] = domain
             await self._follow_drain(now, upstream, _leaving(view, member))
         for upstream in self._known.keys() - view.upstreams.keys():
             await self._follow_drain(now, upstream, True)
