Do not return a slot on which a request runs

Cause: of two slots in one grant the last one was taken for the request of the first, and was then returned as unused while busy, so the manager could grant it again. The slot that is being served is now the one taken; a test guards it.

--- a/goldcresthaven/scheduler.py
+++ b/goldcresthaven/scheduler.py
@@ -404,13 +404,14 @@
             else:
                 line.idle[one.name] = None
             return
-        taken = self._slots.take(now, one.name, held.slot.level)
-        if taken is None:
+        # Exactly this slot: another one of the same grant is served next,
+        # and a busy slot must not be returned.
+        if not self._slots.use(now, held):
             # The lease has ended, so the request goes back to its place.
             self._requeue(now, line, request)
             return
         self._drop_want(line, request.level, one)
-        self._start(now, one, request, taken)
+        self._start(now, one, request, held)
 
     def _requeue(
         self, now: timedelta, line: _Line, request: admission.Request
--- a/goldcresthaven/slots.py
+++ b/goldcresthaven/slots.py
@@ -258,6 +258,14 @@
                 return held
         return None
 
+    def use(self, now: timedelta, held: Held) -> bool:
+        """Make this idle slot busy; return False if its lease has ended."""
+        if held.busy or now >= self._sessions[held.domain].valid_until:
+            return False
+        self._forget_idle(held)
+        held.busy = True
+        return True
+
     def has_idle(self, upstream: ids.UpstreamId, level: int) -> bool:
         idle = self._idle[upstream]
         return any(idle[level:])
--- /dev/null
+++ b/tests/test_scheduler.py
@@ -0,0 +1,117 @@
+"""Tests of the load policy of one entry process."""
+
+from datetime import timedelta
+import random
+import unittest
+
+from goldcresthaven import admission
+from goldcresthaven import ids
+from goldcresthaven import outcomes
+from goldcresthaven import presets
+from goldcresthaven import scheduler
+from goldcresthaven import slots
+
+POOL = presets.Pool(
+    name=ids.PoolName('orders'), keyed=False, slots=2, connections=10
+)
+POLICY = presets.RankPolicy.model_validate(
+    {'target': '500ms', 'deadline': '2s', 'floor': 0.3}
+)
+PRESET = presets.Preset(
+    name=ids.PresetName('test'), urgent=POLICY, standard=POLICY, bulk=POLICY
+)
+UPSTREAM = ids.UpstreamId('orders-0')
+DOMAIN = ids.DomainId('zone-0/0')
+EPOCH = ids.Epoch(1)
+NOW = timedelta(seconds=1)
+
+
+def make_scheduler() -> scheduler.Scheduler:
+    one = scheduler.Scheduler(
+        entry=ids.VmId('entry-0'),
+        boot=ids.BootId('1'),
+        preset=PRESET,
+        rng=random.Random(1),
+    )
+    one.add_pool(POOL)
+    one.add_upstream(NOW, UPSTREAM, POOL.name, DOMAIN)
+    one.set_manager(NOW, DOMAIN, ids.VmId('entry-1'), EPOCH)
+    return one
+
+
+def make_request(number: int) -> admission.Request:
+    return admission.Request(
+        request_id=ids.RequestId(str(number)),
+        pool=POOL.name,
+        rank=outcomes.Rank.URGENT,
+        arrived=NOW,
+        deadline=NOW + timedelta(seconds=2),
+    )
+
+
+def make_grant(*leases: int) -> slots.SlotGrant:
+    return slots.SlotGrant(
+        domain=DOMAIN,
+        epoch=EPOCH,
+        basis=NOW,
+        slots=tuple(
+            slots.Slot(lease=lease, upstream=UPSTREAM, level=0, contended=True)
+            for lease in leases
+        ),
+    )
+
+
+def returned(actions: list[scheduler.Action]) -> list[int]:
+    return [
+        lease
+        for action in actions
+        if isinstance(action, scheduler.Send)
+        and isinstance(action.message, slots.SlotReturn)
+        for lease in action.message.leases
+    ]
+
+
+class SchedulerTest(unittest.TestCase):
+    def test_busy_slot_is_not_returned(self) -> None:
+        """Guards against returning a slot on which a request runs.
+
+        With two slots in a grant and one request, the slot that served the
+        request was returned as unused.
+        """
+        one = make_scheduler()
+        one.arrive(NOW, make_request(1))
+        actions = one.message(NOW, make_grant(1, 2))
+        self.assertIn(
+            scheduler.Dispatch,
+            [type(action) for action in actions],
+        )
+        self.assertEqual(returned(actions), [2])
+        done = outcomes.Done(status=200)
+        later = NOW + timedelta(milliseconds=60)
+        actions = one.finished(later, ids.RequestId('1'), done)
+        self.assertEqual(returned(actions), [1])
+
+    def test_slots_of_unusable_upstream_are_not_asked_for(self) -> None:
+        """Guards against an endless exchange of slots with the manager."""
+        one = make_scheduler()
+        one.arrive(NOW, make_request(1))
+        one.drain(NOW, UPSTREAM)
+        actions = one.message(NOW, make_grant(1))
+        wants = [
+            want.queued
+            for action in actions
+            if isinstance(action, scheduler.Send)
+            for want in action.message.wants
+        ]
+        self.assertEqual(returned(actions), [1])
+        self.assertEqual({sum(queued) for queued in wants}, {0})
+
+    def test_request_of_gone_caller_is_not_sent(self) -> None:
+        """Guards against work for callers who have disconnected."""
+        one = make_scheduler()
+        one.arrive(NOW, make_request(1))
+        one.caller_gone(NOW, ids.RequestId('1'))
+        actions = one.message(NOW, make_grant(1))
+        self.assertNotIn(
+            scheduler.Dispatch, [type(action) for action in actions]
+        )
