--- a/bench/product.py
+++ b/bench/product.py
@@ -317,7 +317,7 @@
     settle_until = timedelta()
     if expected:
         longest = max(preset.rank(r).deadline for r in outcomes.RANKS)
-        settle_until = owner.world.elapsed + slot_manager.settle_time(
+        settle_until = owner.world.elapsed + slots.settle_time(
             preset.claim_term, longest
         )
     manager = slot_manager.Manager(
--- a/goldcresthaven/admission.py
+++ b/goldcresthaven/admission.py
@@ -260,3 +260,21 @@
     return outcomes.NotRun(
         reason=reason, retry_after=max(retry_after, MIN_RETRY_AFTER)
     )
+
+
+TOO_LATE = outcomes.NotRun(
+    reason=outcomes.Reason.CANNOT_MEET_DEADLINE,
+    retry_after=MIN_RETRY_AFTER,
+)
+EXPIRED = outcomes.NotRun(
+    reason=outcomes.Reason.DEADLINE_PASSED,
+    retry_after=MIN_RETRY_AFTER,
+)
+
+
+def no_upstream(request: Request) -> outcomes.NotRun:
+    """Return the refusal of a request that no upstream may take."""
+    reason = outcomes.Reason.NO_UPSTREAM
+    if request.owner is not None:
+        reason = outcomes.Reason.NO_OWNER
+    return outcomes.NotRun(reason=reason, retry_after=MIN_RETRY_AFTER)
--- a/goldcresthaven/health.py
+++ b/goldcresthaven/health.py
@@ -17,6 +17,7 @@
 WINDOW_FAILURES = 10
 OPEN_FOR = timedelta(seconds=1)
 LONGEST_OPEN = timedelta(seconds=8)
+FAIR_TIME = 4  # mean service times after which a timeout is a failure
 SHED_PAUSE = timedelta(milliseconds=50)
 # Keyed work has one place to go, so it waits this long for its keys to
 # move before it is refused. Drain has to take effect within 3 s.
@@ -50,9 +51,21 @@
 FIRST_SERVER_ERROR = 500
 
 
-def judge(outcome: outcomes.Outcome) -> Verdict:
-    """Return what an outcome says about the upstream that gave it."""
+def judge(
+    outcome: outcomes.Outcome, ran: timedelta, service: timedelta
+) -> Verdict:
+    """Return what an outcome says about the upstream that gave it.
+
+    ``ran`` is the time that the attempt had and ``service`` the mean
+    service time. Under overload requests are dispatched shortly before
+    their deadlines, and a timeout after less than a fair time says nothing
+    about the upstream.
+    """
     match outcome:
+        case outcomes.Unknown(reason=outcomes.Reason.TIMEOUT) if (
+            ran < service * FAIR_TIME
+        ):
+            return Verdict.NEUTRAL
         case outcomes.Done(status=status):
             if status >= FIRST_SERVER_ERROR:
                 return Verdict.BAD
--- a/goldcresthaven/scheduler.py
+++ b/goldcresthaven/scheduler.py
@@ -14,14 +14,12 @@
             case Send(): ...
 """
 
-from collections.abc import Sequence
 from dataclasses import dataclass
-from dataclasses import field
 from datetime import timedelta
 import random
 
 from goldcresthaven import admission
-from goldcresthaven import balancing
+from goldcresthaven import demand
 from goldcresthaven import health
 from goldcresthaven import ids
 from goldcresthaven import outcomes
@@ -30,11 +28,6 @@
 
 EXPIRY_INTERVAL = timedelta(milliseconds=10)
 UPKEEP_INTERVAL = timedelta(milliseconds=100)
-NO_SLACK = timedelta()
-MARGIN = admission.SERVICE_MARGIN
-STALLED_AFTER = timedelta(milliseconds=200)  # without a slot
-STALLED_SCORE = 1000.0  # more than any queue, so that others are chosen
-FAIR_TIME = 4  # mean service times after which a timeout is a failure
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -75,42 +68,6 @@
     started: timedelta
 
 
-@dataclass(kw_only=True, slots=True)
-class _Upstream:
-    """One upstream as this entry sees it; lists are by rank level."""
-
-    name: ids.UpstreamId
-    line: '_Line'
-    health: health.Health
-    running: int = 0
-    want: list[int] = field(default_factory=lambda: [0] * admission.RANK_COUNT)
-    told: list[int] = field(default_factory=lambda: [0] * admission.RANK_COUNT)
-    elsewhere: list[int] = field(
-        default_factory=lambda: [0] * admission.RANK_COUNT
-    )
-    reported_load: float = 0.0
-    unmet_since: timedelta | None = None
-    stalled: bool = False
-
-
-class _Line:
-    """A queue and the upstreams that serve it.
-
-    A keyed pool has one line for each owner, any other pool has one.
-    """
-
-    def __init__(self, *, pool: presets.Pool, preset: presets.Preset) -> None:
-        self.pool = pool
-        self.queue = admission.RequestQueue(preset=preset, slots=0)
-        self.upstreams: dict[ids.UpstreamId, _Upstream] = {}
-        self.idle: dict[ids.UpstreamId, None] = {}
-        self.usable: list[ids.UpstreamId] = []
-        self.shares = admission.Shares(
-            floors=[preset.rank(r).floor for r in outcomes.RANKS], slots=1
-        )
-        self.elsewhere = [0] * admission.RANK_COUNT
-
-
 class Scheduler:
     """Applies the load policy in one entry process."""
 
@@ -123,23 +80,23 @@
         rng: random.Random,
     ) -> None:
         self._preset = preset
-        self._rng = rng
         self._slots = slots.EntrySlots(entry=entry, boot=boot)
+        self._demand = demand.Demand(entry_slots=self._slots, rng=rng)
         self._pools: dict[ids.PoolName, presets.Pool] = {}
-        self._lines: dict[ids.UpstreamId | ids.PoolName, _Line] = {}
-        self._upstreams: dict[ids.UpstreamId, _Upstream] = {}
+        self._lines: dict[ids.UpstreamId | ids.PoolName, demand.Line] = {}
+        self._upstreams: dict[ids.UpstreamId, demand.Upstream] = {}
         self._running: dict[ids.RequestId, _Running] = {}
-        self._queued: dict[ids.RequestId, _Line] = {}
+        self._queued: dict[ids.RequestId, demand.Line] = {}
         self._actions: list[Action] = []
         self._next_expiry = admission.ZERO
         self._next_upkeep = admission.ZERO
 
-    # Configuration
-
     def add_pool(self, pool: presets.Pool) -> None:
         self._pools[pool.name] = pool
         if not pool.keyed:
-            self._lines[pool.name] = _Line(pool=pool, preset=self._preset)
+            self._lines[pool.name] = demand.Line(
+                pool=pool, preset=self._preset
+            )
 
     def add_upstream(
         self,
@@ -153,18 +110,18 @@
         """Use an upstream; ``new`` ones get load slowly at first."""
         settings = self._pools[pool]
         if settings.keyed:
-            line = _Line(pool=settings, preset=self._preset)
+            line = demand.Line(pool=settings, preset=self._preset)
             self._lines[upstream] = line
         else:
             line = self._lines[pool]
         state = health.Health(slow_start=self._preset.slow_start)
         if new:
             state.started = now
-        one = _Upstream(name=upstream, line=line, health=state)
+        one = demand.Upstream(name=upstream, line=line, health=state)
         line.upstreams[upstream] = one
         self._upstreams[upstream] = one
         self._slots.add_upstream(upstream, domain)
-        self._refresh_line(now, line)
+        self._demand.refresh(now, line)
 
     def set_preset(self, preset: presets.Preset) -> None:
         self._preset = preset
@@ -191,34 +148,30 @@
         if one is not None:
             one.reported_load = load
 
-    # Events
-
     def arrive(
         self, now: timedelta, request: admission.Request
     ) -> list[Action]:
         """Queue, dispatch or refuse a new request or a retry."""
         line = self._lines.get(request.owner or request.pool)
         if line is None or not line.upstreams:
-            self._refuse(request, _no_upstream(request))
+            self._refuse(request, admission.no_upstream(request))
             return self._taken()
         if request.deadline <= now:
-            self._refuse(
-                request,
-                outcomes.NotRun(reason=outcomes.Reason.DEADLINE_PASSED),
-            )
+            self._refuse(request, admission.EXPIRED)
             return self._taken()
         if not len(line.queue.ranks[request.level]):
             if self._dispatch_idle(now, line, request):
                 return self._taken()
         if not self._reachable(now, line):
-            self._refuse(request, _no_upstream(request))
+            self._refuse(request, admission.no_upstream(request))
             return self._taken()
         refusal = line.queue.offer(now, request)
         if refusal is not None:
             self._refuse(request, refusal)
             return self._taken()
         self._queued[request.request_id] = line
-        self._add_want(now, line, request.level)
+        self._demand.add(now, line, request.level)
+        self._send_demands(now)
         return self._taken()
 
     def finished(
@@ -236,13 +189,14 @@
         running = self._running.pop(request_id)
         one = self._upstreams[running.upstream]
         one.running -= 1
-        one.health.record(now, self._verdict(now, running, outcome))
+        rank = one.line.queue.ranks[running.request.level]
+        ran = now - running.started
+        one.health.record(now, health.judge(outcome, ran, rank.service))
         if draining:
             one.health.drain(now)
         if isinstance(outcome, outcomes.Done):
             one.stalled = False
-            rank = one.line.queue.ranks[running.request.level]
-            rank.observe(now - running.started)
+            rank.observe(ran)
         if one.health.leaving():
             self._note_leaving(now, one)
         if running.held is None:
@@ -252,21 +206,6 @@
             self._serve(now, one, running.held)
         return self._taken()
 
-    def _verdict(
-        self, now: timedelta, running: _Running, outcome: outcomes.Outcome
-    ) -> health.Verdict:
-        """Judge an outcome; a timeout counts after a fair time only.
-
-        Under overload requests are dispatched shortly before their
-        deadlines, and their timeouts say nothing about the upstream.
-        """
-        if _is_timeout(outcome):
-            one = self._upstreams[running.upstream]
-            service = one.line.queue.ranks[running.request.level].service
-            if now - running.started < service * FAIR_TIME:
-                return health.Verdict.NEUTRAL
-        return health.judge(outcome)
-
     def caller_gone(
         self, now: timedelta, request_id: ids.RequestId
     ) -> list[Action]:
@@ -279,7 +218,7 @@
             for queue in line.queue.ranks:
                 request = queue.remove(request_id)
                 if request is not None:
-                    self._drop_want(line, request.level)
+                    self._demand.drop(line, request.level)
         return self._taken()
 
     def message(
@@ -310,7 +249,7 @@
             session = self._slots.session_of(upstream)
             if session is not None:
                 session.draining.discard(upstream)
-            self._refresh_line(now, one.line)
+            self._demand.refresh(now, one.line)
 
     def take_queued(self, upstream: ids.UpstreamId) -> list[admission.Request]:
         """Take out a keyed owner's queue, whose keys now have new owners.
@@ -324,7 +263,7 @@
         for queue in line.queue.ranks:
             for request in queue.drain():
                 del self._queued[request.request_id]
-                self._drop_want(line, request.level)
+                self._demand.drop(line, request.level)
                 taken.append(request)
         return taken
 
@@ -347,15 +286,13 @@
             for idle in self._slots.idle_too_long(now):
                 self._give_back(now, idle)
             for line in self._lines.values():
-                self._refresh_line(now, line)
+                self._demand.refresh(now, line)
                 self._serve_fallback(now, line)
         self._send_demands(now)
         return self._taken()
 
-    # Dispatch
-
     def _dispatch_idle(
-        self, now: timedelta, line: _Line, request: admission.Request
+        self, now: timedelta, line: demand.Line, request: admission.Request
     ) -> bool:
         """Dispatch on an idle slot, if there is one."""
         level = request.level
@@ -363,9 +300,9 @@
             name
             for name in line.idle
             if self._slots.has_idle(name, level)
-            and self._accepts(now, line.upstreams[name])
+            and self._demand.accepts(now, line.upstreams[name])
         ]
-        name = self._choose(now, line, candidates)
+        name = self._demand.choose(now, line, candidates)
         if name is None:
             return False
         held = self._slots.take(now, name, level)
@@ -379,7 +316,7 @@
     def _start(
         self,
         now: timedelta,
-        one: _Upstream,
+        one: demand.Upstream,
         request: admission.Request,
         held: slots.Held | None,
     ) -> None:
@@ -390,10 +327,14 @@
         )
         self._actions.append(Dispatch(request=request, upstream=one.name))
 
-    def _serve(self, now: timedelta, one: _Upstream, held: slots.Held) -> None:
+    def _serve(
+        self, now: timedelta, one: demand.Upstream, held: slots.Held
+    ) -> None:
         """Use an idle slot for the next request, keep it or return it."""
         line = one.line
-        if not self._accepts(now, one) or self._slots.must_return(now, held):
+        if not self._demand.accepts(now, one) or self._slots.must_return(
+            now, held
+        ):
             self._give_back(now, [held])
             return
         tag = held.slot.level
@@ -407,20 +348,20 @@
         # Exactly this slot: another one of the same grant is served next,
         # and a busy slot must not be returned.
         if not self._slots.use(now, held):
-            # The lease has ended, so the request goes back to its place.
+            # The lease has ended, so the request waits again.
             self._requeue(now, line, request)
             return
-        self._drop_want(line, request.level, one)
+        self._demand.drop(line, request.level, one)
         self._start(now, one, request, held)
 
     def _requeue(
-        self, now: timedelta, line: _Line, request: admission.Request
+        self, now: timedelta, line: demand.Line, request: admission.Request
     ) -> None:
         line.queue.ranks[request.level].add(request)
         self._queued[request.request_id] = line
 
     def _next_request(
-        self, now: timedelta, line: _Line, tag: int, contended: bool
+        self, now: timedelta, line: demand.Line, tag: int, contended: bool
     ) -> admission.Request | None:
         """Take the next request that may use a slot with this tag.
 
@@ -434,17 +375,20 @@
             while len(queue):
                 request: admission.Request = queue.pop()
                 del self._queued[request.request_id]
-                if request.deadline >= now + queue.service * MARGIN:
+                if (
+                    request.deadline
+                    >= now + queue.service * admission.SERVICE_MARGIN
+                ):
                     return request
-                self._drop_want(line, level)
-                self._refuse(request, _TOO_LATE)
+                self._demand.drop(line, level)
+                self._refuse(request, admission.TOO_LATE)
         return None
 
-    def _serve_fallback(self, now: timedelta, line: _Line) -> None:
+    def _serve_fallback(self, now: timedelta, line: demand.Line) -> None:
         """Send one request at a time while a manager is silent."""
         for one in line.upstreams.values():
             counts = line.queue.counts()
-            if not any(counts) or not self._accepts(now, one):
+            if not any(counts) or not self._demand.accepts(now, one):
                 continue
             session = self._slots.session_of(one.name)
             if session is not None and not session.silent(now):
@@ -457,35 +401,25 @@
             if request is None:
                 self._slots.end_fallback(one.name)
                 continue
-            self._drop_want(line, request.level, one)
+            self._demand.drop(line, request.level, one)
             self._start(now, one, request, None)
 
-    # Slots
-
     def _granted(self, now: timedelta, grant: slots.SlotGrant) -> None:
         for report in grant.backlog:
             one = self._upstreams.get(report.upstream)
             if one is not None:
-                self._note_backlog(one, report.queued)
+                self._demand.note_backlog(one, report.queued)
         for held in self._slots.accept(now, grant):
             self._upstreams[held.slot.upstream].unmet_since = now
             self._serve(now, self._upstreams[held.slot.upstream], held)
 
-    def _note_backlog(self, one: _Upstream, queued: Sequence[int]) -> None:
-        line = one.line
-        for level in range(admission.RANK_COUNT):
-            others = max(queued[level] - one.told[level], 0)
-            line.elsewhere[level] += others - one.elsewhere[level]
-            one.elsewhere[level] = others
-        line.queue.set_elsewhere(line.elsewhere)
-
     def _give_back(self, now: timedelta, held: list[slots.Held]) -> None:
         """Return idle slots of one domain, with news of the demand."""
         wants: list[slots.Want] = []
         for name in dict.fromkeys(one.slot.upstream for one in held):
             upstream = self._upstreams[name]
             if any(upstream.want) or any(upstream.told):
-                wants.append(self._want(now, upstream))
+                wants.append(self._demand.report(now, upstream))
         message = self._slots.give_back(held, tuple(wants))
         for one in held:
             upstream = self._upstreams[one.slot.upstream]
@@ -495,185 +429,52 @@
         if session is not None:
             self._actions.append(Send(to=session.manager, message=message))
 
-    def _want(self, now: timedelta, one: _Upstream) -> slots.Want:
-        # A slot that cannot be used now would come back at once and be
-        # granted again, in an endless exchange of messages.
-        one.told = [0] * admission.RANK_COUNT
-        if self._accepts(now, one):
-            one.told = list(one.want)
-        slack: list[timedelta] = []
-        for queue in one.line.queue.ranks:
-            earliest = queue.earliest()
-            slack.append(NO_SLACK if earliest is None else earliest - now)
-        return slots.Want(
-            upstream=one.name, queued=tuple(one.told), slack=tuple(slack)
-        )
-
     def _send_demands(self, now: timedelta) -> None:
         for domain, session in self._slots.sessions():
             if not self._slots.demand_due(now, session):
                 continue
             wants = tuple(
-                self._want(now, self._upstreams[name])
+                self._demand.report(now, self._upstreams[name])
                 for name in session.dirty
             )
             message = self._slots.demand(now, domain, wants)
             self._actions.append(Send(to=session.manager, message=message))
 
-    # Demand by upstream
-
-    def _add_want(self, now: timedelta, line: _Line, level: int) -> None:
-        """Count one more queued request towards one upstream's demand."""
-        name = self._choose(now, line, line.usable)
-        if name is None:
-            name = next(iter(line.upstreams))
-        one = line.upstreams[name]
-        one.want[level] += 1
-        if one.unmet_since is None:
-            one.unmet_since = now
-        session = self._slots.session_of(name)
-        if session is None:
-            return
-        session.dirty.add(name)
-        session.wanted.add(name)
-        if one.want[level] == 1:
-            session.urgent = True
-            if self._slots.demand_due(now, session):
-                self._send_demands(now)
-
-    def _drop_want(
-        self, line: _Line, level: int, one: _Upstream | None = None
-    ) -> None:
-        """Count one queued request less, at ``one`` if it has any."""
-        if one is None or not one.want[level]:
-            one = max(
-                line.upstreams.values(), key=lambda other: other.want[level]
-            )
-        if not one.want[level]:
-            return
-        one.want[level] -= 1
-        session = self._slots.session_of(one.name)
-        if session is not None:
-            session.dirty.add(one.name)
-            if not any(one.want):
-                session.wanted.discard(one.name)
-                one.unmet_since = None
-
-    def _refresh_line(self, now: timedelta, line: _Line) -> None:
-        """Recompute which upstreams are usable; move demand off others."""
-        line.usable = [
-            name
-            for name, one in line.upstreams.items()
-            if self._accepts(now, one)
-        ]
-        for one in line.upstreams.values():
-            if one.want != one.told:
-                self._mark_changed(one)
-        usable = max(len(line.usable), 1)
-        line.queue.slots = usable * line.pool.slots
-        if not line.usable:
-            return
-        for name, one in line.upstreams.items():
-            if any(one.want) and name not in line.usable:
-                self._move_want(now, line, one, admission.RANK_COUNT)
-            elif one.want[0] and self._stalled(now, line, one):
-                self._move_want(now, line, one, 1)
-
-    def _mark_changed(self, one: _Upstream) -> None:
-        session = self._slots.session_of(one.name)
-        if session is not None:
-            session.dirty.add(one.name)
-
-    def _stalled(self, now: timedelta, line: _Line, one: _Upstream) -> bool:
-        """Return whether others should be asked instead.
-
-        The slots of a frozen upstream do not come back, and an entry that
-        asked only there would wait in vain.
-        """
-        since = one.unmet_since
-        if len(line.usable) < 2 or since is None:
-            return False
-        if now - since < STALLED_AFTER:
-            return False
-        one.stalled = True
-        return True
-
-    def _move_want(
-        self, now: timedelta, line: _Line, one: _Upstream, levels: int
-    ) -> None:
-        """Ask others for the work of the most urgent ``levels``."""
-        session = self._slots.session_of(one.name)
-        for level in range(levels):
-            count = one.want[level]
-            one.want[level] = 0
-            for _ in range(count):
-                self._add_want(now, line, level)
-        if session is not None:
-            session.dirty.add(one.name)
-            if not any(one.want):
-                session.wanted.discard(one.name)
-
-    def _refresh_idle(self, line: _Line) -> None:
+    def _refresh_idle(self, line: demand.Line) -> None:
         line.idle = {
             name: None
             for name in line.upstreams
             if self._slots.has_idle(name, 0)
         }
 
-    def _choose(
-        self, now: timedelta, line: _Line, names: Sequence[ids.UpstreamId]
-    ) -> ids.UpstreamId | None:
-        upstreams = line.upstreams
-
-        def score(name: ids.UpstreamId) -> float:
-            one = upstreams[name]
-            load = float(sum(one.want) + sum(one.elsewhere) + one.running)
-            if one.stalled:
-                load += STALLED_SCORE
-            return (load + 1) / one.health.weight(now)
-
-        def reported(name: ids.UpstreamId) -> float:
-            return upstreams[name].reported_load
-
-        return balancing.choose(self._rng, names, score, reported)
-
-    # Health
-
-    def _accepts(self, now: timedelta, one: _Upstream) -> bool:
-        if one.line.pool.keyed:
-            return one.health.accepts_owned(now)
-        return one.health.accepts(now)
-
-    def _reachable(self, now: timedelta, line: _Line) -> bool:
+    def _reachable(self, now: timedelta, line: demand.Line) -> bool:
         """Return whether waiting makes sense at all."""
         if line.usable:
             return True
-        self._refresh_line(now, line)
+        self._demand.refresh(now, line)
         return bool(line.usable)
 
-    def _note_leaving(self, now: timedelta, one: _Upstream) -> None:
+    def _note_leaving(self, now: timedelta, one: demand.Upstream) -> None:
         """Tell the manager, give idle slots back, use other upstreams."""
         session = self._slots.session_of(one.name)
         if session is not None and one.name not in session.draining:
             session.draining.add(one.name)
             session.urgent = True
-        if self._accepts(now, one):
+        if self._demand.accepts(now, one):
             return
         idle = self._slots.idle_of(one.name)
         if idle:
             self._give_back(now, idle)
-        self._refresh_line(now, one.line)
+        self._demand.refresh(now, one.line)
 
-    def _expire(self, now: timedelta, line: _Line) -> None:
+    def _expire(self, now: timedelta, line: demand.Line) -> None:
         for queue in line.queue.ranks:
             if not len(queue):
                 continue
             for request in queue.expire(now):
                 del self._queued[request.request_id]
-                self._drop_want(line, request.level)
-                self._refuse(request, _EXPIRED)
-
-    # Actions
+                self._demand.drop(line, request.level)
+                self._refuse(request, admission.EXPIRED)
 
     def _refuse(
         self, request: admission.Request, outcome: outcomes.NotRun
@@ -684,29 +485,3 @@
         taken = self._actions
         self._actions = []
         return taken
-
-
-_TOO_LATE = outcomes.NotRun(
-    reason=outcomes.Reason.CANNOT_MEET_DEADLINE,
-    retry_after=admission.MIN_RETRY_AFTER,
-)
-_EXPIRED = outcomes.NotRun(
-    reason=outcomes.Reason.DEADLINE_PASSED,
-    retry_after=admission.MIN_RETRY_AFTER,
-)
-
-
-def _is_timeout(outcome: outcomes.Outcome) -> bool:
-    match outcome:
-        case outcomes.Unknown(reason=outcomes.Reason.TIMEOUT):
-            return True
-    return False
-
-
-def _no_upstream(request: admission.Request) -> outcomes.NotRun:
-    reason = outcomes.Reason.NO_UPSTREAM
-    if request.owner is not None:
-        reason = outcomes.Reason.NO_OWNER
-    return outcomes.NotRun(
-        reason=reason, retry_after=admission.MIN_RETRY_AFTER
-    )
--- a/goldcresthaven/slot_manager.py
+++ b/goldcresthaven/slot_manager.py
@@ -24,22 +24,10 @@
 from goldcresthaven import presets
 from goldcresthaven import slots
 
-CLOCK_DRIFT = 1.01  # two clocks run apart by at most 1%
 # Keyed work has one place to go, so its slots are granted for this long
 # after a drain signal while its keys move. The limit is 3 s in all.
 KEYED_DRAIN_GRACE = health.DRAIN_GRACE
 
-
-def settle_time(claim_term: timedelta, longest: timedelta) -> timedelta:
-    """Return when a new manager may grant without hearing from everyone.
-
-    The former manager may grant until its claim ends. Such a slot may
-    start a request for one lease, and the request may run until the
-    longest deadline of the preset.
-    """
-    return claim_term + (slots.LEASE + longest) * CLOCK_DRIFT
-
-
 Reply = slots.SlotGrant | slots.SlotRecall
 
 
@@ -330,13 +318,16 @@
                 continue
             for lease in list(entry.leases.values()):
                 bound = slots.LEASE + self._longest[lease.level]
-                if silent >= bound * CLOCK_DRIFT:
+                if silent >= bound * slots.CLOCK_DRIFT:
                     touched.add(lease.upstream)
                     self._free(now, lease)
             for upstream, state in self._upstreams.items():
                 state.forget(now, name)
                 touched.add(upstream)
-            if silent >= (slots.LEASE + max(self._longest)) * CLOCK_DRIFT:
+            if (
+                silent
+                >= (slots.LEASE + max(self._longest)) * slots.CLOCK_DRIFT
+            ):
                 touched |= self._apply_loose(entry, ())
             if not entry.leases and not entry.loose:
                 del self._entries[name]
--- a/goldcresthaven/slots.py
+++ b/goldcresthaven/slots.py
@@ -18,6 +18,7 @@
 from goldcresthaven import ids
 
 LEASE = timedelta(seconds=1)
+CLOCK_DRIFT = 1.01  # two clocks run apart by at most 1%
 QUANTUM = timedelta(milliseconds=50)
 IDLE_LIMIT = timedelta(seconds=1)
 BATCH = timedelta(milliseconds=5)  # between two demands to one manager
@@ -409,3 +410,13 @@
             if one is held:
                 del tags[position]
                 return
+
+
+def settle_time(claim_term: timedelta, longest: timedelta) -> timedelta:
+    """Return when a new manager may grant without hearing from everyone.
+
+    The former manager may grant until its claim ends. Such a slot may
+    start a request for one lease, and the request may run until the
+    longest deadline of the preset.
+    """
+    return claim_term + (LEASE + longest) * CLOCK_DRIFT
