--- a/goldcresthaven/slots.py
+++ b/goldcresthaven/slots.py
@@ -21,6 +21,7 @@
 from goldcresthaven import ids
 
 LEASE = timedelta(seconds=1)
+CLOCK_DRIFT = 1.01  # two clocks run apart by at most 1%
 QUANTUM = timedelta(milliseconds=50)
 IDLE_LIMIT = timedelta(seconds=1)
 BATCH = timedelta(milliseconds=5)  # between two demands to one manager
@@ -281,6 +282,14 @@
                 return held
         return None
 
+    def use(self, now: timedelta, held: Held) -> bool:
+        """Make this idle slot busy; return False if its lease has ended."""
+        if held.busy or now >= self._sessions[held.domain].valid_until:
+            return False
+        self._forget_idle(held)
+        held.busy = True
+        return True
+
     def has_idle(self, upstream: ids.UpstreamId, level: int) -> bool:
         idle = self._idle[upstream]
         return any(idle[level:])
@@ -424,3 +433,13 @@
             if one is held:
                 del tags[position]
                 return
+
+
+def settle_time(claim_term: timedelta, longest: timedelta) -> timedelta:
+    """Return when a new manager may grant without hearing from everyone.
+
+    The former manager may grant until its claim ends. Such a slot may
+    start a request for one lease, and the request may run until the
+    longest deadline of the preset.
+    """
+    return claim_term + (LEASE + longest) * CLOCK_DRIFT
