--- a/proofs/ownership_sim.py
+++ b/proofs/ownership_sim.py
@@ -231,7 +231,7 @@
             case control.Milestone():
                 self._count(action)
             case control.Released():
-                self.stop(node)
+                node.stop()
             case _:
                 boot = node.boots
                 if self.rng.random() < self.pause_before_send:
@@ -246,9 +246,6 @@
     pause_before_send = 0.0
     gossip_loss = 0.2
 
-    def stop(self, node: sim_world.Node) -> None:
-        node.stop()
-
     def _count(self, milestone: control.Milestone) -> None:
         match milestone.kind:
             case control.MilestoneKind.CLAIM_TAKEN:
