--- a/goldcresthaven/slot_gate.py
+++ b/goldcresthaven/slot_gate.py
@@ -394,7 +394,7 @@
     ) -> slot_manager.Manager:
         preset = view.document.preset
         longest = max(preset.rank(r).deadline for r in outcomes.RANKS)
-        settle = slot_manager.settle_time(preset.claim_term, longest)
+        settle = slots.settle_time(preset.claim_term, longest)
         # Nobody managed the slots before the first epoch.
         first = epoch <= 1
         return slot_manager.Manager(
