Refuse keyed pools whose upstreams do not check leases

Cause: fenced: false was accepted, but the route leases that the design asks for do not exist, so two upstreams could have served one key. Ruled out: building route leases now, since their takeover rules need the simulation first.

--- a/goldcresthaven/config_checks.py
+++ b/goldcresthaven/config_checks.py
@@ -95,6 +95,14 @@
             problem='a keyed pool has no shards, so nobody can own its keys',
             remedy='set shards to about 8 for each endpoint',
         )
+    if pool.keyed and not pool.fenced:
+        # Route leases, which would protect such a pool, do not exist yet.
+        yield problems.Problem(
+            path=('pools', i, 'fenced'),
+            problem='sole ownership cannot be kept for keyed upstreams '
+            'that do not check leases',
+            remedy='let the upstreams check leases and set fenced to true',
+        )
     if not pool.keyed and pool.shards > 0:
         yield problems.Problem(
             path=('pools', i, 'shards'),
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -65,6 +65,8 @@
     ('dedup: store', 'dedup: upstream', 9, 'routes[2].idempotent',
      'set dedup to store'),
     ('shards: 8, ', '', 2, 'pools[0].shards', 'about 8 for each'),
+    ('shards: 8, ', 'shards: 8, fenced: false, ', 2, 'pools[0].fenced',
+     'let the upstreams check leases'),
     ('name: shop, keyed: false', 'name: shop, keyed: false, shards: 3', 3,
      'pools[1].shards', 'remove shards'),
     ('name: shop,', 'name: stock,', 3, 'pools[1].name', 'rename'),
