--- a/goldcresthaven/demand.py
+++ b/goldcresthaven/demand.py
@@ -91,8 +91,11 @@
             upstream=one.name, queued=tuple(one.told), slack=tuple(slack)
         )
 
-    def add(self, now: timedelta, line: Line, level: int) -> None:
-        """Count one more queued request towards one upstream's demand."""
+    def add(self, now: timedelta, line: Line, level: int) -> bool:
+        """Count one more queued request towards one upstream's demand.
+
+        Returns whether its manager has to be told at once.
+        """
         name = self.choose(now, line, line.usable)
         if name is None:
             name = next(iter(line.upstreams))
@@ -102,11 +105,13 @@
             one.unmet_since = now
         session = self._slots.session_of(name)
         if session is None:
-            return
+            return False
         session.dirty.add(name)
         session.wanted.add(name)
         if one.want[level] == 1:
             session.urgent = True
+            return True
+        return False
 
     def drop(
         self, line: Line, level: int, one: Upstream | None = None
--- a/goldcresthaven/scheduler.py
+++ b/goldcresthaven/scheduler.py
@@ -170,8 +170,8 @@
             self._refuse(request, refusal)
             return self._taken()
         self._queued[request.request_id] = line
-        self._demand.add(now, line, request.level)
-        self._send_demands(now)
+        if self._demand.add(now, line, request.level):
+            self._send_demands(now)
         return self._taken()
 
     def finished(
