Apply a preset switch to slot managers that hold a claim

Cause: floors, deadlines and the bulk cap reached a slot manager only when it was created, so a switch took effect at the next takeover. The per upstream state moved to slot_state to keep the modules small.

--- a/goldcresthaven/admission.py
+++ b/goldcresthaven/admission.py
@@ -71,10 +71,14 @@
     """
 
     def __init__(self, *, floors: Sequence[float], slots: int) -> None:
-        self._income = [floor * slots for floor in floors]
+        self.set_floors(floors, slots=slots)
         self._credit = [0.0] * RANK_COUNT
         self._updated = ZERO
 
+    def set_floors(self, floors: Sequence[float], *, slots: int) -> None:
+        """Apply other floors; credit earned so far stays."""
+        self._income = [floor * slots for floor in floors]
+
     def advance(
         self, now: timedelta, waiting: Sequence[int], held: Sequence[int]
     ) -> None:
--- a/goldcresthaven/demand.py
+++ b/goldcresthaven/demand.py
@@ -59,6 +59,13 @@
         )
         self.elsewhere = [0] * admission.RANK_COUNT
 
+    def set_preset(self, preset: presets.Preset) -> None:
+        """Apply another preset to requests that wait or arrive later."""
+        self.queue.set_preset(preset)
+        self.shares.set_floors(
+            [preset.rank(r).floor for r in outcomes.RANKS], slots=1
+        )
+
 
 class Demand:
     """Demand by upstream, and which upstreams may be used."""
--- a/goldcresthaven/scheduler.py
+++ b/goldcresthaven/scheduler.py
@@ -137,7 +137,7 @@
     def set_preset(self, preset: presets.Preset) -> None:
         self._preset = preset
         for line in self._lines.values():
-            line.queue.set_preset(preset)
+            line.set_preset(preset)
 
     def set_manager(
         self,
--- a/goldcresthaven/slot_gate.py
+++ b/goldcresthaven/slot_gate.py
@@ -307,6 +307,8 @@
             )
         elif preset != self._preset:
             self._scheduler.set_preset(preset)
+            for manager in self._managers.values():
+                manager.set_preset(preset)
         self._preset = preset
         for pool in document.pools:
             if pool.name not in self._pools:
@@ -415,14 +417,12 @@
         if member is None or member.pool is None:
             return
         pool = self._pools[member.pool]
-        cap = view.document.preset.bulk_cap
-        if cap is None:
-            cap = max(pool.slots - 1, 1)
+        cap = slot_manager.bulk_cap(view.document.preset, pool.slots)
         grace = slot_manager.KEYED_DRAIN_GRACE if pool.keyed else timedelta()
         manager.add_upstream(
             upstream,
             slot_count=pool.slots,
-            bulk_cap=min(cap, pool.slots),
+            bulk_cap=cap,
             drain_grace=grace,
         )
 
--- a/goldcresthaven/slot_manager.py
+++ b/goldcresthaven/slot_manager.py
@@ -11,23 +11,30 @@
 
 from collections.abc import Collection
 from collections.abc import Iterable
-from collections.abc import Sequence
 from dataclasses import dataclass
-from dataclasses import field
 from datetime import timedelta
-import heapq
 
 from goldcresthaven import admission
 from goldcresthaven import health
 from goldcresthaven import ids
 from goldcresthaven import outcomes
 from goldcresthaven import presets
+from goldcresthaven import slot_state
 from goldcresthaven import slots
 
 # Keyed work has one place to go, so its slots are granted for this long
 # after a drain signal while its keys move. The limit is 3 s in all.
 KEYED_DRAIN_GRACE = health.DRAIN_GRACE
 
+
+def bulk_cap(preset: presets.Preset, slot_count: int) -> int:
+    """Return how many of an upstream's slots BULK may hold at once."""
+    cap = preset.bulk_cap
+    if cap is None:
+        cap = max(slot_count - 1, 1)
+    return min(cap, slot_count)
+
+
 Reply = slots.SlotGrant | slots.SlotRecall
 
 
@@ -39,139 +46,6 @@
     message: Reply
 
 
-# An entry process: VM and boot. A process that restarted on the same VM is
-# another one, and what its predecessor held ends by silence.
-_Process = tuple[ids.VmId, ids.BootId]
-
-
-@dataclass(kw_only=True, slots=True)
-class _Lease:
-    lease: int
-    entry: _Process
-    upstream: ids.UpstreamId
-    level: int
-    basis: timedelta
-    recalled: bool = False
-
-
-@dataclass(kw_only=True, slots=True)
-class _Entry:
-    """What the manager knows of one entry process.
-
-    ``heard`` is the manager's reading when the demand with ``basis``, the
-    last one answered, arrived.
-    """
-
-    seq: int = 0
-    basis: timedelta = admission.ZERO
-    heard: timedelta = admission.ZERO
-    return_seq: int = 0
-    loose: tuple[ids.UpstreamId, ...] = ()
-    leases: dict[int, _Lease] = field(default_factory=dict)
-
-
-@dataclass(kw_only=True, slots=True)
-class _Waiting:
-    count: int
-    due: timedelta
-    version: int
-
-
-class _Upstream:
-    """The slots of one upstream and the entries that wait for them."""
-
-    def __init__(
-        self,
-        *,
-        slot_count: int,
-        bulk_cap: int,
-        floors: Sequence[float],
-        drain_grace: timedelta,
-    ) -> None:
-        self.slot_count = slot_count
-        self.bulk_cap = bulk_cap
-        self.shares = admission.Shares(floors=floors, slots=slot_count)
-        self.leases: dict[int, _Lease] = {}
-        self.held = [0] * admission.RANK_COUNT
-        self.queued = [0] * admission.RANK_COUNT
-        self.drain_grace = drain_grace
-        self.grant_until: timedelta | None = None
-        self.loose = 0
-        self._waiting: list[dict[_Process, _Waiting]] = [
-            {} for _ in range(admission.RANK_COUNT)
-        ]
-        self._order: list[list[tuple[timedelta, int, _Process]]] = [
-            [] for _ in range(admission.RANK_COUNT)
-        ]
-        self._version = 0
-
-    def set_want(
-        self, now: timedelta, entry: _Process, want: slots.Want
-    ) -> None:
-        self.advance(now)
-        for level in range(admission.RANK_COUNT):
-            waiting = self._waiting[level]
-            old = waiting.pop(entry, None)
-            if old is not None:
-                self.queued[level] -= old.count
-            count = want.queued[level]
-            if not count:
-                continue
-            self._version += 1
-            due = now + want.slack[level]
-            waiting[entry] = _Waiting(
-                count=count, due=due, version=self._version
-            )
-            self.queued[level] += count
-            heapq.heappush(self._order[level], (due, self._version, entry))
-
-    def forget(self, now: timedelta, entry: _Process) -> None:
-        """Drop an entry's demand."""
-        self.advance(now)
-        for level in range(admission.RANK_COUNT):
-            old = self._waiting[level].pop(entry, None)
-            if old is not None:
-                self.queued[level] -= old.count
-
-    def advance(self, now: timedelta) -> None:
-        self.shares.advance(now, self.queued, self.held)
-
-    def next_level(self, now: timedelta) -> int | None:
-        """Return the level that gets the next slot, or None."""
-        if self.grant_until is not None and now >= self.grant_until:
-            return None
-        if len(self.leases) + self.loose >= self.slot_count:
-            return None
-        bulk = self.held[admission.BULK_LEVEL]
-        allowed = admission.RANK_COUNT
-        if bulk >= self.bulk_cap:
-            allowed = admission.BULK_LEVEL
-        return self.shares.choose(self.queued, allowed)
-
-    def pop_waiting(self, level: int) -> _Process:
-        """Return the entry with the earliest deadline; count one off."""
-        order = self._order[level]
-        waiting = self._waiting[level]
-        while True:
-            _, version, entry = order[0]
-            one = waiting.get(entry)
-            if one is not None and one.version == version:
-                break
-            heapq.heappop(order)
-        self.queued[level] -= 1
-        one.count -= 1
-        if not one.count:
-            del waiting[entry]
-            heapq.heappop(order)
-        return entry
-
-    def unmet(self) -> int:
-        """Return how many more slots would be used at once."""
-        bulk_room = self.bulk_cap - self.held[admission.BULK_LEVEL]
-        bulk = min(self.queued[admission.BULK_LEVEL], max(bulk_room, 0))
-        return sum(self.queued[: admission.BULK_LEVEL]) + bulk
-
-
 class Manager:
     """The slots of the upstreams of one domain, under one claim.
 
@@ -200,15 +74,28 @@
         self.claim_until: timedelta | None = None
         self._settle_until = settle_until
         self._missing = set(expected)
-        self._entries: dict[_Process, _Entry] = {}
-        self._upstreams: dict[ids.UpstreamId, _Upstream] = {}
+        self._entries: dict[slot_state.Process, slot_state.Entry] = {}
+        self._upstreams: dict[ids.UpstreamId, slot_state.UpstreamSlots] = {}
         self._next_lease = 1
-        self._set_policy(preset)
+        self._floors: list[float] = []
+        self._longest = [admission.ZERO] * admission.RANK_COUNT
+        self.set_preset(preset)
+
+    def set_preset(self, preset: presets.Preset) -> None:
+        """Apply another preset to the slots given from now on.
 
-    def _set_policy(self, preset: presets.Preset) -> None:
+        Requests that started under the earlier preset may run until its
+        deadlines, so the longest deadline so far counts.
+        """
         policies = [preset.rank(rank) for rank in outcomes.RANKS]
         self._floors = [policy.floor for policy in policies]
-        self._longest = [policy.deadline for policy in policies]
+        self._longest = [
+            max(longest, policy.deadline)
+            for longest, policy in zip(self._longest, policies)
+        ]
+        for state in self._upstreams.values():
+            cap = bulk_cap(preset, state.slot_count)
+            state.set_policy(self._floors, cap)
 
     def add_upstream(
         self,
@@ -223,7 +110,7 @@
         ``drain_grace`` is how long a leaving upstream still gets work: it
         is above zero in keyed pools, whose keys have to move first.
         """
-        self._upstreams[upstream] = _Upstream(
+        self._upstreams[upstream] = slot_state.UpstreamSlots(
             slot_count=slot_count,
             bulk_cap=bulk_cap,
             floors=self._floors,
@@ -262,7 +149,7 @@
         if message.epoch != self.epoch:
             return []
         process = (message.entry, message.boot)
-        entry = self._entries.setdefault(process, _Entry())
+        entry = self._entries.setdefault(process, slot_state.Entry())
         if message.seq <= entry.seq:
             return []
         entry.seq = message.seq
@@ -341,7 +228,10 @@
         return len(self._upstreams[upstream].leases)
 
     def _free_missing(
-        self, now: timedelta, entry: _Entry, message: slots.SlotDemand
+        self,
+        now: timedelta,
+        entry: slot_state.Entry,
+        message: slots.SlotDemand,
     ) -> None:
         """Free the leases that a demand proves its sender does not hold.
 
@@ -356,7 +246,7 @@
             if lease.lease <= message.last_lease or late:
                 self._free(now, lease)
 
-    def _free(self, now: timedelta, lease: _Lease) -> None:
+    def _free(self, now: timedelta, lease: slot_state.Lease) -> None:
         state = self._upstreams[lease.upstream]
         state.advance(now)
         del state.leases[lease.lease]
@@ -366,7 +256,7 @@
     def _apply_wants(
         self,
         now: timedelta,
-        entry: _Process,
+        entry: slot_state.Process,
         wants: tuple[slots.Want, ...],
     ) -> set[ids.UpstreamId]:
         touched: set[ids.UpstreamId] = set()
@@ -378,7 +268,7 @@
         return touched
 
     def _apply_loose(
-        self, entry: _Entry, loose: tuple[ids.UpstreamId, ...]
+        self, entry: slot_state.Entry, loose: tuple[ids.UpstreamId, ...]
     ) -> set[ids.UpstreamId]:
         if loose == entry.loose:
             return set()
@@ -398,10 +288,10 @@
         self,
         now: timedelta,
         touched: Iterable[ids.UpstreamId],
-        answer_to: _Process | None,
+        answer_to: slot_state.Process | None,
     ) -> list[Address]:
         """Allocate free slots of the touched upstreams; build messages."""
-        granted: dict[_Process, list[slots.Slot]] = {}
+        granted: dict[slot_state.Process, list[slots.Slot]] = {}
         if answer_to is not None:
             granted[answer_to] = []
         touched = list(touched)
@@ -420,7 +310,7 @@
     def _grant_message(
         self,
         now: timedelta,
-        entry: _Process,
+        entry: slot_state.Process,
         new: list[slots.Slot],
         seen: Iterable[ids.UpstreamId],
     ) -> Address:
@@ -444,7 +334,7 @@
         self,
         now: timedelta,
         upstream: ids.UpstreamId,
-        granted: dict[_Process, list[slots.Slot]],
+        granted: dict[slot_state.Process, list[slots.Slot]],
     ) -> None:
         state = self._upstreams[upstream]
         state.advance(now)
@@ -453,7 +343,7 @@
             entry = self._entries.get(name)
             if entry is None or now - entry.heard >= slots.LEASE:
                 continue
-            lease = _Lease(
+            lease = slot_state.Lease(
                 lease=self._next_lease,
                 entry=name,
                 upstream=upstream,
@@ -474,7 +364,7 @@
                 )
             )
 
-    def _recall_for(self, state: _Upstream) -> list[Address]:
+    def _recall_for(self, state: slot_state.UpstreamSlots) -> list[Address]:
         """Recall as many slots as there are requests without one."""
         unmet = state.unmet()
         if not unmet or len(state.leases) < state.slot_count:
@@ -484,8 +374,8 @@
         ]
         return self._recall(chosen[:unmet])
 
-    def _recall(self, leases: Iterable[_Lease]) -> list[Address]:
-        by_entry: dict[_Process, list[int]] = {}
+    def _recall(self, leases: Iterable[slot_state.Lease]) -> list[Address]:
+        by_entry: dict[slot_state.Process, list[int]] = {}
         for lease in leases:
             lease.recalled = True
             by_entry.setdefault(lease.entry, []).append(lease.lease)
--- /dev/null
+++ b/goldcresthaven/slot_state.py
@@ -0,0 +1,150 @@
+"""What the slot manager knows: entry processes, upstreams and leases."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from dataclasses import field
+from datetime import timedelta
+import heapq
+
+from goldcresthaven import admission
+from goldcresthaven import ids
+from goldcresthaven import slots
+
+# An entry process: VM and boot. A process that restarted on the same VM is
+# another one, and what its predecessor held ends by silence.
+Process = tuple[ids.VmId, ids.BootId]
+
+
+@dataclass(kw_only=True, slots=True)
+class Lease:
+    """A slot that the manager gave to an entry process."""
+
+    lease: int
+    entry: Process
+    upstream: ids.UpstreamId
+    level: int
+    basis: timedelta
+    recalled: bool = False
+
+
+@dataclass(kw_only=True, slots=True)
+class Entry:
+    """What the manager knows of one entry process.
+
+    ``heard`` is the manager's reading when the demand with ``basis``, the
+    last one answered, arrived.
+    """
+
+    seq: int = 0
+    basis: timedelta = admission.ZERO
+    heard: timedelta = admission.ZERO
+    return_seq: int = 0
+    loose: tuple[ids.UpstreamId, ...] = ()
+    leases: dict[int, Lease] = field(default_factory=dict)
+
+
+@dataclass(kw_only=True, slots=True)
+class _Waiting:
+    count: int
+    due: timedelta
+    version: int
+
+
+class UpstreamSlots:
+    """The slots of one upstream and the entries that wait for them."""
+
+    def __init__(
+        self,
+        *,
+        slot_count: int,
+        bulk_cap: int,
+        floors: Sequence[float],
+        drain_grace: timedelta,
+    ) -> None:
+        self.slot_count = slot_count
+        self.bulk_cap = bulk_cap
+        self.shares = admission.Shares(floors=floors, slots=slot_count)
+        self.leases: dict[int, Lease] = {}
+        self.held = [0] * admission.RANK_COUNT
+        self.queued = [0] * admission.RANK_COUNT
+        self.drain_grace = drain_grace
+        self.grant_until: timedelta | None = None
+        self.loose = 0
+        self._waiting: list[dict[Process, _Waiting]] = [
+            {} for _ in range(admission.RANK_COUNT)
+        ]
+        self._order: list[list[tuple[timedelta, int, Process]]] = [
+            [] for _ in range(admission.RANK_COUNT)
+        ]
+        self._version = 0
+
+    def set_policy(self, floors: Sequence[float], bulk_cap: int) -> None:
+        """Apply a preset; slots already given stay as they are."""
+        self.bulk_cap = bulk_cap
+        self.shares.set_floors(floors, slots=self.slot_count)
+
+    def set_want(
+        self, now: timedelta, entry: Process, want: slots.Want
+    ) -> None:
+        self.advance(now)
+        for level in range(admission.RANK_COUNT):
+            waiting = self._waiting[level]
+            old = waiting.pop(entry, None)
+            if old is not None:
+                self.queued[level] -= old.count
+            count = want.queued[level]
+            if not count:
+                continue
+            self._version += 1
+            due = now + want.slack[level]
+            waiting[entry] = _Waiting(
+                count=count, due=due, version=self._version
+            )
+            self.queued[level] += count
+            heapq.heappush(self._order[level], (due, self._version, entry))
+
+    def forget(self, now: timedelta, entry: Process) -> None:
+        """Drop an entry's demand."""
+        self.advance(now)
+        for level in range(admission.RANK_COUNT):
+            old = self._waiting[level].pop(entry, None)
+            if old is not None:
+                self.queued[level] -= old.count
+
+    def advance(self, now: timedelta) -> None:
+        self.shares.advance(now, self.queued, self.held)
+
+    def next_level(self, now: timedelta) -> int | None:
+        """Return the level that gets the next slot, or None."""
+        if self.grant_until is not None and now >= self.grant_until:
+            return None
+        if len(self.leases) + self.loose >= self.slot_count:
+            return None
+        bulk = self.held[admission.BULK_LEVEL]
+        allowed = admission.RANK_COUNT
+        if bulk >= self.bulk_cap:
+            allowed = admission.BULK_LEVEL
+        return self.shares.choose(self.queued, allowed)
+
+    def pop_waiting(self, level: int) -> Process:
+        """Return the entry with the earliest deadline; count one off."""
+        order = self._order[level]
+        waiting = self._waiting[level]
+        while True:
+            _, version, entry = order[0]
+            one = waiting.get(entry)
+            if one is not None and one.version == version:
+                break
+            heapq.heappop(order)
+        self.queued[level] -= 1
+        one.count -= 1
+        if not one.count:
+            del waiting[entry]
+            heapq.heappop(order)
+        return entry
+
+    def unmet(self) -> int:
+        """Return how many more slots would be used at once."""
+        bulk_room = self.bulk_cap - self.held[admission.BULK_LEVEL]
+        bulk = min(self.queued[admission.BULK_LEVEL], max(bulk_room, 0))
+        return sum(self.queued[: admission.BULK_LEVEL]) + bulk
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -259,6 +259,20 @@
             ]
             self.assertEqual(sorted(given), sorted(plain.grant()), seed)
 
+    def test_preset_switch_reaches_the_manager(self) -> None:
+        """Guards against a preset that counts only for new claims."""
+        manager = make_manager(1)
+        manager.set_preset(PRESET.model_copy(update={'bulk_cap': 1}))
+        slack = (timedelta(seconds=1),) * 3
+        replies = manager.demand(
+            timedelta(), self._demand(1, 1, (0, 0, SLOTS), slack)
+        )
+        grants = [r.message for r in replies]
+        given = sum(
+            len(m.slots) for m in grants if isinstance(m, slots.SlotGrant)
+        )
+        self.assertEqual(given, 1)
+
     def _demand(
         self,
         entry: int,
