Repeat a raise at once when the holder was lost after taking the claim

The slow takeovers of test_store_loses_answers_during_takeover came when the holder was killed before the candidate had read its first row: the raise met a row of the same epoch, and the candidate waited RAISE_AGAIN (2 s). It now tries again at once if it heard from that holder within RAISE_AGAIN, so candidates that cannot reach each other still wait. The case of a renewal between read and loss is kept; test_ownership covers both without timing.

--- a/goldcresthaven/candidates.py
+++ b/goldcresthaven/candidates.py
@@ -75,6 +75,10 @@
         self._send_at = now + HEARTBEAT_EVERY
         return [control.SendHeartbeat(vm=vm) for vm in sorted(vms)]
 
+    def heard_after(self, vm: ids.VmId, time: timedelta) -> bool:
+        """Whether a peer responded after a time."""
+        return self._heard.get(vm, timedelta.min) > time
+
     def alive(self, vm: ids.VmId, *, now: timedelta) -> bool:
         """Whether a watched peer responded of late or is new here."""
         last = self._watched.get(vm)
@@ -209,14 +213,27 @@
         """Record that this process tries to raise the epoch."""
         self._raised_at[domain] = now
 
-    def raise_missed(self, domain: ids.DomainId) -> None:
-        """Allow another try at once: the row was older than the holder's.
+    def raise_missed(
+        self,
+        domain: ids.DomainId,
+        raised: claims.ClaimRow,
+        found: claims.ClaimRow,
+        *,
+        now: timedelta,
+    ) -> None:
+        """Note that a raise met another row than the one last read.
 
-        The holder may have renewed after the last read of its row and
-        before it was lost. Waiting for RAISE_AGAIN would let its leases
-        end.
+        The holder may have taken or renewed the claim after that read and
+        before it was lost. Then another try is due at once, because its
+        leases would end during RAISE_AGAIN.
         """
-        self._raised_at.pop(domain, None)
+        renewed = found.epoch < raised.epoch
+        holder = found.holder
+        recent = holder is not None and self._live.heard_after(
+            holder, now - RAISE_AGAIN
+        )
+        if renewed or recent:
+            self._raised_at.pop(domain, None)
 
     def wants(self, domain: ids.DomainId, *, now: timedelta) -> bool:
         """Whether this process should raise the epoch now."""
--- a/goldcresthaven/keeper.py
+++ b/goldcresthaven/keeper.py
@@ -223,9 +223,8 @@
         domain, row, ends_at = self._raising.pop(txn)
         if not self._applied(domain, row, result, now=now):
             found = _failed_rows(result).get(domain)
-            if found is not None and found.epoch < row.epoch:
-                # Only a renewal came between, so nobody else has raised.
-                self._candidacy.raise_missed(domain)
+            if found is not None:
+                self._candidacy.raise_missed(domain, row, found, now=now)
             return []
         claim = claims.HeldClaim(
             domain=domain,
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -154,6 +154,25 @@
         again = controller.handle(conflict, now=now)
         self.assertEqual(1, len(_transactions(again)))
 
+    def test_claim_taken_before_the_loss(self) -> None:
+        """Guards against the same when the holder had just taken the claim.
+
+        The row was absent at the last read.
+        """
+        controller = _candidate()
+        empty = control.ClaimsRead(token=1, rows=())
+        controller.handle(empty, now=timedelta())
+        controller.handle(control.PeerHeard(vm=HOLDER), now=timedelta())
+        first = _raise(controller, at=timedelta(milliseconds=800))
+        self.assertEqual(1, len(first))
+        conflict = control.TransactResult(
+            txn=first[0].transaction.txn,
+            result=tables.Conflict(rows=(_row(renewal=0, epoch=1),)),
+        )
+        now = timedelta(milliseconds=810)
+        again = controller.handle(conflict, now=now)
+        self.assertEqual(1, len(_transactions(again)))
+
     def test_raise_by_another_candidate(self) -> None:
         """Guards against two candidates that take a claim from each other."""
         controller = _candidate()
@@ -168,7 +187,8 @@
         self.assertEqual([], _transactions(again))
 
 
-VM, HOLDER = ids.VmId('b'), ids.VmId('a')
+# The holder has the better rank, so the candidate waits for its silence.
+VM, HOLDER = ids.VmId('a'), ids.VmId('b')
 DOMAIN = ids.DomainId('z/0')
 
 
