Serve the operator's endpoints over HTTP and check signatures

OperatorApi had no server, and cli_session loaded a signer from auth that did not exist, so no change could be sent. operator_server bounds bodies, waits and connections; health and readiness are answered beyond the bound on connections, as a full server must not look like a dead VM.

A change is signed for one VM, whose name the client reads from /health. Ruled out: signing for the address, which fails behind a tunnel or for a process that listens on 0.0.0.0. A call that takes too long gets no response, because every response says whether a change was stored; the client reports it as still unknown.

The broken server of test_cli passes three calls on in place of two, as the client now asks for the VM first.

--- a/goldcresthaven/cli_session.py
+++ b/goldcresthaven/cli_session.py
@@ -4,10 +4,8 @@
 from enum import IntEnum
 import functools
 import getpass
-import importlib
 import pathlib
 from typing import Annotated
-from typing import Any
 from typing import ParamSpec
 
 import typer
@@ -17,6 +15,7 @@
 from goldcresthaven import errors
 from goldcresthaven import members
 from goldcresthaven import operator_api
+from goldcresthaven import operator_auth
 from goldcresthaven import operator_client
 from goldcresthaven import operator_views as views
 from goldcresthaven import settings
@@ -98,15 +97,8 @@
 
 
 def load_signer(keys_file: pathlib.Path, author: str) -> operator_api.Signer:
-    """Return the signer of the operator's calls.
-
-    ``auth`` is imported here, as most commands do not sign.
-    """
-    auth: Any = importlib.import_module('goldcresthaven.auth')
-    signer: operator_api.Signer = auth.operator_signer(
-        keys_file=keys_file, author=author
-    )
-    return signer
+    """Return the signer of the operator's calls."""
+    return operator_auth.load_signer(keys_file, author)
 
 
 def client(
--- a/goldcresthaven/operator_api.py
+++ b/goldcresthaven/operator_api.py
@@ -96,8 +96,13 @@
 class Signer(Protocol):
     """Proves who sends a write; the counterpart of ``Verifier``."""
 
-    def sign(self, *, method: str, target: str, body: bytes) -> str:
-        """Return the value of the Authorization header."""
+    def sign(
+        self, *, vm: ids.VmId, method: str, target: str, body: bytes
+    ) -> str:
+        """Return the value of the Authorization header.
+
+        It is valid only at the process of ``vm``.
+        """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -190,7 +195,7 @@
         )
 
     async def _health(self, call: calls.Call) -> Response:
-        return _answer(views.Health())
+        return _answer(views.Health(vm=self._process.local().vm))
 
     async def _ready(self, call: calls.Call) -> Response:
         readiness = self._process.local().readiness
--- a/goldcresthaven/operator_client.py
+++ b/goldcresthaven/operator_client.py
@@ -15,6 +15,7 @@
 
 from goldcresthaven import clock
 from goldcresthaven import errors
+from goldcresthaven import ids
 from goldcresthaven import members
 from goldcresthaven import operator_api
 from goldcresthaven import operator_views as views
@@ -70,12 +71,25 @@
             ('Connection', 'close'),
         ]
         if method != 'GET' and self._signer is not None:
-            proof = self._signer.sign(method=method, target=target, body=body)
+            vm = self._vm()
+            proof = self._signer.sign(
+                vm=vm, method=method, target=target, body=body
+            )
             headers.append(('Authorization', proof))
         request = h11.Request(method=method, target=target, headers=headers)
         status, answer = self._exchange(request, body)
         return _decode(kind, status, answer)
 
+    def _vm(self) -> ids.VmId:
+        """Return the VM that a change is signed for."""
+        try:
+            return self.get(views.Health, '/health').vm
+        except errors.ConnectionLost as exc:
+            # ConnectionLost would say that the change may have been sent.
+            raise errors.ConnectionFailed(
+                exc.problem, remedy=exc.remedy
+            ) from exc
+
     def _exchange(
         self, request: h11.Request, body: bytes
     ) -> tuple[int, bytes]:
--- /dev/null
+++ b/goldcresthaven/operator_server.py
@@ -0,0 +1,178 @@
+"""Serves the operator's endpoints of a process over HTTP.
+
+Every wait is bounded, and so are the body and the number of connections.
+Beyond that number only health and readiness are answered, so that
+operators or scripts cannot make the balancer think that the VM is down.
+"""
+
+from datetime import timedelta
+
+from goldcresthaven import aio
+from goldcresthaven import clock as clock_module
+from goldcresthaven import errors
+from goldcresthaven import http_head
+from goldcresthaven import http_io
+from goldcresthaven import operator_api
+from goldcresthaven import operator_views as views
+
+MAX_CONNECTIONS = 64
+IDLE_TIMEOUT = timedelta(seconds=15)
+BODY_TIMEOUT = timedelta(seconds=5)
+# A change takes at most two attempts of 4 s at the store and one read of
+# 1 s; the command line gives up after 15 s.
+CALL_TIMEOUT = timedelta(seconds=12)
+SEND_TIMEOUT = timedelta(seconds=5)
+# How often an idle connection looks whether the process is stopping.
+IDLE_CHECK = timedelta(milliseconds=500)
+
+_CHECKS = ('/health', '/ready')
+
+
+class OperatorServer:
+    """Answers the connections of one listener.
+
+    Example::
+
+        server = OperatorServer(api=api, clock=clock)
+        listener = aio.Listener(host=host, port=port, handler=server.serve)
+    """
+
+    def __init__(
+        self, *, api: operator_api.OperatorApi, clock: clock_module.Clock
+    ) -> None:
+        self._api = api
+        self._clock = clock
+        self._connections = 0
+        self._stopping = False
+
+    def stop_idle(self) -> None:
+        """Close each connection after its call in progress."""
+        self._stopping = True
+
+    async def serve(self, sock: aio.Socket) -> None:
+        """Answer the calls of one connection."""
+        conn = http_io.CallerConn(sock)
+        self._connections += 1
+        crowded = self._connections > MAX_CONNECTIONS
+        try:
+            while await self._wait_for_call(conn):
+                await self._serve_one(conn, crowded)
+                if crowded or not conn.can_continue():
+                    return
+                conn.next_exchange()
+        finally:
+            self._connections -= 1
+            await conn.close()
+
+    async def _wait_for_call(self, conn: http_io.CallerConn) -> bool:
+        end = self._clock.elapsed() + IDLE_TIMEOUT
+        while not self._stopping and self._clock.elapsed() < end:
+            try:
+                async with aio.timeout(IDLE_CHECK):
+                    return await conn.wait_for_byte()
+            except errors.DeadlineExceeded:
+                continue
+        return False
+
+    async def _serve_one(
+        self, conn: http_io.CallerConn, crowded: bool
+    ) -> None:
+        try:
+            async with aio.timeout(http_io.HEAD_TIMEOUT):
+                head = await conn.read_head()
+            if head is None:
+                await conn.close()
+                return
+            async with aio.timeout(BODY_TIMEOUT):
+                body = await _read_body(conn, head)
+        except errors.RequestRejected as exc:
+            await _refuse(conn, exc.status, exc)
+            return
+        except (errors.ConnectionLost, errors.DeadlineExceeded):
+            await conn.close()
+            return
+        if crowded and head.target not in _CHECKS:
+            await _refuse(conn, 503, _crowded())
+            return
+        await self._answer(conn, head, body)
+
+    async def _answer(
+        self,
+        conn: http_io.CallerConn,
+        head: http_head.RequestHead,
+        body: bytes,
+    ) -> None:
+        path, _, query = head.target.partition('?')
+        signature = http_head.find(head.headers, 'authorization')
+        try:
+            async with aio.timeout(CALL_TIMEOUT):
+                response = await self._api.handle(
+                    method=head.method,
+                    path=path,
+                    query=query,
+                    body=body,
+                    authorization=signature or '',
+                )
+        except errors.DeadlineExceeded:
+            # A refusal would say that nothing was done, but a change may
+            # have been stored.
+            await conn.close()
+            return
+        await _send(conn, response, close=self._stopping)
+
+
+async def _read_body(
+    conn: http_io.CallerConn, head: http_head.RequestHead
+) -> bytes:
+    length = http_head.find(head.headers, 'content-length') or '0'
+    if int(length) > operator_api.MAX_BODY:
+        raise _too_long()
+    body = bytearray()
+    while piece := await conn.read_piece():
+        body += piece
+        if len(body) > operator_api.MAX_BODY:
+            raise _too_long()
+    return bytes(body)
+
+
+def _too_long() -> errors.RequestRejected:
+    return errors.RequestRejected(
+        f'the body is longer than {operator_api.MAX_BODY >> 10} KiB',
+        remedy='split the change',
+        status=413,
+    )
+
+
+def _crowded() -> errors.Error:
+    return errors.CallRefused(
+        f'this process has {MAX_CONNECTIONS} operator connections open',
+        remedy='close some, or ask another process',
+        status=503,
+    )
+
+
+async def _refuse(
+    conn: http_io.CallerConn, status: int, exc: errors.Error
+) -> None:
+    refusal = views.Refusal(problem=exc.problem, remedy=exc.remedy)
+    response = operator_api.Response(status=status, body=views.encode(refusal))
+    await _send(conn, response, close=True)
+    await conn.close_after_response()
+
+
+async def _send(
+    conn: http_io.CallerConn, response: operator_api.Response, *, close: bool
+) -> None:
+    headers: http_head.Headers = (('content-type', operator_api.CONTENT_TYPE),)
+    if close:
+        headers = (*headers, ('connection', 'close'))
+    head = http_head.ResponseHead(status=response.status, headers=headers)
+    try:
+        async with aio.timeout(SEND_TIMEOUT):
+            await conn.send_all(head, response.body)
+    except (
+        errors.ConnectionLost,
+        errors.DeadlineExceeded,
+        errors.ProtocolError,
+    ):
+        await conn.close()
--- a/goldcresthaven/operator_views.py
+++ b/goldcresthaven/operator_views.py
@@ -28,8 +28,12 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Health:
-    """The process responds; the balancer need not replace its VM."""
+    """The process responds; the balancer need not replace its VM.
 
+    The command line signs a change for ``vm``.
+    """
+
+    vm: ids.VmId
     alive: bool = True
 
 
--- a/tests/fake_process.py
+++ b/tests/fake_process.py
@@ -29,7 +29,9 @@
 class FakeAuth:
     """Signs and verifies with a fixed text."""
 
-    def sign(self, *, method: str, target: str, body: bytes) -> str:
+    def sign(
+        self, *, vm: ids.VmId, method: str, target: str, body: bytes
+    ) -> str:
         return AUTHORIZATION
 
     def verify(
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -290,9 +290,10 @@
         self._sock.close()
 
     def _serve(self) -> None:
-        # The command reads the configuration and then sends the change.
+        # The command reads the configuration and the name of the VM, and
+        # then sends the change.
         self._sock.settimeout(10)
-        for _ in range(2):
+        for _ in range(3):
             caller, _ = self._sock.accept()
             with caller, socket.create_connection(self._target) as upstream:
                 request = caller.recv(1 << 16)
