Keep one drawing of the timeline, of the operator's view

timeline_svg and timeline_diagram drew the same events; the command line used the one without links. timeline_svg keeps its layout, whose rows have room for the text of an event, and takes the links between processes, the colours, the bound on rows and the removal of control characters from the other. The command line's text now removes control characters as well: an event may come from a peer and could drive the operator's terminal.

timeline.View and render_text had no user besides a test; its checks now run on cli_text, which names the processes that left older events out.

--- a/goldcresthaven/cli_text.py
+++ b/goldcresthaven/cli_text.py
@@ -3,6 +3,7 @@
 from goldcresthaven import operator_views as views
 from goldcresthaven import outcomes
 from goldcresthaven import presets
+from goldcresthaven import timeline as timeline_module
 
 _MIB = 1 << 20
 
@@ -163,14 +164,20 @@
 def timeline(view: views.Timeline) -> str:
     lines = []
     if view.truncated:
-        lines.append('(older events are left out; narrow the filters)')
+        where = ' by ' + ', '.join(view.incomplete) if view.incomplete else ''
+        lines.append(f'(older events are left out{where}; narrow the filters)')
     for event in view.events:
         at = event.at.isoformat(timespec='milliseconds')
-        about = f' {event.request}' if event.request else ''
-        lines.append(
+        about = f' request={event.request}' if event.request else ''
+        about += f' key={event.key_hash}' if event.key_hash else ''
+        text = (
             f'{at}+{event.counter} {event.process} {event.kind}{about} '
-            f'{event.detail}'.rstrip()
+            f'{event.detail}'
         )
+        lines.append(timeline_module.one_line(text).rstrip())
     if view.unreachable:
-        lines.append('NO RESPONSE from ' + ', '.join(view.unreachable))
+        names = ', '.join(view.unreachable)
+        lines.append(
+            f'NO RESPONSE from {names}; only their milestones are shown'
+        )
     return '\n'.join(lines) or 'no events'
--- /dev/null
+++ b/goldcresthaven/operator_timeline.py
@@ -0,0 +1,101 @@
+"""The timeline of all processes as the operator sees it."""
+
+from collections.abc import Iterable
+from collections.abc import Sequence
+from datetime import datetime
+from datetime import timedelta
+from datetime import timezone
+
+from goldcresthaven import errors
+from goldcresthaven import events
+from goldcresthaven import ids
+from goldcresthaven import operator_views as views
+from goldcresthaven import timeline
+
+_MS = timedelta(milliseconds=1)
+_UNIX = datetime(1970, 1, 1, tzinfo=timezone.utc)
+_LATEST = datetime.max.replace(tzinfo=timezone.utc)
+_MAX_HASH = (1 << 64) - 1
+
+
+def to_filter(query: views.TimelineQuery) -> events.Filter:
+    """Return what the processes are asked for.
+
+    Raises CallRefused when the hash is not one.
+    """
+    return events.Filter(
+        key_hash=_parse_hash(query.key_hash),
+        request_id=query.request,
+        vm=query.process,
+        since_ms=0 if query.after is None else _to_ms(query.after),
+        until_ms=(
+            events.Filter().until_ms
+            if query.before is None
+            else _to_ms(query.before)
+        ),
+    )
+
+
+def _parse_hash(text: str | None) -> ids.KeyHash | None:
+    if text is None:
+        return None
+    try:
+        value = int(text, 16)
+    except ValueError:
+        value = -1
+    if not 0 <= value <= _MAX_HASH:
+        raise errors.CallRefused(
+            f'{text!r} is not the hash of a key',
+            remedy='take key_hash from `goldcresthaven explain key --json`',
+            status=400,
+        )
+    return ids.KeyHash(value)
+
+
+def _to_ms(when: datetime) -> int:
+    return max(0, (when - _UNIX) // _MS)
+
+
+def to_view(event: events.Event) -> views.Event:
+    """Return an event for the operator; its detail is one clean line."""
+    return views.Event(
+        at=_to_time(event.stamp.wall_ms),
+        counter=event.stamp.counter,
+        process=event.vm,
+        kind=event.kind.value,
+        detail=timeline.detail(event),
+        request=event.request_id,
+        key_hash=(
+            None if event.key_hash is None else f'{event.key_hash:016x}'
+        ),
+        domain=event.domain,
+        epoch=event.epoch,
+    )
+
+
+def _to_time(wall_ms: int) -> datetime:
+    try:
+        return _UNIX + wall_ms * _MS
+    except OverflowError:
+        return _LATEST
+
+
+def merge(
+    buffers: Iterable[Sequence[events.Event]],
+    query: views.TimelineQuery,
+    *,
+    unreachable: Iterable[ids.VmId],
+    incomplete: Iterable[ids.VmId],
+) -> views.Timeline:
+    """Return the newest events of all processes in causal order.
+
+    ``incomplete`` names processes that have left out older ones already.
+    """
+    found = timeline.merge(buffers, to_filter(query))
+    left_out = tuple(sorted(incomplete))
+    return views.Timeline(
+        events=tuple(to_view(event) for event in found[-query.limit :]),
+        unreachable=tuple(sorted(unreachable)),
+        truncated=bool(left_out) or len(found) > query.limit,
+        incomplete=left_out,
+    )
--- a/goldcresthaven/operator_views.py
+++ b/goldcresthaven/operator_views.py
@@ -218,18 +218,23 @@
     detail: str = ''
     request: ids.RequestId | None = None
     key_hash: str | None = None
+    domain: ids.DomainId | None = None
+    epoch: ids.Epoch | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Timeline:
     """Events in causal order and the processes that did not respond.
 
-    ``truncated`` says that older events matched and were left out.
+    Of an unreachable process only the milestones that its peers have
+    copied are shown. ``truncated`` says that older events matched and were
+    left out; ``incomplete`` names the processes that did not send them.
     """
 
     events: tuple[Event, ...]
     unreachable: tuple[ids.VmId, ...] = ()
     truncated: bool = False
+    incomplete: tuple[ids.VmId, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/goldcresthaven/timeline.py
+++ b/goldcresthaven/timeline.py
@@ -10,7 +10,6 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
-from dataclasses import dataclass
 from datetime import datetime
 from datetime import timedelta
 import heapq
@@ -207,57 +206,13 @@
     return sorted(buffer, key=sort_key)
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class View:
-    """A merged timeline for the operator.
-
-    ``unreachable`` names processes that did not answer; of these only the
-    milestones that peers have copied are shown. ``truncated`` names those
-    that left older events out.
-    """
-
-    events: tuple[events.Event, ...]
-    unreachable: tuple[ids.VmId, ...] = ()
-    truncated: tuple[ids.VmId, ...] = ()
-
-    @property
-    def vms(self) -> list[ids.VmId]:
-        """All processes with events or known to be unreachable."""
-        seen = {event.vm for event in self.events}
-        return sorted(seen | set(self.unreachable))
-
-
-def render_text(view: View) -> str:
-    """Return one line for each event, after a line for each gap."""
-    lines = [
-        f'! {vm}: unreachable, only copied milestones are shown'
-        for vm in view.unreachable
-    ]
-    lines += [f'! {vm}: older events are left out' for vm in view.truncated]
-    return '\n'.join(lines + [describe(event) for event in view.events])
-
-
-def describe(event: events.Event) -> str:
-    """Return an event as one line, with the fields that it has."""
-    when = format_time(event.stamp.wall_ms)
-    head = f'{when}+{event.stamp.counter} {event.vm} {event.kind.value}'
-    return ' '.join([head, *_fields(event), _one_line(event.text)]).rstrip()
-
-
-def format_time(wall_ms: int) -> str:
-    """Return UTC time with milliseconds, or the number if out of range."""
-    try:
-        when = _UNIX + wall_ms * _MS
-    except OverflowError:
-        return f'{wall_ms}ms'
-    return when.strftime('%Y-%m-%dT%H:%M:%S.') + f'{wall_ms % 1000:03d}Z'
+def detail(event: events.Event) -> str:
+    """Return what an event says besides its time, process and kind."""
+    return ' '.join([*_fields(event), one_line(event.text)]).rstrip()
 
 
 def _fields(event: events.Event) -> list[str]:
-    key = None if event.key_hash is None else f'{event.key_hash:016x}'
     pairs = {
-        'key': key,
-        'request': event.request_id,
         'shard': event.shard,
         'upstream': event.upstream,
         'domain': event.domain,
@@ -265,12 +220,17 @@
         'map': event.map_version,
         'config': event.config_version,
     }
-    return [f'{k}={v}' for k, v in pairs.items() if v is not None]
+    return [
+        f'{k}={one_line(str(v))}' for k, v in pairs.items() if v is not None
+    ]
+
 
+def one_line(text: str) -> str:
+    """Return text without control characters.
 
-def _one_line(text: str) -> str:
-    # Text may come from a peer; control characters would break the lines
-    # or drive the operator's terminal.
+    It may come from a peer, and they would break the lines or drive the
+    operator's terminal.
+    """
     return ''.join(c if c.isprintable() else ' ' for c in text)
 
 
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -1,5 +1,6 @@
 """Tests of the timeline."""
 
+import dataclasses
 from datetime import timedelta
 import random
 from typing import Any
@@ -10,12 +11,16 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from goldcresthaven import cli_text
 from goldcresthaven import clock
+from goldcresthaven import errors
 from goldcresthaven import events
 from goldcresthaven import ids
 from goldcresthaven import messages
+from goldcresthaven import operator_timeline
+from goldcresthaven import operator_views as views
 from goldcresthaven import timeline
-from goldcresthaven import timeline_diagram
+from goldcresthaven import timeline_svg
 from tests import test_messages
 
 MS = timedelta(milliseconds=1)
@@ -209,27 +214,82 @@
         )
         other = make_line('b', self.clock)
         other.add(events.Kind.CLAIM_LOST, domain='z1/0', epoch=4)
-        buffers = [
-            part.select(events.Filter(), 9)[0] for part in (line, other)
-        ]
-        view = timeline.View(
-            events=tuple(timeline.merge(buffers)),
+        view = operator_timeline.merge(
+            [part.select(events.Filter(), 9)[0] for part in (line, other)],
+            views.TimelineQuery(),
             unreachable=(ids.VmId('lost-vm'),),
-            truncated=(ids.VmId('b'),),
+            incomplete=(ids.VmId('b'),),
         )
-        text = timeline.render_text(view)
+        text = cli_text.timeline(view)
         lines = text.split('\n')
         self.assertEqual(len(lines), 4)
-        self.assertIn('lost-vm: unreachable', lines[0])
-        self.assertIn('b: older events', lines[1])
-        self.assertIn('epoch-raised key=00000000000000ff', lines[2])
-        self.assertIn('domain=z1/0 epoch=4 evil', lines[2])
+        self.assertIn('older events are left out by b', lines[0])
+        self.assertIn('epoch-raised key=00000000000000ff', lines[1])
+        self.assertIn('domain=z1/0 epoch=4 evil', lines[1])
+        self.assertIn('NO RESPONSE from lost-vm; only', lines[3])
         self.assertNotIn('\x1b', text)
-        root = ElementTree.fromstring(timeline_diagram.render_svg(view))
+        root = ElementTree.fromstring(timeline_svg.render(view))
         names = [e.tag.rpartition('}')[2] for e in root.iter()]
         self.assertEqual(names.count('circle'), 2)
         shown = ' '.join(root.itertext())
-        self.assertIn('unreachable', shown)
+        self.assertIn('lost-vm (no response)', shown)
         self.assertIn('older events are left out', shown)
-        # Three rows and the arrow between the two events of one epoch.
+        # Three columns and the link between the two events of one epoch.
         self.assertEqual(names.count('line'), 4)
+
+    def test_picture_is_bounded(self) -> None:
+        """Guards against a picture too large to open, with a hidden gap."""
+        line = make_line('a', self.clock)
+        for i in range(timeline_svg.MAX_ROWS + 5):
+            line.add(NOTE, f'note {i}')
+        view = operator_timeline.merge(
+            [line.select(events.Filter(), 9999)[0]],
+            views.TimelineQuery(limit=views.MAX_EVENTS),
+            unreachable=(),
+            incomplete=(),
+        )
+        self.assertFalse(view.truncated)
+        root = ElementTree.fromstring(timeline_svg.render(view))
+        names = [e.tag.rpartition('}')[2] for e in root.iter()]
+        self.assertEqual(names.count('circle'), timeline_svg.MAX_ROWS)
+        shown = ' '.join(root.itertext())
+        self.assertIn('older events are left out', shown)
+        self.assertNotIn('note 4 ', shown)
+
+    def test_operator_query(self) -> None:
+        """Guards against a filter that is lost on the way to the events."""
+        line = make_line('a', self.clock)
+        line.add(NOTE, 'one', key_hash=1, request_id='r1')
+        self.clock.advance(timedelta(seconds=1))
+        line.add(MOVE, 'two', key_hash=2, request_id='r2')
+        found = line.select(events.Filter(), 9)[0]
+        second = operator_timeline.to_view(found[1]).at
+        cases: list[tuple[dict[str, Any], list[str]]] = [
+            ({}, ['one', 'two']),
+            ({'limit': 1}, ['two']),
+            ({'key_hash': f'{1:016x}'}, ['one']),
+            ({'request': 'r2'}, ['two']),
+            ({'process': 'b'}, []),
+            ({'after': second}, ['two']),
+            ({'before': second}, ['one']),
+        ]
+        for fields, expected in cases:
+            with self.subTest(fields):
+                view = operator_timeline.merge(
+                    [found],
+                    views.TimelineQuery(**fields),
+                    unreachable=(),
+                    incomplete=(),
+                )
+                self.assertEqual([e.detail for e in view.events], expected)
+                self.assertEqual(view.truncated, 'limit' in fields)
+        for text in ('x', '-1', '1' * 17):
+            with self.assertRaises(errors.CallRefused):
+                operator_timeline.to_filter(views.TimelineQuery(key_hash=text))
+
+    def test_impossible_time(self) -> None:
+        """Guards against a peer's event that breaks the whole query."""
+        event = make_line('a', self.clock).add(NOTE, 'x')
+        stamp = events.Stamp(wall_ms=(1 << 63) - 1)
+        odd = dataclasses.replace(event, stamp=stamp)
+        self.assertEqual(operator_timeline.to_view(odd).at.year, 9999)
