Keep a bounded record of recent requests

explain request had nothing to ask. The request path now notes route, map and configuration version, waits and attempts in a trace, and the history keeps the finished requests, 4,096 by default. Keys, headers and bodies are not kept; the text of a parse error is left out because it quotes headers. Requests that did not end well become timeline events, at most 20 a second, so that a storm of refusals does not push out its cause.

--- a/goldcresthaven/caller_server.py
+++ b/goldcresthaven/caller_server.py
@@ -19,6 +19,7 @@
 from goldcresthaven import http_io
 from goldcresthaven import ids
 from goldcresthaven import outcomes
+from goldcresthaven import request_history
 from goldcresthaven import retries
 from goldcresthaven import routing
 
@@ -45,12 +46,14 @@
         gate: dispatch.Gate,
         records: dedup.Records,
         forwarder: forwarding.Forwarder,
+        history: request_history.RequestHistory,
         clock: clock_module.Clock,
     ) -> None:
         self._views = views
         self._gate = gate
         self._records = records
         self._forwarder = forwarder
+        self._history = history
         self._clock = clock
         self._budget = retries.RetryBudget()
         self._connections = 0
@@ -119,10 +122,11 @@
         self, conn: http_io.CallerConn, crowded: bool
     ) -> None:
         request_id = ids.RequestId(secrets.token_hex(8))
+        trace = self._history.begin(request_id)
         try:
             head = await self._read_head(conn)
         except errors.RequestRejected as exc:
-            await self._reject(conn, request_id, exc)
+            await self._reject(conn, trace, exc)
             return
         if head is None:
             await conn.close()
@@ -131,6 +135,7 @@
             conn=conn,
             head=head,
             request_id=request_id,
+            trace=trace,
             closing=crowded,
             is_draining=lambda: self._draining,
         )
@@ -138,10 +143,10 @@
             _check(head)
             await call.read_first()
         except errors.RequestRejected as exc:
-            await self._reject(conn, request_id, exc)
+            await self._reject(conn, trace, exc)
             return
         except errors.DeadlineExceeded:
-            await self._reject(conn, request_id, _too_slow('body'))
+            await self._reject(conn, trace, _too_slow('body'))
             return
         except errors.ConnectionLost:
             await conn.close()
@@ -172,6 +177,7 @@
             if crowded
             else await self._run(call)
         )
+        self._history.end(call.trace, outcome)
         if not call.relayed:
             await self._send_outcome(call, outcome)
         elif not isinstance(outcome, outcomes.Done):
@@ -205,7 +211,7 @@
                 retry_after=retries.RETRY_AFTER,
             )
         headers = call.head.headers
-        return routing.route(
+        routed = routing.route(
             routing.Ask(
                 method=call.head.method,
                 target=call.head.target,
@@ -217,6 +223,8 @@
             shard_map=view.shard_map,
             arrived=arrived,
         )
+        call.trace.note_route(routed, view)
+        return routed
 
     async def _attempts(
         self, call: forwarding.Call, routed: routing.Routed
@@ -250,14 +258,18 @@
         routed: routing.Routed,
         tried: list[ids.UpstreamId],
     ) -> retries.Attempt | outcomes.NotRun:
+        asked = self._clock.elapsed()
         admitted = await self._gate.admit(
             routed, tried=tried, caller_gone=call.conn.peer_closed
         )
+        started = self._clock.elapsed()
+        call.trace.queued += started - asked
         if isinstance(admitted, outcomes.NotRun):
             return admitted
         attempt: retries.Attempt | None = None
         try:
             attempt = await self._forwarder.attempt(call, routed, admitted)
+            call.trace.note_attempt(attempt, started)
             return attempt
         finally:
             await self._gate.release(routed, admitted, attempt)
@@ -333,11 +345,18 @@
     async def _reject(
         self,
         conn: http_io.CallerConn,
-        request_id: ids.RequestId,
+        trace: request_history.Trace,
         exc: errors.RequestRejected,
     ) -> None:
         reason = outcomes.Reason.BAD_REQUEST
-        own = forwarding.own_headers(request_id, 'not-run', reason)
+        # The text of the exception may quote a header of the caller.
+        outcome = outcomes.NotRun(
+            reason=reason,
+            detail='the request is malformed',
+            status=exc.status,
+        )
+        self._history.end(trace, outcome)
+        own = forwarding.own_headers(trace.request_id, 'not-run', reason)
         head = http_head.ResponseHead(
             status=exc.status,
             headers=(
--- a/goldcresthaven/cli_text.py
+++ b/goldcresthaven/cli_text.py
@@ -146,8 +146,11 @@
         lines.append(
             f'  rank {_or_none(found.rank)}, pool {_or_none(found.pool)}, '
             f'shard {_or_none(found.shard)}, epoch {_or_none(found.epoch)}, '
-            f'configuration {_or_none(found.config_version)}'
+            f'configuration {_or_none(found.config_version)}, preset '
+            f'{_or_none(found.preset)}'
         )
+        if found.detail:
+            lines.append(f'  {timeline_module.one_line(found.detail)}')
         lines += [_attempt(attempt) for attempt in found.attempts]
     if view.unreachable:
         lines.append('NO RESPONSE from ' + ', '.join(view.unreachable))
--- a/goldcresthaven/entry.py
+++ b/goldcresthaven/entry.py
@@ -21,6 +21,7 @@
 from goldcresthaven import members
 from goldcresthaven import process_settings
 from goldcresthaven import replica
+from goldcresthaven import request_history
 from goldcresthaven import store_client
 from goldcresthaven import upstream_pool
 
@@ -51,6 +52,7 @@
         gate=dispatch.LocalGate(views=views, clock=clock),
         records=dedup.Records(store=store),
         forwarder=forwarding.Forwarder(conns=conns, clock=clock),
+        history=request_history.RequestHistory(vm=cfg.vm, clock=clock),
         clock=clock,
     )
     return Parts(store=store, follower=views, conns=conns, server=server)
--- a/goldcresthaven/forwarding.py
+++ b/goldcresthaven/forwarding.py
@@ -16,6 +16,7 @@
 from goldcresthaven import http_io
 from goldcresthaven import ids
 from goldcresthaven import outcomes
+from goldcresthaven import request_history
 from goldcresthaven import retries
 from goldcresthaven import routing
 from goldcresthaven import upstream_pool
@@ -49,9 +50,10 @@
 class Call:
     """A caller's request while this process works on it.
 
-    ``first`` is the part of the body that was read before admission and
-    can be sent again; ``body_ended`` says that there is no more. ``body_lost``
-    is set once a later part was read, after which no repeat is possible.
+    ``trace`` takes what ``explain request`` shows. ``first`` is the part of
+    the body that was read before admission and can be sent again;
+    ``body_ended`` says that there is no more. ``body_lost`` is set once a
+    later part was read, after which no repeat is possible.
     ``relayed`` is set once part of a response went to the caller.
     ``closing`` makes the response ask the caller to close the connection;
     ``is_draining`` does so too, and can change while the call runs.
@@ -60,6 +62,7 @@
     conn: http_io.CallerConn
     head: http_head.RequestHead
     request_id: ids.RequestId
+    trace: request_history.Trace
     first: bytes = b''
     body_ended: bool = True
     body_lost: bool = False
--- a/goldcresthaven/operator_views.py
+++ b/goldcresthaven/operator_views.py
@@ -186,6 +186,7 @@
     shard: ids.ShardId | None = None
     epoch: ids.Epoch | None = None
     config_version: ids.ConfigVersion | None = None
+    preset: ids.PresetName | None = None
     queued_ms: float = 0.0
     detail: str = ''
     attempts: tuple[Attempt, ...] = ()
--- /dev/null
+++ b/goldcresthaven/request_history.py
@@ -0,0 +1,193 @@
+"""The recent requests of a process, for ``explain request``.
+
+A bounded number is kept, the oldest are forgotten first. Keys, headers and
+bodies of callers are not kept, only the hash of the key. Requests that did
+not end well also become events of the timeline, a bounded number of them
+per second, because a storm of refusals must not push out what caused it.
+"""
+
+import collections
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+from datetime import datetime
+from datetime import timedelta
+
+from goldcresthaven import clock as clock_module
+from goldcresthaven import dispatch
+from goldcresthaven import events
+from goldcresthaven import ids
+from goldcresthaven import operator_views as views
+from goldcresthaven import outcomes
+from goldcresthaven import retries
+from goldcresthaven import routing
+from goldcresthaven import timeline as timeline_module
+
+# About 1 KiB each; the default of ``limits.recent_requests``.
+MAX_REQUESTS = 4096
+# The timeline keeps 8,192 events, so the requests of a storm fill it only
+# after several minutes; milestones are kept apart.
+EVENTS_PER_SECOND = 20
+
+_SECOND = timedelta(seconds=1)
+_ONE_MS = timedelta(milliseconds=1)
+
+EpochOf = Callable[[ids.UpstreamId], ids.Epoch | None]
+
+
+@dataclass(kw_only=True, slots=True)
+class Trace:
+    """What the request path notes while it works on a request."""
+
+    request_id: ids.RequestId
+    received: datetime
+    arrived: timedelta
+    routed: routing.Routed | None = None
+    config_version: ids.ConfigVersion | None = None
+    preset: ids.PresetName | None = None
+    queued: timedelta = timedelta()
+    attempts: list[views.Attempt] = field(default_factory=list)
+
+    def note_route(
+        self,
+        routed: routing.Routed | outcomes.NotRun,
+        view: dispatch.View | None,
+    ) -> None:
+        """Note where the request goes; a later route replaces it."""
+        if view is not None:
+            self.config_version = view.config_version
+            self.preset = view.document.in_force
+        if isinstance(routed, routing.Routed):
+            self.routed = routed
+
+    def note_attempt(
+        self, attempt: retries.Attempt, started: timedelta
+    ) -> None:
+        """Note an attempt; ``started`` is elapsed time."""
+        outcome = retries.classify(attempt)
+        kind, reason = describe(outcome)
+        self.attempts.append(
+            views.Attempt(
+                upstream=attempt.upstream,
+                started=self.received + (started - self.arrived),
+                duration_ms=attempt.duration / _ONE_MS,
+                result=kind,
+                reason=reason.value,
+            )
+        )
+
+
+def describe(outcome: outcomes.Outcome) -> tuple[str, outcomes.Reason]:
+    """Return an outcome as ``X-Outcome`` names it, and its reason."""
+    match outcome:
+        case outcomes.Done():
+            return 'done', outcomes.Reason.OK
+        case outcomes.NotRun():
+            return 'not-run', outcome.reason
+        case outcomes.Unknown():
+            return 'unknown', outcome.reason
+
+
+class RequestHistory:
+    """The finished requests of one process.
+
+    ``epoch_of`` returns the epoch of an owner's claim as this process
+    knows it.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm: ids.VmId,
+        clock: clock_module.Clock,
+        timeline: timeline_module.Timeline | None = None,
+        epoch_of: EpochOf = lambda upstream: None,
+        limit: int = MAX_REQUESTS,
+    ) -> None:
+        self._vm = vm
+        self._clock = clock
+        self._timeline = timeline
+        self._epoch_of = epoch_of
+        self._limit = limit
+        self._kept: collections.OrderedDict[ids.RequestId, views.Request] = (
+            collections.OrderedDict()
+        )
+        self._second = timedelta()
+        self._events = 0
+
+    def begin(self, request_id: ids.RequestId) -> Trace:
+        return Trace(
+            request_id=request_id,
+            received=self._clock.now(),
+            arrived=self._clock.elapsed(),
+        )
+
+    def end(self, trace: Trace, outcome: outcomes.Outcome) -> None:
+        """Keep a request that has ended."""
+        request = self._finish(trace, outcome)
+        self._note_event(trace, request)
+        if self._limit == 0:
+            return
+        self._kept[request.request] = request
+        if len(self._kept) > self._limit:
+            self._kept.popitem(last=False)
+
+    def find(self, request_id: ids.RequestId) -> views.Request | None:
+        return self._kept.get(request_id)
+
+    def _finish(
+        self, trace: Trace, outcome: outcomes.Outcome
+    ) -> views.Request:
+        kind, reason = describe(outcome)
+        routed = trace.routed
+        owner = routed.owner if routed else None
+        key_hash = routed.key_hash if routed else None
+        shard = routed.shard if routed else None
+        return views.Request(
+            request=trace.request_id,
+            process=self._vm,
+            received=trace.received,
+            duration_ms=(self._clock.elapsed() - trace.arrived) / _ONE_MS,
+            outcome=kind,
+            reason=reason.value,
+            status=outcome.status,
+            rank=routed.rank.value if routed else None,
+            pool=routed.pool.name if routed else None,
+            key_hash=None if key_hash is None else f'{key_hash:016x}',
+            shard=shard.shard_id if shard else None,
+            epoch=self._epoch_of(owner) if owner else None,
+            config_version=trace.config_version,
+            preset=trace.preset,
+            queued_ms=trace.queued / _ONE_MS,
+            detail=getattr(outcome, 'detail', ''),
+            attempts=tuple(trace.attempts),
+        )
+
+    def _note_event(self, trace: Trace, request: views.Request) -> None:
+        if self._timeline is None:
+            return
+        if request.outcome == 'done' and len(request.attempts) < 2:
+            return
+        if not self._may_note():
+            return
+        routed = trace.routed
+        tried = ', '.join(a.upstream for a in request.attempts)
+        where = f' after {tried}' if tried else ''
+        self._timeline.add(
+            events.Kind.REQUEST_ENDED,
+            f'{request.outcome} {request.reason}{where}',
+            request_id=request.request,
+            key_hash=routed.key_hash if routed else None,
+            shard=request.shard,
+            upstream=routed.owner if routed else None,
+            epoch=request.epoch,
+            config_version=request.config_version,
+        )
+
+    def _may_note(self) -> bool:
+        now = self._clock.elapsed()
+        if now - self._second >= _SECOND:
+            self._second = now
+            self._events = 0
+        self._events += 1
+        return self._events <= EVENTS_PER_SECOND
--- /dev/null
+++ b/tests/test_request_history.py
@@ -0,0 +1,141 @@
+"""Tests of what a process remembers of its recent requests."""
+
+from datetime import timedelta
+import unittest
+
+from goldcresthaven import clock
+from goldcresthaven import events
+from goldcresthaven import http_head
+from goldcresthaven import ids
+from goldcresthaven import members
+from goldcresthaven import operator_views as views
+from goldcresthaven import outcomes
+from goldcresthaven import request_history
+from goldcresthaven import timeline
+from tools import rig
+
+VM = ids.VmId('a')
+DEAD = members.Address(host=rig.HOST, port=1)
+FULL = outcomes.NotRun(reason=outcomes.Reason.QUEUE_FULL)
+
+
+class HistoryTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = clock.ManualClock()
+        self.line = timeline.Timeline(
+            vm=VM,
+            boot=ids.BootId('b'),
+            hybrid=timeline.HybridClock(self.clock),
+        )
+
+    def history(self, limit: int) -> request_history.RequestHistory:
+        return request_history.RequestHistory(
+            vm=VM, clock=self.clock, timeline=self.line, limit=limit
+        )
+
+    def test_oldest_are_forgotten(self) -> None:
+        """Guards against memory that grows with each request."""
+        for limit in (0, 3):
+            history = self.history(limit)
+            names = [ids.RequestId(f'r{i}') for i in range(10)]
+            for name in names:
+                history.end(history.begin(name), outcomes.Done(status=200))
+            kept = [n for n in names if history.find(n) is not None]
+            self.assertEqual(kept, names[len(names) - limit :])
+
+    def test_times(self) -> None:
+        """Guards against a duration that goes by the wall clock."""
+        history = self.history(1)
+        trace = history.begin(ids.RequestId('r'))
+        self.clock.advance(timedelta(milliseconds=1500))
+        history.end(trace, FULL)
+        found = history.find(ids.RequestId('r'))
+        assert found is not None
+        self.assertEqual(found.duration_ms, 1500.0)
+        self.assertEqual(found.received, clock.EPOCH)
+        self.assertEqual((found.outcome, found.status), ('not-run', 503))
+
+    def test_storm_does_not_fill_the_timeline(self) -> None:
+        """Guards against refusals that push out what caused them."""
+        history = self.history(1)
+        for _ in range(3):
+            for i in range(500):
+                history.end(history.begin(ids.RequestId(f'r{i}')), FULL)
+            self.clock.advance(timedelta(seconds=1))
+        found, _ = self.line.select(events.Filter(), 9999)
+        self.assertEqual(len(found), 3 * request_history.EVENTS_PER_SECOND)
+        self.assertEqual(found[0].kind, events.Kind.REQUEST_ENDED)
+        self.assertIn('not-run queue-full', found[0].text)
+
+    def test_good_requests_are_no_events(self) -> None:
+        """Guards against a timeline full of ordinary work."""
+        history = self.history(1)
+        trace = history.begin(ids.RequestId('r'))
+        history.end(trace, outcomes.Done(status=200))
+        self.assertEqual(self.line.select(events.Filter(), 9), ((), False))
+
+
+class RequestPathTest(unittest.TestCase):
+    def test_each_answer_can_be_explained(self) -> None:
+        """Guards against a request id that nobody remembers.
+
+        The columns: what is sent, and the outcome, reason, rank, pool and
+        results of the attempts that must be kept.
+        """
+        rows: tuple[tuple[str, str, str, str | None, list[str]], ...] = (
+            ('/keyed/secret', 'done', 'ok', 'keyed', ['done']),
+            ('/free/x', 'not-run', 'connect-failed', 'free', ['not-run'] * 3),
+            ('/none', 'not-run', 'no-route', None, []),
+            ('/../x', 'not-run', 'bad-request', None, []),
+        )
+
+        async def main() -> None:
+            upstream = await rig.start_scripted(
+                rig.answering(rig.done(b'body'))
+            )
+            running = await rig.start(
+                {'keyed-a': upstream.address, 'free-a': DEAD}
+            )
+            for target, outcome, reason, pool, results in rows:
+                with self.subTest(target):
+                    answer = await running.ask('GET', target)
+                    found = self.find(running, answer.headers)
+                    self.assertEqual(found.outcome, outcome)
+                    self.assertEqual(found.reason, reason)
+                    self.assertEqual(found.status, answer.status)
+                    self.assertEqual(found.pool, pool)
+                    made = [a.result for a in found.attempts]
+                    self.assertEqual(made, results)
+                    self.assertNotIn(b'secret', views.encode(found))
+            bad = await running.raw(
+                b'GET /free/x HTTP/1.1\r\nsec ret: a\r\n\r\n'
+            )
+            raw = next(
+                line.split(b': ')[1].decode()
+                for line in bad.split(b'\r\n')
+                if line.startswith(b'x-request-id')
+            )
+            found = self.find(running, (('x-request-id', raw),))
+            self.assertEqual(found.status, 400)
+            self.assertNotIn(b'sec ret', views.encode(found))
+
+        rig.run(main)
+
+    def test_probes_are_not_kept(self) -> None:
+        """Guards against health checks that push out real requests."""
+
+        async def main() -> None:
+            running = await rig.start({})
+            answer = await running.ask('GET', '/health')
+            name = http_head.find(answer.headers, 'x-request-id') or ''
+            self.assertIsNone(running.history.find(ids.RequestId(name)))
+
+        rig.run(main)
+
+    def find(
+        self, running: rig.Rig, headers: http_head.Headers
+    ) -> views.Request:
+        name = http_head.find(headers, 'x-request-id') or ''
+        found = running.history.find(ids.RequestId(name))
+        assert found is not None, name
+        return found
--- a/tools/rig.py
+++ b/tools/rig.py
@@ -21,6 +21,7 @@
 from goldcresthaven import ids
 from goldcresthaven import members
 from goldcresthaven import presets
+from goldcresthaven import request_history
 from goldcresthaven import routing
 from goldcresthaven import shards
 from goldcresthaven import tables
@@ -224,6 +225,7 @@
     listener: aio.Listener
     views: FixedViews
     conns: upstream_pool.UpstreamPool
+    history: request_history.RequestHistory
     accepted: list[aio.Socket] = field(default_factory=list)
 
     @property
@@ -270,11 +272,13 @@
     views = FixedViews(view=make_view(upstreams, deadline))
     conns = conns or upstream_pool.UpstreamPool()
     _pools.append(conns)
+    history = request_history.RequestHistory(vm=ids.VmId('entry'), clock=clock)
     server = server_type(
         views=views,
         gate=dispatch.LocalGate(views=views, clock=clock),
         records=records or dedup.Records(store=store or NoStore()),
         forwarder=forwarding.Forwarder(conns=conns, clock=clock),
+        history=history,
         clock=clock,
     )
     accepted: list[aio.Socket] = []
@@ -288,6 +292,7 @@
         listener=await listen(serve),
         views=views,
         conns=conns,
+        history=history,
         accepted=accepted,
     )
 
