Answer the operator's commands from running entry processes

local_process builds the status from the node, the gate and the history; peer_queries asks all peers side by side, 1 s each and 8 s together, and names those that did not answer. RequestQuery finds a request at the process that served it. The controller shows its claims and the upstreams that the holders miss.

StoreClient now says when no byte of a transaction was sent. Without that a change refused by a store that cannot be reached was reported as still unknown.

The entry process is started by `goldcresthaven run` everywhere, so the second way through `python -m goldcresthaven.entry` is gone.

--- a/bench/entry_cost.py
+++ b/bench/entry_cost.py
@@ -95,7 +95,7 @@
         path = deployment.Files(folder=self._folder).write_settings(
             vm='entry', zone='a', platform=platform, balancer_delay='0ms'
         )
-        return self.start('entry', 'goldcresthaven.entry', str(path))
+        return self.start('entry', 'goldcresthaven', 'run', str(path))
 
 
 async def publish(platform: str, upstream: str) -> None:
--- a/goldcresthaven/claims.py
+++ b/goldcresthaven/claims.py
@@ -224,6 +224,14 @@
         past_term = now >= self._sent + shortened(self._term())
         return past_term and self.valid(now)
 
+    def ends_at(self, now: timedelta) -> timedelta:
+        """Return when a valid claim ends unless something prolongs it."""
+        end = self._sent + shortened(self._term())
+        if now < end:
+            return end
+        promised = [self._promised[vm] for vm in self.consenters()]
+        return min([self._sent + shortened(self._grace()), *promised])
+
     def consenters(self) -> frozenset[ids.VmId]:
         """Return the VMs that could take over after only the term.
 
--- a/goldcresthaven/cli.py
+++ b/goldcresthaven/cli.py
@@ -62,7 +62,7 @@
     ],
 ) -> None:
     """Run the entry process of this VM until SIGTERM."""
-    settings_files.read_process(file)
+    # Imported here, as the other commands do not need it.
     entry: Any = importlib.import_module('goldcresthaven.entry')
     entry.main(file)
 
--- a/goldcresthaven/control_driver.py
+++ b/goldcresthaven/control_driver.py
@@ -72,6 +72,10 @@
         node.on(messages.ConsentRequest, self._consent_asked)
         node.on(messages.ClaimReleased, self._release_noticed)
 
+    def store_is_up(self) -> bool:
+        """Whether the last reads of the table service were answered."""
+        return self._store_failures < FAILURES_FOR_DOWN
+
     async def start(self) -> None:
         self._task = await aio.spawn(self._run())
 
--- a/goldcresthaven/dispatch.py
+++ b/goldcresthaven/dispatch.py
@@ -16,6 +16,7 @@
 from goldcresthaven import errors
 from goldcresthaven import ids
 from goldcresthaven import members
+from goldcresthaven import operator_views
 from goldcresthaven import outcomes
 from goldcresthaven import presets
 from goldcresthaven import retries
@@ -105,6 +106,7 @@
         self._in_use: dict[ids.UpstreamId, int] = {}
         self._freed = aio.Event()
         self._turn = 0
+        self._waiting: dict[ids.RequestId, routing.Routed] = {}
 
     async def admit(
         self,
@@ -124,11 +126,33 @@
             chosen = self._free(view, routed, candidates)
             if chosen is not None:
                 return self._grant(view, routed, chosen)
-            if not await self._wait(routed.deadline):
+            if not await self._wait(routed):
                 return _refuse(outcomes.Reason.DEADLINE_PASSED)
             if caller_gone():
                 return _refuse(outcomes.Reason.CALLER_GONE)
 
+    def in_use(self, upstream: ids.UpstreamId) -> int:
+        """Return the requests that this process has at an upstream."""
+        return self._in_use.get(upstream, 0)
+
+    def queues(self) -> tuple[operator_views.Queue, ...]:
+        """Return the requests that wait here, by pool and rank."""
+        now = self._clock.elapsed()
+        groups: dict[tuple[ids.PoolName, str], list[timedelta]] = {}
+        for routed in self._waiting.values():
+            key = (routed.pool.name, routed.rank.value)
+            groups.setdefault(key, []).append(now - routed.arrived)
+        return tuple(
+            operator_views.Queue(
+                pool=pool,
+                rank=rank,
+                length=len(ages),
+                size_bytes=0,
+                oldest_ms=max(ages) // timedelta(milliseconds=1),
+            )
+            for (pool, rank), ages in sorted(groups.items())
+        )
+
     async def release(
         self,
         routed: routing.Routed,
@@ -172,7 +196,7 @@
         return best if self._count(best) < share else None
 
     def _count(self, member: members.Member) -> int:
-        return self._in_use.get(ids.UpstreamId(member.vm), 0)
+        return self.in_use(ids.UpstreamId(member.vm))
 
     def _grant(
         self, view: View, routed: routing.Routed, chosen: members.Member
@@ -185,16 +209,19 @@
             connection_limit=view.connection_limit(routed.pool),
         )
 
-    async def _wait(self, deadline: timedelta) -> bool:
-        remaining = deadline - self._clock.elapsed()
+    async def _wait(self, routed: routing.Routed) -> bool:
+        remaining = routed.deadline - self._clock.elapsed()
         if remaining <= timedelta():
             return False
         self._freed.clear()
+        self._waiting[routed.request_id] = routed
         try:
             async with aio.timeout(remaining):
                 await self._freed.wait()
         except errors.DeadlineExceeded:
             return False
+        finally:
+            self._waiting.pop(routed.request_id, None)
         return True
 
 
--- a/goldcresthaven/entry.py
+++ b/goldcresthaven/entry.py
@@ -21,14 +21,15 @@
 from goldcresthaven import control_driver
 from goldcresthaven import dedup
 from goldcresthaven import dispatch
-from goldcresthaven import errors
 from goldcresthaven import events
 from goldcresthaven import forwarding
+from goldcresthaven import ids
 from goldcresthaven import members
 from goldcresthaven import membership
 from goldcresthaven import metrics as metrics_module
 from goldcresthaven import milestones
 from goldcresthaven import node as node_module
+from goldcresthaven import operator_driver
 from goldcresthaven import request_history
 from goldcresthaven import settings
 from goldcresthaven import settings_files
@@ -36,7 +37,6 @@
 from goldcresthaven import telemetry
 from goldcresthaven import upstream_pool
 
-EXIT_SETTINGS = 2
 # Log lines of quiet types are summed up after ten of these.
 FLUSH_INTERVAL = metrics_module.FLUSH_INTERVAL
 LOG_FLUSHES = 10
@@ -58,6 +58,7 @@
     milestones: milestones.Milestones
     conns: upstream_pool.UpstreamPool
     server: caller_server.CallerServer
+    operator: operator_driver.OperatorDriver
 
 
 def build_node(
@@ -96,12 +97,14 @@
     control = control_driver.ControlDriver(node=node, store=control_store)
     views = control.spread
     conns = upstream_pool.UpstreamPool()
+    gate = dispatch.LocalGate(views=views, clock=clock)
+    history = build_history(node, cfg.limits.recent_requests)
     server = caller_server.CallerServer(
         views=views,
-        gate=dispatch.LocalGate(views=views, clock=clock),
+        gate=gate,
         records=dedup.Records(store=store),
         forwarder=forwarding.Forwarder(conns=conns, clock=clock),
-        history=request_history.RequestHistory(vm=cfg.vm, clock=clock),
+        history=history,
         clock=clock,
     )
     return Parts(
@@ -115,6 +118,33 @@
         milestones=milestones.Milestones(node),
         conns=conns,
         server=server,
+        operator=operator_driver.OperatorDriver(
+            node=node,
+            work=gate,
+            conns=conns,
+            history=history,
+            store=control_store,
+            control=control,
+            server=server,
+        ),
+    )
+
+
+def build_history(
+    node: node_module.Node, limit: int
+) -> request_history.RequestHistory:
+    """Create the record of recent requests."""
+
+    def epoch_of(owner: ids.UpstreamId) -> ids.Epoch | None:
+        domain = node.domain_of(owner)
+        return None if domain is None else node.controller.epoch(domain)
+
+    return request_history.RequestHistory(
+        vm=node.vm,
+        clock=node.clock,
+        timeline=node.timeline,
+        epoch_of=epoch_of,
+        limit=limit,
     )
 
 
@@ -141,10 +171,12 @@
         handler=parts.server.serve,
     )
     await listener.start()
+    operator_port = await parts.operator.start(cfg.operator_address)
     hello = {
         'vm': cfg.vm,
         'caller': str(_bound(cfg.caller_address, listener.port)),
         'peer': str(_bound(cfg.peer_address, peer_port)),
+        'operator': str(_bound(cfg.operator_address, operator_port)),
     }
     print(json.dumps(hello), flush=True)
     await stop.wait()
@@ -188,6 +220,7 @@
     await parts.control.stop()
     await parts.membership.stop()
     await parts.milestones.stop()
+    await parts.operator.stop()
     await parts.node.links.close()
     await parts.conns.close()
     await parts.control_store.close()
@@ -223,11 +256,3 @@
     text = settings_files.read_text(cfg.keys_file)
     ring = auth.parse_keys(text, source=str(cfg.keys_file))
     aio.run(serve, cfg, ring)
-
-
-if __name__ == '__main__':
-    try:
-        main(pathlib.Path(sys.argv[1]))
-    except errors.SettingsError as exc:
-        print(exc, file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
--- a/goldcresthaven/messages.py
+++ b/goldcresthaven/messages.py
@@ -358,6 +358,20 @@
     details: Annotated[bytes, codec.Size(64 << 10)] = b'{}'
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RequestQuery:
+    """Asks a process whether it remembers a request of a caller."""
+
+    request_id: Annotated[ids.RequestId, codec.Size(128)]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RequestReply:
+    """``found`` is JSON for the operator, empty when it is not known."""
+
+    found: Annotated[bytes, codec.Size(64 << 10)] = b''
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Refusal:
     """Reply to a request that the peer could not handle."""
@@ -390,6 +404,8 @@
     | ClaimReleased
     | MembersQuery
     | MembersReply
+    | RequestQuery
+    | RequestReply
 )
 
 TAGS: dict[int, type[Any]] = {
@@ -417,6 +433,8 @@
     22: ClaimReleased,
     23: MembersQuery,
     24: MembersReply,
+    25: RequestQuery,
+    26: RequestReply,
 }
 _TAG_OF = {cls: tag for tag, cls in TAGS.items()}
 _KINDS = {kind.value: kind for kind in Kind}
--- /dev/null
+++ b/goldcresthaven/operator_driver.py
@@ -0,0 +1,70 @@
+"""The operator's side of an entry process: its parts and its listener."""
+
+from goldcresthaven import aio
+from goldcresthaven import caller_server
+from goldcresthaven import control_driver
+from goldcresthaven import local_process
+from goldcresthaven import members
+from goldcresthaven import node as node_module
+from goldcresthaven import operator_api
+from goldcresthaven import operator_auth
+from goldcresthaven import operator_server
+from goldcresthaven import peer_queries
+from goldcresthaven import request_history
+from goldcresthaven import store_client
+from goldcresthaven import upstream_pool
+
+
+class OperatorDriver:
+    """Serves the operator and the balancer's checks.
+
+    It is stopped last, so that the balancer sees "not ready" for as long
+    as requests in flight are finished.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: node_module.Node,
+        work: local_process.Work,
+        conns: upstream_pool.UpstreamPool,
+        history: request_history.RequestHistory,
+        store: store_client.StoreClient,
+        control: control_driver.ControlDriver,
+        server: caller_server.CallerServer,
+    ) -> None:
+        process = local_process.LocalProcess(
+            node=node,
+            work=work,
+            conns=conns,
+            history=history,
+            queries=peer_queries.PeerQueries(node=node, history=history),
+            store=local_process.ConfigStore(store),
+            publish=control.spread.publish_config,
+            accepts=server.is_ready,
+            store_is_up=control.store_is_up,
+        )
+        api = operator_api.OperatorApi(
+            process=process,
+            verifier=operator_auth.OperatorVerifier(node.verifier),
+        )
+        self._server = operator_server.OperatorServer(
+            api=api, clock=node.clock
+        )
+        self._listener: aio.Listener | None = None
+
+    async def start(self, address: members.Address) -> int:
+        """Listen; returns the port, chosen when it is 0."""
+        self._listener = aio.Listener(
+            host=address.host, port=address.port, handler=self._server.serve
+        )
+        await self._listener.start()
+        return self._listener.port
+
+    async def stop(self) -> None:
+        """Finish the calls in progress."""
+        if self._listener is None:
+            return
+        await self._listener.stop()
+        self._server.stop_idle()
+        await self._listener.wait_closed()
--- a/goldcresthaven/ownership.py
+++ b/goldcresthaven/ownership.py
@@ -6,6 +6,8 @@
 (``candidates``) and the writes of the map (``mapwriter``, ``rebalance``).
 """
 
+import dataclasses
+from dataclasses import dataclass
 from datetime import timedelta
 
 from goldcresthaven import candidates
@@ -27,6 +29,21 @@
 FLEET_READS = 100
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ClaimState:
+    """A claim as this process knows it.
+
+    ``mine`` says that the row names this process; ``ends_in`` is set while
+    the claim is valid here and ``extended`` while that rests on consent.
+    """
+
+    domain: ids.DomainId
+    row: claims.ClaimRow
+    mine: bool
+    ends_in: timedelta | None = None
+    extended: bool = False
+
+
 class Controller:
     """Claims domains, grants server leases and moves shards.
 
@@ -68,6 +85,45 @@
         row = self._candidacy.row(domain)
         return None if row is None else row.holder
 
+    def epoch(self, domain: ids.DomainId) -> ids.Epoch | None:
+        """Return the epoch of the last row seen."""
+        row = self._candidacy.row(domain)
+        return None if row is None else row.epoch
+
+    def claim_states(self, *, now: timedelta) -> tuple[ClaimState, ...]:
+        """Return the claims of all domains that have a row."""
+        found = []
+        for domain in sorted(self._view.domains() | set(self._keeper.held)):
+            held = self._keeper.held.get(domain)
+            row = self._candidacy.row(domain)
+            if held is not None:
+                row = held.claim.row
+            if row is None:
+                continue
+            valid = held is not None and held.claim.valid(now)
+            state = ClaimState(
+                domain=domain, row=row, mine=row.holder == self._view.vm
+            )
+            if held is not None and valid:
+                state = dataclasses.replace(
+                    state,
+                    ends_in=held.claim.ends_at(now) - now,
+                    extended=held.claim.extending(now),
+                )
+            found.append(state)
+        return tuple(found)
+
+    def lost_upstreams(self, *, now: timedelta) -> frozenset[ids.UpstreamId]:
+        """Return the upstreams that the holders of their claims miss."""
+        found: set[ids.UpstreamId] = set()
+        for domain in self._view.domains():
+            row = self._candidacy.row(domain)
+            if self.holds(domain, now=now):
+                found |= self._keeper.held[domain].lost()
+            elif row is not None:
+                found |= row.lost
+        return frozenset(found)
+
     def handle(
         self, event: control.Event, *, now: timedelta
     ) -> list[control.Action]:
--- /dev/null
+++ b/goldcresthaven/peer_queries.py
@@ -0,0 +1,156 @@
+"""Questions of the operator to the peers of this process.
+
+Peers are asked side by side, each with a time limit, and all of them
+together with another. Those that do not answer are named, because a gap
+that nobody mentions looks like a peer with nothing to say.
+"""
+
+from dataclasses import dataclass
+from dataclasses import field
+from datetime import timedelta
+from typing import Generic
+from typing import TypeVar
+
+from goldcresthaven import aio
+from goldcresthaven import errors
+from goldcresthaven import ids
+from goldcresthaven import members
+from goldcresthaven import messages
+from goldcresthaven import node as node_module
+from goldcresthaven import operator_views as views
+from goldcresthaven import request_history
+
+PEER_TIMEOUT = timedelta(seconds=1)
+# Below the time that the operator's server allows for a call.
+TOTAL_TIMEOUT = timedelta(seconds=8)
+# Peers asked at the same time; bounds the memory for their answers.
+PARALLEL = 32
+
+M = TypeVar('M')
+
+
+@dataclass(kw_only=True)
+class Answers(Generic[M]):
+    """The replies of the peers, and the peers that sent none."""
+
+    replies: dict[ids.VmId, M] = field(default_factory=dict)
+    unreachable: set[ids.VmId] = field(default_factory=set)
+
+    @property
+    def lost(self) -> tuple[ids.VmId, ...]:
+        return tuple(sorted(self.unreachable))
+
+
+class PeerQueries:
+    """Asks peers, and answers what they ask this process."""
+
+    def __init__(
+        self,
+        *,
+        node: node_module.Node,
+        history: request_history.RequestHistory,
+    ) -> None:
+        self._node = node
+        self._history = history
+        self._started = node.clock.elapsed()
+        node.on(messages.StatusQuery, self._status_asked)
+        node.on(messages.RequestQuery, self._request_asked)
+
+    async def ask(
+        self, message: messages.Message, kind: type[M]
+    ) -> Answers[M]:
+        """Return what all peers answer."""
+        answers: Answers[M] = Answers(unreachable=set(self._node.peers()))
+        waiting = sorted(answers.unreachable)
+
+        async def work() -> None:
+            while waiting:
+                vm = waiting.pop()
+                reply = await self._ask_one(vm, message)
+                if isinstance(reply, kind):
+                    answers.replies[vm] = reply
+                    answers.unreachable.discard(vm)
+
+        tasks = [
+            await aio.spawn(work()) for _ in range(min(PARALLEL, len(waiting)))
+        ]
+        try:
+            async with aio.timeout(TOTAL_TIMEOUT):
+                for task in tasks:
+                    await task.join()
+        except errors.DeadlineExceeded:
+            pass
+        finally:
+            for task in tasks:
+                await task.cancel()
+        return answers
+
+    async def _ask_one(
+        self, vm: ids.VmId, message: messages.Message
+    ) -> messages.Message | None:
+        try:
+            return await self._node.request(vm, message, PEER_TIMEOUT)
+        except errors.Error:
+            return None
+
+    async def status(self) -> tuple[views.Peer, ...]:
+        """Return every peer of the membership list and its versions."""
+        listed = self._node.peers()
+        found = await self.ask(messages.StatusQuery(), messages.StatusReply)
+        return tuple(
+            _to_peer(listed[vm], found.replies.get(vm))
+            for vm in sorted(listed)
+        )
+
+    async def find_request(
+        self, request: ids.RequestId
+    ) -> tuple[views.Request | None, tuple[ids.VmId, ...]]:
+        """Return a request that a peer remembers, and who did not answer."""
+        found = await self.ask(
+            messages.RequestQuery(request_id=request), messages.RequestReply
+        )
+        for reply in found.replies.values():
+            if reply.found:
+                return views.decode(views.Request, reply.found), ()
+        return None, found.lost
+
+    async def _status_asked(
+        self, vm: ids.VmId, message: messages.StatusQuery
+    ) -> messages.Message | None:
+        view = self._node.current()
+        uptime = self._node.clock.elapsed() - self._started
+        return messages.StatusReply(
+            vm=self._node.vm,
+            zone=self._node.zone,
+            boot=self._node.boot,
+            ready=view is not None and not self._node.stopping,
+            map_version=self._node.state.shard_map.version,
+            config_version=(
+                ids.ConfigVersion(0) if view is None else view.config_version
+            ),
+            preset='' if view is None else view.document.in_force,
+            uptime_ms=uptime // timedelta(milliseconds=1),
+        )
+
+    async def _request_asked(
+        self, vm: ids.VmId, message: messages.RequestQuery
+    ) -> messages.Message | None:
+        found = self._history.find(message.request_id)
+        return messages.RequestReply(
+            found=b'' if found is None else views.encode(found)
+        )
+
+
+def _to_peer(
+    member: members.Member, reply: messages.StatusReply | None
+) -> views.Peer:
+    if reply is None:
+        return views.Peer(vm=member.vm, zone=member.zone, reachable=False)
+    return views.Peer(
+        vm=member.vm,
+        zone=reply.zone,
+        reachable=True,
+        ready=reply.ready,
+        config_version=reply.config_version,
+        map_version=reply.map_version,
+    )
--- a/goldcresthaven/store_client.py
+++ b/goldcresthaven/store_client.py
@@ -59,7 +59,8 @@
     ) -> tables.Result:
         """Apply a transaction, repeating it while its fate is open.
 
-        Returns Ambiguous when ``limit`` passes without an answer.
+        Returns Ambiguous when ``limit`` passes without an answer; its
+        ``sent`` says whether the store may have got the transaction.
         """
         body = json.dumps(_encode_transaction(txn)).encode()
         stop = self._clock.elapsed() + limit
@@ -85,7 +86,7 @@
                 maybe_applied = True
                 detail = result.detail
             await aio.sleep(RETRY_PAUSE)
-        return tables.Ambiguous(detail=detail)
+        return tables.Ambiguous(detail=detail, sent=maybe_applied)
 
     async def row(self, table: str, key: str) -> tables.Row | None:
         path = f'/v1/rows/{_quote(table)}/{_quote(key)}'
--- a/goldcresthaven/tables.py
+++ b/goldcresthaven/tables.py
@@ -96,9 +96,13 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Ambiguous:
-    """No usable answer came; the transaction may or may not have applied."""
+    """No usable answer came; the transaction may or may not have applied.
+
+    ``sent`` is False only when no byte of it left this process.
+    """
 
     detail: str = ''
+    sent: bool = True
 
 
 Result = Committed | Conflict | Ambiguous
--- a/tests/fleet_case.py
+++ b/tests/fleet_case.py
@@ -58,7 +58,7 @@
         path = deployment.Files(folder=self.folder).write_settings(
             vm=name, zone='a', platform=str(self.store_address)
         )
-        process = self.start(name, 'goldcresthaven.entry', str(path))
+        process = self.start(name, 'goldcresthaven', 'run', str(path))
         self.listed[name] = deployment.entry_member(
             vm=name, zone='a', hello=process.hello
         )
--- /dev/null
+++ b/tests/test_local_process.py
@@ -0,0 +1,100 @@
+"""Tests of the status that a process gives its operator."""
+
+from datetime import timedelta
+import unittest
+from unittest import mock
+
+from goldcresthaven import clock
+from goldcresthaven import config_changes
+from goldcresthaven import config_log
+from goldcresthaven import ids
+from goldcresthaven import local_process
+from goldcresthaven import members
+from goldcresthaven import operator_views as views
+from goldcresthaven import store_client
+from tests import test_config
+from tools import rig
+
+DEAD = members.Address(host=rig.HOST, port=1)
+
+
+class ConfigStoreTest(unittest.TestCase):
+    def test_unreachable_store_has_stored_nothing(self) -> None:
+        """Guards against "still unknown" for a change that was not sent."""
+        proposal = config_log.propose(
+            None,
+            config_changes.ReplaceDocument(document=test_config.DOCUMENT),
+            author='mira',
+            txn=ids.TxnId('t'),
+        )
+
+        async def main() -> None:
+            store = store_client.StoreClient(
+                address=DEAD, clock=clock.SystemClock()
+            )
+            short = timedelta(milliseconds=100)
+            with mock.patch.object(local_process, 'STORE_LIMIT', short):
+                outcome = await config_log.submit(
+                    proposal, local_process.ConfigStore(store)
+                )
+            self.assertIsInstance(outcome, config_log.NotAccepted)
+            await store.close()
+
+        rig.run(main)
+
+
+class UpstreamStateTest(unittest.TestCase):
+    def test_worst_state_is_shown(self) -> None:
+        """Guards against an upstream shown as up while it gets no work."""
+        rows = (
+            ('live', False, False, 'up'),
+            ('live', True, False, 'draining'),
+            ('leaving', False, False, 'draining'),
+            ('leaving', True, True, 'lost'),
+        )
+        for state, drained, lost, expected in rows:
+            with self.subTest(state=state, drained=drained, lost=lost):
+                found = self.upstream(state, drained=drained, lost=lost)
+                self.assertEqual(found.state, expected)
+                self.assertEqual(found.reason == '', expected == 'up')
+
+    def upstream(
+        self, state: str, *, drained: bool, lost: bool
+    ) -> views.Upstream:
+        name = ids.UpstreamId('u')
+        member = members.Member(
+            vm=ids.VmId('u'),
+            zone=ids.ZoneId('a'),
+            role=members.Role.UPSTREAM,
+            state=members.MemberState(state),
+            address=DEAD,
+            pool=ids.PoolName('free'),
+        )
+        node = mock.Mock()
+        node.domain_of.return_value = None
+        node.state.upstreams = {name: member}
+        node.controller.lost_upstreams.return_value = (
+            frozenset({name}) if lost else frozenset()
+        )
+        view = mock.Mock()
+        view.document.drained = (name,) if drained else ()
+        view.document.pools = ()
+        node.current.return_value = view
+        node.controller.claim_states.return_value = ()
+        work = mock.Mock()
+        work.in_use.return_value = 0
+        work.queues.return_value = ()
+        conns = mock.Mock()
+        conns.open_count.return_value = 0
+        process = local_process.LocalProcess(
+            node=node,
+            work=work,
+            conns=conns,
+            history=mock.Mock(),
+            queries=mock.Mock(),
+            store=mock.Mock(),
+            publish=mock.Mock(),
+            accepts=lambda: True,
+            store_is_up=lambda: True,
+        )
+        return process.local().upstreams[0]
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -117,7 +117,7 @@
             platform=str(self.platform_address),
             balancer_delay='500ms',
         )
-        return vm, processes.launch('goldcresthaven.entry', str(path))
+        return vm, processes.launch('goldcresthaven', 'run', str(path))
 
     def _note(self, process: processes.Process) -> None:
         if 'endpoints' in process.hello:
