--- a/goldcresthaven/spread.py
+++ b/goldcresthaven/spread.py
@@ -68,6 +68,7 @@
             name: snapshots.SnapshotSource(name, node.clock)
             for name in messages.LogName
         }
+        self._confirms = 0
         self._next_refresh = timedelta()
         self._newer_map = aio.Event()
         node.on(messages.Changes, self._pushed)
@@ -131,6 +132,19 @@
     def read_failed(self, log: messages.LogName) -> None:
         self._core.store_failed(log)
 
+    async def noticed(
+        self,
+        vm: ids.VmId,
+        message: messages.Heartbeat | messages.HeartbeatAck,
+    ) -> None:
+        """Take the versions in a peer's heartbeat."""
+        versions = {
+            messages.LogName.MAP: int(message.map_version),
+            messages.LogName.CONFIG: int(message.config_version),
+        }
+        now = self._node.clock.elapsed()
+        await self._perform(self._core.noticed(vm, versions, now))
+
     # Handlers of peer messages.
 
     async def _pushed(
@@ -185,6 +199,8 @@
                     await aio.spawn(self._pull(action))
                 case gossip.ReadStore():
                     await self._read_store(action)
+                case gossip.ConfirmHead():
+                    await aio.spawn(self._confirm_head(action))
                 case gossip.LoadSnapshot():
                     await aio.spawn(self._load_snapshot(action))
                 case gossip.Report():
@@ -193,7 +209,8 @@
     async def _publish(
         self, log: messages.LogName, entry: messages.LogEntry
     ) -> None:
-        await self._perform(self._core.published(log, entry))
+        now = self._node.clock.elapsed()
+        await self._perform(self._core.published(log, entry, now))
 
     async def _apply(
         self, log: messages.LogName, entry: messages.LogEntry
@@ -268,6 +285,27 @@
             # The map log was read to its end, in more than one page.
             await self._perform(self._core.store_rows(log, (), now))
 
+    async def _confirm_head(self, action: gossip.ConfirmHead) -> None:
+        self._confirms += 1
+        condition = tables.VersionIs(
+            table=action.log.value,
+            key=tables.log_key(action.version + 1),
+            version=tables.ABSENT,
+        )
+        node = self._node
+        transaction = tables.Transaction(
+            txn=ids.TxnId(f'{node.vm}/{node.boot}/head/{self._confirms}'),
+            conditions=(condition,),
+            writes=(),
+        )
+        match await self._store.transact(transaction):
+            case tables.Committed():
+                self._core.head_confirmed(action.log, action.version)
+            case tables.Conflict(rows=rows):
+                await self._store_rows(action.log, rows)
+            case tables.Ambiguous():
+                self._core.store_failed(action.log)
+
     async def _load_snapshot(self, action: gossip.LoadSnapshot) -> None:
         transfer = snapshots.SnapshotTransfer(action.log)
         try:
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -11,6 +11,7 @@
 import json
 import signal
 import sys
+import time
 from typing import Any
 import urllib.parse
 
@@ -141,6 +142,7 @@
                 self.started.discard(key)
             await self._refuse(exchange, 421, 'not-owner')
             return
+        committed_ns = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
         if key is not None:
             self.executions[key] += 1
         self.served += 1
@@ -153,6 +155,7 @@
             'upstream': self.cfg.name,
             'target': exchange.head.target,
             'received': received,
+            'committed_ns': committed_ns,
             'deadline_ms': exchange.header('x-deadline-ms'),
         }
         await exchange.reply(200, body, self._headers(exchange))
--- a/tests/fleet_case.py
+++ b/tests/fleet_case.py
@@ -54,9 +54,11 @@
         )
         return process
 
-    def start_entry(self, name: str = 'entry') -> processes.Process:
+    def start_entry(
+        self, name: str = 'entry', **settings: str
+    ) -> processes.Process:
         path = deployment.Files(folder=self.folder).write_settings(
-            vm=name, zone='a', platform=str(self.store_address)
+            vm=name, zone='a', platform=str(self.store_address), **settings
         )
         process = self.start(name, 'goldcresthaven', 'run', str(path))
         self.listed[name] = deployment.entry_member(
