Make the kept fleet and the timeline usable for an operator

A trial of the tour showed what was missing. Killing one upstream took its whole zone's pool, which shared a process: each upstream now is a process. The launcher prints one file to source, a table of process ids and where to look next, stops on SIGTERM too, and does not report processes that the operator killed as failures.

A claim of another process read 'other'; the text now says held elsewhere.

PeerSession.send raised InvalidState from websockets when the other side had begun to close, which ended the writer with a traceback; it raises ConnectionLost, with a test.

--- a/goldcresthaven/cli.py
+++ b/goldcresthaven/cli.py
@@ -276,6 +276,10 @@
         str | None,
         typer.Option(help='A UTC time, or how long ago, as in 1min.'),
     ] = None,
+    milestones: Annotated[
+        bool,
+        typer.Option('--milestones', help='Only the events that matter most.'),
+    ] = False,
     limit: Annotated[
         int, typer.Option(min=1, max=views.MAX_EVENTS, help='Newest events.')
     ] = 500,
@@ -294,6 +298,7 @@
         process=process,
         after=_time(after, '--after'),
         before=_time(before, '--before'),
+        milestones='true' if milestones else None,
         limit=str(limit),
     )
     if svg is not None:
--- a/goldcresthaven/cli_text.py
+++ b/goldcresthaven/cli_text.py
@@ -35,9 +35,11 @@
     left = ''
     if claim.expires_in_ms is not None:
         left = f', {claim.expires_in_ms / 1000:.1f} s left'
+    # ``other`` is a word of the JSON form; a person reads who holds it.
+    state = 'held elsewhere' if claim.state == 'other' else claim.state
     holder = _or_none(claim.holder)
     return (
-        f'  claim {claim.domain}: {claim.state}, holder {holder}, '
+        f'  claim {claim.domain}: {state}, holder {holder}, '
         f'epoch {claim.epoch}{left}'
     )
 
--- a/goldcresthaven/control_driver.py
+++ b/goldcresthaven/control_driver.py
@@ -193,6 +193,9 @@
             case control.AskConsent():
                 await aio.spawn(self._ask_consent(action))
             case control.MapCommitted():
+                records.record_moves(
+                    action.change, timeline=self._node.timeline
+                )
                 await self.spread.publish_change(action.change)
             case control.NotifyRelease():
                 message = messages.ClaimReleased(domain=action.domain)
--- a/goldcresthaven/events.py
+++ b/goldcresthaven/events.py
@@ -16,6 +16,7 @@
 MAX_TEXT_BYTES = 512
 
 Id = Annotated[str, codec.Size(MAX_ID_BYTES)]
+ShardId = Annotated[ids.ShardId, codec.Size(MAX_ID_BYTES)]
 
 
 class Kind(Enum):
@@ -123,7 +124,8 @@
     """Which events a query wants; an unset field matches everything.
 
     Times are milliseconds since 1970 UTC, ``since_ms`` included and
-    ``until_ms`` not.
+    ``until_ms`` not. With ``shards``, ``key_hash`` matches the events of
+    these shards too.
     """
 
     key_hash: Annotated[ids.KeyHash | None, codec.Range(0, codec.MAX_U64)] = (
@@ -136,12 +138,18 @@
     since_ms: codec.U63 = 0
     until_ms: codec.U63 = codec.MAX_U63
     kinds: Annotated[tuple[Kind, ...], codec.Size(64)] = field(default=())
+    shards: Annotated[tuple[ShardId, ...], codec.Size(16)] = ()
 
     def matches(self, event: Event) -> bool:
         return (
             self.since_ms <= event.stamp.wall_ms < self.until_ms
-            and self.key_hash in (None, event.key_hash)
+            and self._matches_key(event)
             and self.request_id in (None, event.request_id)
             and self.vm in (None, event.vm)
             and (not self.kinds or event.kind in self.kinds)
         )
+
+    def _matches_key(self, event: Event) -> bool:
+        if self.key_hash in (None, event.key_hash):
+            return True
+        return event.shard is not None and event.shard in self.shards
--- a/goldcresthaven/local_process.py
+++ b/goldcresthaven/local_process.py
@@ -122,7 +122,7 @@
 
     async def timeline(self, query: views.TimelineQuery) -> views.Timeline:
         """Return matching events of all processes, merged and sorted."""
-        wanted = operator_timeline.to_filter(query)
+        wanted = operator_timeline.to_filter(query, self.shard_map())
         limit = min(query.limit, messages.MAX_ITEMS)
         own, cut = self.node.timeline.select(wanted, query.limit)
         found = await self.queries.ask(
@@ -132,7 +132,8 @@
         incomplete = [v for v, r in found.replies.items() if r.truncated]
         return operator_timeline.merge(
             [own, *(reply.events for reply in found.replies.values())],
-            query,
+            wanted,
+            limit=query.limit,
             unreachable=found.unreachable,
             incomplete=[*incomplete, *([self.node.vm] if cut else [])],
         )
--- a/goldcresthaven/operator_timeline.py
+++ b/goldcresthaven/operator_timeline.py
@@ -10,21 +10,32 @@
 from goldcresthaven import events
 from goldcresthaven import ids
 from goldcresthaven import operator_views as views
+from goldcresthaven import shards
 from goldcresthaven import timeline
 
+# A key has one shard in each keyed pool.
+MAX_SHARDS = 16
+
+_MILESTONES = tuple(sorted(events.MILESTONES, key=lambda kind: kind.value))
 _MS = timedelta(milliseconds=1)
 _UNIX = datetime(1970, 1, 1, tzinfo=timezone.utc)
 _LATEST = datetime.max.replace(tzinfo=timezone.utc)
 _MAX_HASH = (1 << 64) - 1
 
 
-def to_filter(query: views.TimelineQuery) -> events.Filter:
+def to_filter(
+    query: views.TimelineQuery, shard_map: shards.ShardMap
+) -> events.Filter:
     """Return what the processes are asked for.
 
-    Raises CallRefused when the hash is not one.
+    The moves of a key's shard belong to the key's history. Raises
+    CallRefused when the hash is not one.
     """
+    key_hash = _parse_hash(query.key_hash)
     return events.Filter(
-        key_hash=_parse_hash(query.key_hash),
+        key_hash=key_hash,
+        shards=_shards_of(key_hash, shard_map),
+        kinds=_MILESTONES if query.milestones else (),
         request_id=query.request,
         vm=query.process,
         since_ms=0 if query.after is None else _to_ms(query.after),
@@ -36,6 +47,17 @@
     )
 
 
+def _shards_of(
+    key_hash: ids.KeyHash | None, shard_map: shards.ShardMap
+) -> tuple[ids.ShardId, ...]:
+    if key_hash is None:
+        return ()
+    pools = sorted({s.pool for s in shard_map.shards.values()})
+    found = (shard_map.lookup(pool, key_hash) for pool in pools)
+    known = [shard.shard_id for shard in found if shard is not None]
+    return tuple(known[:MAX_SHARDS])
+
+
 def _parse_hash(text: str | None) -> ids.KeyHash | None:
     if text is None:
         return None
@@ -82,8 +104,9 @@
 
 def merge(
     buffers: Iterable[Sequence[events.Event]],
-    query: views.TimelineQuery,
+    wanted: events.Filter,
     *,
+    limit: int,
     unreachable: Iterable[ids.VmId],
     incomplete: Iterable[ids.VmId],
 ) -> views.Timeline:
@@ -91,11 +114,11 @@
 
     ``incomplete`` names processes that have left out older ones already.
     """
-    found = timeline.merge(buffers, to_filter(query))
+    found = timeline.merge(buffers, wanted)
     left_out = tuple(sorted(incomplete))
     return views.Timeline(
-        events=tuple(to_view(event) for event in found[-query.limit :]),
+        events=tuple(to_view(event) for event in found[-limit:]),
         unreachable=tuple(sorted(unreachable)),
-        truncated=bool(left_out) or len(found) > query.limit,
+        truncated=bool(left_out) or len(found) > limit,
         incomplete=left_out,
     )
--- a/goldcresthaven/operator_views.py
+++ b/goldcresthaven/operator_views.py
@@ -250,6 +250,7 @@
     process: ids.VmId | None = None
     after: pydantic.AwareDatetime | None = None
     before: pydantic.AwareDatetime | None = None
+    milestones: bool = False
     limit: Annotated[int, pydantic.Field(ge=1, le=MAX_EVENTS)] = 500
 
 
--- a/goldcresthaven/peer_session.py
+++ b/goldcresthaven/peer_session.py
@@ -69,7 +69,14 @@
         self.peer: messages.Hello | None = None
 
     def send(self, data: bytes) -> None:
-        """Queue one encoded frame for ``output``."""
+        """Queue one encoded frame for ``output``.
+
+        Raises ConnectionLost once either side has begun to close.
+        """
+        if self._protocol.state.name != 'OPEN':
+            raise errors.ConnectionLost(
+                'the connection is closing', remedy='connect again'
+            )
         self._protocol.send_binary(data)
 
     def close(self, code: int = ws_frames.CloseCode.GOING_AWAY) -> None:
--- a/goldcresthaven/records.py
+++ b/goldcresthaven/records.py
@@ -7,8 +7,12 @@
 from goldcresthaven import control
 from goldcresthaven import events
 from goldcresthaven import metrics as metrics_module
+from goldcresthaven import shards
 from goldcresthaven import timeline as timeline_module
 
+# A process keeps 1,024 milestones; a change may move thousands of shards.
+MAX_MOVES = 16
+
 _KINDS = {
     control.MilestoneKind.CLAIM_TAKEN: events.Kind.CLAIM_ACQUIRED,
     control.MilestoneKind.CLAIM_LOST: events.Kind.CLAIM_LOST,
@@ -42,7 +46,7 @@
     text = milestone.kind.value
     reason = milestone.data.get('reason')
     if reason is not None:
-        text = f'{text} {reason} {milestone.data.get("shards", 0)} shards'
+        text = f'{milestone.data.get("shards", 0)} shards {reason}'
     fields: dict[str, Any] = {
         name: milestone.data[key]
         for key, name in _FIELDS.items()
@@ -55,3 +59,25 @@
         metrics.count(counter)
     if milestone.kind is control.MilestoneKind.SHARDS_MOVED:
         metrics.count('shard.moved', int(milestone.data['shards']))
+
+
+def record_moves(
+    change: shards.MapChange, *, timeline: timeline_module.Timeline
+) -> None:
+    """Record the new owner of each shard that a change moves.
+
+    Only these events tell the history of a key, which the number of moved
+    shards does not. A large change is told by its number alone.
+    """
+    if len(change.shards) > MAX_MOVES:
+        return
+    for shard in change.shards:
+        timeline.add(
+            events.Kind.MOVE_WRITTEN,
+            f'new owner ({change.reason})',
+            shard=shard.shard_id,
+            upstream=shard.owner,
+            domain=change.domain,
+            epoch=change.epoch,
+            map_version=change.version,
+        )
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -151,6 +151,25 @@
 
         self.run_pair(body)
 
+    def test_send_while_closing(self) -> None:
+        """Guards against a task that ends with a traceback at each loss.
+
+        The peer closes, and a frame is queued before the close is noticed.
+        """
+
+        async def body(a: Node, b: Node) -> None:
+            await a.links.request(B, QUERY, SECOND)
+            link = a.links._peers[B].link
+            assert link is not None
+            link.session.close()
+            with self.assertRaises(errors.ConnectionLost):
+                link.session.send(b'')
+            await a.links.send(B, QUERY)
+            await until(lambda: a.saw(peer_state.Change.CLOSED))
+            self.assertNotIn('handler', a.events[-1].detail)
+
+        self.run_pair(body)
+
     def test_crossed_connections(self) -> None:
         """Guards against losing both of two simultaneous connections."""
 
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -21,6 +21,7 @@
 from goldcresthaven import operator_views as views
 from goldcresthaven import timeline
 from goldcresthaven import timeline_svg
+from tests import fake_process
 from tests import test_messages
 
 MS = timedelta(milliseconds=1)
@@ -216,7 +217,8 @@
         other.add(events.Kind.CLAIM_LOST, domain='z1/0', epoch=4)
         view = operator_timeline.merge(
             [part.select(events.Filter(), 9)[0] for part in (line, other)],
-            views.TimelineQuery(),
+            events.Filter(),
+            limit=9,
             unreachable=(ids.VmId('lost-vm'),),
             incomplete=(ids.VmId('b'),),
         )
@@ -244,7 +246,8 @@
             line.add(NOTE, f'note {i}')
         view = operator_timeline.merge(
             [line.select(events.Filter(), 9999)[0]],
-            views.TimelineQuery(limit=views.MAX_EVENTS),
+            events.Filter(),
+            limit=views.MAX_EVENTS,
             unreachable=(),
             incomplete=(),
         )
@@ -259,6 +262,7 @@
     def test_operator_query(self) -> None:
         """Guards against a filter that is lost on the way to the events."""
         line = make_line('a', self.clock)
+        shard_map = fake_process.FakeProcess(None).shard_map()
         line.add(NOTE, 'one', key_hash=1, request_id='r1')
         self.clock.advance(timedelta(seconds=1))
         line.add(MOVE, 'two', key_hash=2, request_id='r2')
@@ -269,15 +273,18 @@
             ({'limit': 1}, ['two']),
             ({'key_hash': f'{1:016x}'}, ['one']),
             ({'request': 'r2'}, ['two']),
+            ({'milestones': True}, ['two']),
             ({'process': 'b'}, []),
             ({'after': second}, ['two']),
             ({'before': second}, ['one']),
         ]
         for fields, expected in cases:
             with self.subTest(fields):
+                query = views.TimelineQuery(**fields)
                 view = operator_timeline.merge(
                     [found],
-                    views.TimelineQuery(**fields),
+                    operator_timeline.to_filter(query, shard_map),
+                    limit=query.limit,
                     unreachable=(),
                     incomplete=(),
                 )
@@ -285,7 +292,21 @@
                 self.assertEqual(view.truncated, 'limit' in fields)
         for text in ('x', '-1', '1' * 17):
             with self.assertRaises(errors.CallRefused):
-                operator_timeline.to_filter(views.TimelineQuery(key_hash=text))
+                query = views.TimelineQuery(key_hash=text)
+                operator_timeline.to_filter(query, shard_map)
+
+    def test_key_has_the_moves_of_its_shard(self) -> None:
+        """Guards against a key's history without the reason for it."""
+        line = make_line('a', self.clock)
+        line.add(MOVE, 'moved', shard='catalogue/0')
+        line.add(MOVE, 'another', shard='catalogue/1')
+        line.add(NOTE, 'asked', key_hash=7)
+        wanted = operator_timeline.to_filter(
+            views.TimelineQuery(key_hash=f'{7:016x}'),
+            fake_process.FakeProcess(None).shard_map(),
+        )
+        found, _ = line.select(wanted, 9)
+        self.assertEqual(texts(found), ['moved', 'asked'])
 
     def test_impossible_time(self) -> None:
         """Guards against a peer's event that breaks the whole query."""
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -68,9 +68,10 @@
         self.platform = processes.start('platform', 'standins.platform')
         self.started.append(self.platform)
         pending = [
-            self._launch_upstreams(zone, pool)
+            self._launch_upstream(f'{pool}-{zone}{number}', pool)
             for zone in ZONES
-            for pool in ENDPOINTS
+            for pool, count in ENDPOINTS.items()
+            for number in range(count // len(ZONES))
         ]
         pending += [
             self._launch_entry(zone, number)
@@ -93,20 +94,23 @@
                 failed.append(f'{process.name} ended with code {code}')
         return failed
 
-    def _launch_upstreams(self, zone: str, pool: str) -> tuple[str, Any]:
+    def forget_ended(self) -> None:
+        """Leave out processes that somebody ended while looking around."""
+        for process in list(self.started):
+            code = process.popen.poll()
+            if code is not None:
+                print(f'{process.name} had ended with code {code}')
+                self.started.remove(process)
+
+    def _launch_upstream(self, name: str, pool: str) -> tuple[str, Any]:
         cfg = self.document.pool(ids.PoolName(pool))
-        count = ENDPOINTS[pool] // len(ZONES)
-        endpoints = [
-            {
-                'name': f'{pool}-{zone}{number}',
-                'keyed': cfg.keyed,
-                'dedup': cfg.dedup is presets.Dedup.UPSTREAM,
-                'slots': cfg.slots,
-            }
-            for number in range(count)
-        ]
-        name = f'upstreams {zone}/{pool}'
-        popen = processes.launch('standins.upstream', json.dumps(endpoints))
+        endpoint = {
+            'name': name,
+            'keyed': cfg.keyed,
+            'dedup': cfg.dedup is presets.Dedup.UPSTREAM,
+            'slots': cfg.slots,
+        }
+        popen = processes.launch('standins.upstream', json.dumps([endpoint]))
         return name, popen
 
     def _launch_entry(self, zone: str, number: int) -> tuple[str, Any]:
@@ -192,23 +196,60 @@
         lies = sum(executions[k] > 0 for k in tally.not_run_keys)
         if lies:
             failures.append(f'{lies} requests reported as not run did run')
-    print(load.table(traffic.tallies))
+    print(load.table(traffic.tallies), flush=True)
     for rank, tally in traffic.tallies.items():
         if tally.run_twice:
             failures.append(f'{tally.run_twice} {rank.name} ran twice')
         if not tally.answered:
             failures.append(f'no {rank.name} request was answered')
-    if os.environ.get('KEEP') == '1' and not failures:
+    if failures:
+        return
+    if os.environ.get('KEEP') == '1':
         await keep(fleet)
+    else:
+        print('To look around in a running fleet: KEEP=1 make run')
+        print('What to try there: docs/tutorial.md; to operate one: README.md')
 
 
 async def keep(fleet: Fleet) -> None:
     """Leave the fleet running until this launcher is interrupted."""
-    for vm, address in fleet.callers.items():
-        print(f'{vm} http://{address}')
-    print(f'platform http://{fleet.platform_address}')
-    print('stop the fleet with Ctrl-C', flush=True)
-    await aio.wait_for_signal(signal.SIGINT)
+    env = fleet.folder / 'env'
+    env.write_text(environment(fleet))
+    table = fleet.folder / 'processes.txt'
+    table.write_text(process_table(fleet))
+    print('The fleet is running. In another terminal, in this directory:')
+    print(f'    . {env}')
+    print('    goldcresthaven status')
+    print(f'Its processes and their addresses: {table}')
+    print('docs/tutorial.md is a tour; Ctrl-C stops the fleet.', flush=True)
+    await aio.wait_for_signal(signal.SIGINT, signal.SIGTERM)
+    fleet.forget_ended()
+
+
+def environment(fleet: Fleet) -> str:
+    """Return shell lines that let the command line find the fleet."""
+    first = next(p for p in fleet.started if 'operator' in p.hello)
+    caller = first.hello['caller']
+    keys = deployment.Files(folder=fleet.folder).write_keys()
+    return (
+        f'export GOLDCRESTHAVEN_ENTRY={first.hello["operator"]}\n'
+        f'export GOLDCRESTHAVEN_KEYS_FILE={keys}\n'
+        f'export CALLERS={caller}\n'
+        f'goldcresthaven() {{ {sys.executable} -m goldcresthaven "$@"; }}\n'
+    )
+
+
+def process_table(fleet: Fleet) -> str:
+    """Return a line for each process: name, id and addresses."""
+    lines = []
+    for process in fleet.started:
+        hello = process.hello
+        shown = hello.get('endpoints') or {
+            k: v for k, v in hello.items() if k != 'vm'
+        }
+        found = ' '.join(f'{k}={v}' for k, v in sorted(shown.items()))
+        lines.append(f'{process.name} {process.popen.pid} {found}')
+    return '\n'.join(lines) + '\n'
 
 
 def main() -> int:
