--- a/goldcresthaven/cli_text.py
+++ b/goldcresthaven/cli_text.py
@@ -3,6 +3,7 @@
 from goldcresthaven import operator_views as views
 from goldcresthaven import outcomes
 from goldcresthaven import presets
+from goldcresthaven import timeline as timeline_module
 
 _MIB = 1 << 20
 
@@ -34,9 +35,11 @@
     left = ''
     if claim.expires_in_ms is not None:
         left = f', {claim.expires_in_ms / 1000:.1f} s left'
+    # ``other`` is a word of the JSON form; a person reads who holds it.
+    state = 'held elsewhere' if claim.state == 'other' else claim.state
     holder = _or_none(claim.holder)
     return (
-        f'  claim {claim.domain}: {claim.state}, holder {holder}, '
+        f'  claim {claim.domain}: {state}, holder {holder}, '
         f'epoch {claim.epoch}{left}'
     )
 
@@ -145,8 +148,11 @@
         lines.append(
             f'  rank {_or_none(found.rank)}, pool {_or_none(found.pool)}, '
             f'shard {_or_none(found.shard)}, epoch {_or_none(found.epoch)}, '
-            f'configuration {_or_none(found.config_version)}'
+            f'configuration {_or_none(found.config_version)}, preset '
+            f'{_or_none(found.preset)}'
         )
+        if found.detail:
+            lines.append(f'  {timeline_module.one_line(found.detail)}')
         lines += [_attempt(attempt) for attempt in found.attempts]
     if view.unreachable:
         lines.append('NO RESPONSE from ' + ', '.join(view.unreachable))
@@ -163,14 +169,20 @@
 def timeline(view: views.Timeline) -> str:
     lines = []
     if view.truncated:
-        lines.append('(older events are left out; narrow the filters)')
+        where = ' by ' + ', '.join(view.incomplete) if view.incomplete else ''
+        lines.append(f'(older events are left out{where}; narrow the filters)')
     for event in view.events:
         at = event.at.isoformat(timespec='milliseconds')
-        about = f' {event.request}' if event.request else ''
-        lines.append(
+        about = f' request={event.request}' if event.request else ''
+        about += f' key={event.key_hash}' if event.key_hash else ''
+        text = (
             f'{at}+{event.counter} {event.process} {event.kind}{about} '
-            f'{event.detail}'.rstrip()
+            f'{event.detail}'
         )
+        lines.append(timeline_module.one_line(text).rstrip())
     if view.unreachable:
-        lines.append('NO RESPONSE from ' + ', '.join(view.unreachable))
+        names = ', '.join(view.unreachable)
+        lines.append(
+            f'NO RESPONSE from {names}; only their milestones are shown'
+        )
     return '\n'.join(lines) or 'no events'
--- a/goldcresthaven/operator_views.py
+++ b/goldcresthaven/operator_views.py
@@ -28,8 +28,12 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Health:
-    """The process responds; the balancer need not replace its VM."""
+    """The process responds; the balancer need not replace its VM.
 
+    The command line signs a change for ``vm``.
+    """
+
+    vm: ids.VmId
     alive: bool = True
 
 
@@ -182,6 +186,7 @@
     shard: ids.ShardId | None = None
     epoch: ids.Epoch | None = None
     config_version: ids.ConfigVersion | None = None
+    preset: ids.PresetName | None = None
     queued_ms: float = 0.0
     detail: str = ''
     attempts: tuple[Attempt, ...] = ()
@@ -214,18 +219,23 @@
     detail: str = ''
     request: ids.RequestId | None = None
     key_hash: str | None = None
+    domain: ids.DomainId | None = None
+    epoch: ids.Epoch | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Timeline:
     """Events in causal order and the processes that did not respond.
 
-    ``truncated`` says that older events matched and were left out.
+    Of an unreachable process only the milestones that its peers have
+    copied are shown. ``truncated`` says that older events matched and were
+    left out; ``incomplete`` names the processes that did not send them.
     """
 
     events: tuple[Event, ...]
     unreachable: tuple[ids.VmId, ...] = ()
     truncated: bool = False
+    incomplete: tuple[ids.VmId, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -240,6 +250,7 @@
     process: ids.VmId | None = None
     after: pydantic.AwareDatetime | None = None
     before: pydantic.AwareDatetime | None = None
+    milestones: bool = False
     limit: Annotated[int, pydantic.Field(ge=1, le=MAX_EVENTS)] = 500
 
 
--- a/goldcresthaven/slot_gate.py
+++ b/goldcresthaven/slot_gate.py
@@ -22,6 +22,7 @@
 from goldcresthaven import dispatch
 from goldcresthaven import ids
 from goldcresthaven import members
+from goldcresthaven import operator_views
 from goldcresthaven import outcomes
 from goldcresthaven import presets
 from goldcresthaven import retries
@@ -108,6 +109,9 @@
         self._local: collections.deque[slots.Message] = collections.deque()
         self._delivering = False
         self._map_version = ids.MapVersion(0)
+        self._in_use: collections.Counter[ids.UpstreamId] = (
+            collections.Counter()
+        )
 
     async def admit(
         self,
@@ -154,6 +158,7 @@
         attempt: retries.Attempt | None,
     ) -> None:
         assert self._scheduler is not None
+        self._in_use[admitted.upstream] -= 1
         outcome: outcomes.Outcome = outcomes.NotRun(
             reason=outcomes.Reason.CALLER_GONE
         )
@@ -167,6 +172,29 @@
         )
         await self._perform(actions)
 
+    def in_use(self, upstream: ids.UpstreamId) -> int:
+        """Return the requests that this process has at an upstream."""
+        return self._in_use[upstream]
+
+    def queues(self) -> tuple[operator_views.Queue, ...]:
+        """Return the requests that wait here, by pool and rank."""
+        now = self._clock.elapsed()
+        ages: dict[tuple[ids.PoolName, str], list[timedelta]] = {}
+        for waiter in self._waiters.values():
+            if waiter.result is None:
+                key = (waiter.routed.pool.name, waiter.routed.rank.value)
+                ages.setdefault(key, []).append(now - waiter.routed.arrived)
+        return tuple(
+            operator_views.Queue(
+                pool=pool,
+                rank=rank,
+                length=len(found),
+                size_bytes=0,
+                oldest_ms=max(found) // timedelta(milliseconds=1),
+            )
+            for (pool, rank), found in sorted(ages.items())
+        )
+
     async def run(self) -> None:
         """Drive the policy's timers until cancelled."""
         next_sync = timedelta()
@@ -251,6 +279,7 @@
             )
             return
         limit = view.connection_limit(waiter.routed.pool)
+        self._in_use[action.upstream] += 1
         admitted = dispatch.Admitted(
             upstream=action.upstream,
             address=member.address,
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -64,7 +64,7 @@
             (('explain', 'key', 'a', '--pool', 'x'), 3, 'use catalogue'),
             (('explain', 'request', 'r1'), 0, 'may have been executed'),
             (('explain', 'request', 'r2'), 9, 'remembers the request'),
-            (('timeline',), 0, 'entry-a1 claim.raise r1 epoch 3'),
+            (('timeline',), 0, 'entry-a1 claim.raise request=r1 epoch 3'),
             (('timeline',), 0, 'NO RESPONSE from entry-c1'),
             (('timeline', '--after', 'soon'), 2, 'write 2026'),
             (('timeline', '--limit', '0'), 2, 'limit'),
@@ -290,9 +290,10 @@
         self._sock.close()
 
     def _serve(self) -> None:
-        # The command reads the configuration and then sends the change.
+        # The command reads the configuration and the name of the VM, and
+        # then sends the change.
         self._sock.settimeout(10)
-        for _ in range(2):
+        for _ in range(3):
             caller, _ = self._sock.accept()
             with caller, socket.create_connection(self._target) as upstream:
                 request = caller.recv(1 << 16)
