--- a/goldcresthaven/records.py
+++ b/goldcresthaven/records.py
@@ -10,7 +10,7 @@
 from goldcresthaven import shards
 from goldcresthaven import timeline as timeline_module
 
-# A process keeps 1,024 milestones; a change may move thousands of shards.
+# A process keeps 8,192 events; a change may move thousands of shards.
 MAX_MOVES = 16
 
 _KINDS = {
@@ -66,14 +66,15 @@
 ) -> None:
     """Record the new owner of each shard that a change moves.
 
-    Only these events tell the history of a key, which the number of moved
-    shards does not. A large change is told by its number alone.
+    Only these events tell the history of a key. They are no milestones,
+    which would be full of them after one loss. A large change is told by
+    the number of its shards alone.
     """
     if len(change.shards) > MAX_MOVES:
         return
     for shard in change.shards:
         timeline.add(
-            events.Kind.MOVE_WRITTEN,
+            events.Kind.MAP_APPLIED,
             f'new owner ({change.reason})',
             shard=shard.shard_id,
             upstream=shard.owner,
--- a/tests/test_operator_processes.py
+++ b/tests/test_operator_processes.py
@@ -257,6 +257,9 @@
             kinds = [e['kind'] for e in line['events']]
             accepted = kinds.index('config-accepted')
             self.assertIn('move-written', kinds[accepted:])
+            line = self.command(1, 'timeline', '--key', 'k')
+            details = ' '.join(e['detail'] for e in line['events'])
+            self.assertIn('new owner', details)
             self.assertEqual(
                 self.command(0, 'undrain', owner)['state'], 'accepted'
             )
