Take the granted slot itself for a request

A grant of several contended slots served the first one with another slot of the same grant, and then returned that busy slot. Its manager could give it to another entry, and the end of the request crashed its task with ValueError in EntrySlots.release, seen in an entry of test_partitions.

--- a/goldcresthaven/scheduler.py
+++ b/goldcresthaven/scheduler.py
@@ -404,13 +404,12 @@
             else:
                 line.idle[one.name] = None
             return
-        taken = self._slots.take(now, one.name, held.slot.level)
-        if taken is None:
+        if not self._slots.take_held(now, held):
             # The lease has ended, so the request goes back to its place.
             self._requeue(now, line, request)
             return
         self._drop_want(line, request.level, one)
-        self._start(now, one, request, taken)
+        self._start(now, one, request, held)
 
     def _requeue(
         self, now: timedelta, line: _Line, request: admission.Request
--- a/goldcresthaven/slots.py
+++ b/goldcresthaven/slots.py
@@ -281,6 +281,18 @@
                 return held
         return None
 
+    def take_held(self, now: timedelta, held: Held) -> bool:
+        """Use this idle slot for a request; False if its lease has ended.
+
+        A grant brings several slots, which are served one by one; taking
+        any other idle slot would make one busy that is still to be served.
+        """
+        if now >= self._sessions[held.domain].valid_until:
+            return False
+        self._forget_idle(held)
+        held.busy = True
+        return True
+
     def has_idle(self, upstream: ids.UpstreamId, level: int) -> bool:
         idle = self._idle[upstream]
         return any(idle[level:])
