Use the gate with slot leases in the entry process

gate_peers.py gives slot_gate the controller's claims and the peer connections. LocalGate divided an endpoint's slots by the number of entries; it stays for the tests of one process.

test_start_without_store_is_not_ready: an entry process that the platform does not list and that is alone has nobody who could hold a claim, so no slots; the test now lists it, as the platform does, once it is up.

--- a/goldcresthaven/entry.py
+++ b/goldcresthaven/entry.py
@@ -20,10 +20,10 @@
 from goldcresthaven import clock as clock_module
 from goldcresthaven import control_driver
 from goldcresthaven import dedup
-from goldcresthaven import dispatch
 from goldcresthaven import errors
 from goldcresthaven import events
 from goldcresthaven import forwarding
+from goldcresthaven import gate_peers
 from goldcresthaven import members
 from goldcresthaven import membership
 from goldcresthaven import metrics as metrics_module
@@ -31,6 +31,7 @@
 from goldcresthaven import node as node_module
 from goldcresthaven import settings
 from goldcresthaven import settings_files
+from goldcresthaven import slot_gate
 from goldcresthaven import store_client
 from goldcresthaven import telemetry
 from goldcresthaven import upstream_pool
@@ -56,6 +57,7 @@
     membership: membership.Membership
     milestones: milestones.Milestones
     conns: upstream_pool.UpstreamPool
+    gate: slot_gate.SlotGate
     server: caller_server.CallerServer
 
 
@@ -95,9 +97,10 @@
     control = control_driver.ControlDriver(node=node, store=control_store)
     views = control.spread
     conns = upstream_pool.UpstreamPool()
+    gate = gate_peers.make_gate(node, views)
     server = caller_server.CallerServer(
         views=views,
-        gate=dispatch.LocalGate(views=views, clock=clock),
+        gate=gate,
         records=dedup.Records(store=store),
         forwarder=forwarding.Forwarder(conns=conns, clock=clock),
         clock=clock,
@@ -112,6 +115,7 @@
         ),
         milestones=milestones.Milestones(node),
         conns=conns,
+        gate=gate,
         server=server,
     )
 
@@ -122,6 +126,7 @@
     await parts.milestones.start()
     await parts.membership.start()
     await parts.control.start()
+    await aio.spawn(parts.gate.run())
     return port
 
 
@@ -182,6 +187,7 @@
     """Stop without interrupting a request in flight."""
     parts.node.timeline.add(events.Kind.PROCESS_STOPPING)
     await stop_callers(parts.server, listener, delay)
+    await parts.gate.stop()
     await parts.control.release_claims()
     await parts.control.stop()
     await parts.membership.stop()
--- a/goldcresthaven/node.py
+++ b/goldcresthaven/node.py
@@ -97,6 +97,10 @@
             return None
         return holder
 
+    def epoch(self, domain: ids.DomainId) -> ids.Epoch:
+        """Return the epoch under which ``holder`` holds the domain."""
+        return self.controller.epoch(domain)
+
     def holds(self, domain: ids.DomainId) -> bool:
         """Whether this process may manage the domain's upstreams now."""
         return self.controller.holds(domain, now=self.clock.elapsed())
--- a/goldcresthaven/ownership.py
+++ b/goldcresthaven/ownership.py
@@ -68,6 +68,11 @@
         row = self._candidacy.row(domain)
         return None if row is None else row.holder
 
+    def epoch(self, domain: ids.DomainId) -> ids.Epoch:
+        """Return the epoch of the last row seen, 0 without one."""
+        row = self._candidacy.row(domain)
+        return ids.Epoch(0) if row is None else row.epoch
+
     def handle(
         self, event: control.Event, *, now: timedelta
     ) -> list[control.Action]:
--- a/tests/control_case.py
+++ b/tests/control_case.py
@@ -156,9 +156,7 @@
 
     async def begin(self) -> Callers:
         """Publish everything and wait until each key is served."""
-        await deployment.store_members(
-            self.store_address, self.listed.values()
-        )
+        await self.list_members()
         await deployment.store_document(self.store_address, make_document())
         callers = Callers([self.address(vm) for vm in self.entries])
         await callers.start()
--- a/tests/fleet_case.py
+++ b/tests/fleet_case.py
@@ -68,13 +68,16 @@
 
     async def publish(self, deadline: str = '2s') -> None:
         """Store the configuration and the member list."""
-        await deployment.store_members(
-            self.store_address, self.listed.values()
-        )
+        await self.list_members()
         await deployment.store_document(
             self.store_address, rig.make_document(deadline)
         )
 
+    async def list_members(self) -> None:
+        await deployment.store_members(
+            self.store_address, self.listed.values()
+        )
+
     async def set_faults(self, **faults: Any) -> None:
         await http_client.post_json(self.store_address, '/faults', faults)
 
--- a/tests/test_entry_loss.py
+++ b/tests/test_entry_loss.py
@@ -72,6 +72,8 @@
             answer = await http_client.ask_once(entry, 'GET', '/free/x')
             self.assertEqual('not-ready', answer.reason)
             await self.set_faults()
+            # Only now does the platform list the new VM.
+            await self.list_members()
             await self.until_served(entry)
 
         rig.run(test)
