--- a/goldcresthaven/admission.py
+++ b/goldcresthaven/admission.py
@@ -71,10 +71,14 @@
     """
 
     def __init__(self, *, floors: Sequence[float], slots: int) -> None:
-        self._income = [floor * slots for floor in floors]
+        self.set_floors(floors, slots=slots)
         self._credit = [0.0] * RANK_COUNT
         self._updated = ZERO
 
+    def set_floors(self, floors: Sequence[float], *, slots: int) -> None:
+        """Apply other floors; credit earned so far stays."""
+        self._income = [floor * slots for floor in floors]
+
     def advance(
         self, now: timedelta, waiting: Sequence[int], held: Sequence[int]
     ) -> None:
@@ -265,3 +269,21 @@
     return outcomes.NotRun(
         reason=reason, retry_after=max(retry_after, MIN_RETRY_AFTER)
     )
+
+
+TOO_LATE = outcomes.NotRun(
+    reason=outcomes.Reason.CANNOT_MEET_DEADLINE,
+    retry_after=MIN_RETRY_AFTER,
+)
+EXPIRED = outcomes.NotRun(
+    reason=outcomes.Reason.DEADLINE_PASSED,
+    retry_after=MIN_RETRY_AFTER,
+)
+
+
+def no_upstream(request: Request) -> outcomes.NotRun:
+    """Return the refusal of a request that no upstream may take."""
+    reason = outcomes.Reason.NO_UPSTREAM
+    if request.owner is not None:
+        reason = outcomes.Reason.NO_OWNER
+    return outcomes.NotRun(reason=reason, retry_after=MIN_RETRY_AFTER)
--- a/goldcresthaven/caller_server.py
+++ b/goldcresthaven/caller_server.py
@@ -19,10 +19,11 @@
 from goldcresthaven import http_io
 from goldcresthaven import ids
 from goldcresthaven import outcomes
+from goldcresthaven import request_history
 from goldcresthaven import retries
 from goldcresthaven import routing
+from goldcresthaven import settings
 
-MAX_CALLER_CONNECTIONS = 1024
 # An idle connection notices a shutdown after at most this time.
 IDLE_CHECK = timedelta(seconds=1)
 IDLE_TIMEOUT = timedelta(seconds=75)
@@ -45,12 +46,16 @@
         gate: dispatch.Gate,
         records: dedup.Records,
         forwarder: forwarding.Forwarder,
+        history: request_history.RequestHistory,
         clock: clock_module.Clock,
+        limits: settings.Limits | None = None,
     ) -> None:
+        self._limits = limits or settings.Limits()
         self._views = views
         self._gate = gate
         self._records = records
         self._forwarder = forwarder
+        self._history = history
         self._clock = clock
         self._budget = retries.RetryBudget()
         self._connections = 0
@@ -84,7 +89,7 @@
 
     async def serve(self, sock: aio.Socket) -> None:
         """Answer the requests of one connection."""
-        conn = http_io.CallerConn(sock)
+        conn = http_io.CallerConn(sock, head_limit=self._limits.header_size)
         self._connections += 1
         try:
             await self._serve(conn)
@@ -93,7 +98,7 @@
             await conn.close()
 
     async def _serve(self, conn: http_io.CallerConn) -> None:
-        crowded = self._connections > MAX_CALLER_CONNECTIONS
+        crowded = self._connections > self._limits.caller_connections
         while await self._wait_for_request(conn):
             self._in_flight += 1
             try:
@@ -119,10 +124,11 @@
         self, conn: http_io.CallerConn, crowded: bool
     ) -> None:
         request_id = ids.RequestId(secrets.token_hex(8))
+        trace = self._history.begin(request_id)
         try:
             head = await self._read_head(conn)
         except errors.RequestRejected as exc:
-            await self._reject(conn, request_id, exc)
+            await self._reject(conn, trace, exc)
             return
         if head is None:
             await conn.close()
@@ -131,6 +137,7 @@
             conn=conn,
             head=head,
             request_id=request_id,
+            trace=trace,
             closing=crowded,
             is_draining=lambda: self._draining,
         )
@@ -138,10 +145,10 @@
             _check(head)
             await call.read_first()
         except errors.RequestRejected as exc:
-            await self._reject(conn, request_id, exc)
+            await self._reject(conn, trace, exc)
             return
         except errors.DeadlineExceeded:
-            await self._reject(conn, request_id, _too_slow('body'))
+            await self._reject(conn, trace, _too_slow('body'))
             return
         except errors.ConnectionLost:
             await conn.close()
@@ -172,6 +179,7 @@
             if crowded
             else await self._run(call)
         )
+        self._history.end(call.trace, outcome)
         if not call.relayed:
             await self._send_outcome(call, outcome)
         elif not isinstance(outcome, outcomes.Done):
@@ -205,7 +213,7 @@
                 retry_after=retries.RETRY_AFTER,
             )
         headers = call.head.headers
-        return routing.route(
+        routed = routing.route(
             routing.Ask(
                 method=call.head.method,
                 target=call.head.target,
@@ -217,6 +225,8 @@
             shard_map=view.shard_map,
             arrived=arrived,
         )
+        call.trace.note_route(routed, view)
+        return routed
 
     async def _attempts(
         self, call: forwarding.Call, routed: routing.Routed
@@ -250,14 +260,18 @@
         routed: routing.Routed,
         tried: list[ids.UpstreamId],
     ) -> retries.Attempt | outcomes.NotRun:
+        asked = self._clock.elapsed()
         admitted = await self._gate.admit(
             routed, tried=tried, caller_gone=call.conn.peer_closed
         )
+        started = self._clock.elapsed()
+        call.trace.queued += started - asked
         if isinstance(admitted, outcomes.NotRun):
             return admitted
         attempt: retries.Attempt | None = None
         try:
             attempt = await self._forwarder.attempt(call, routed, admitted)
+            call.trace.note_attempt(attempt, started)
             return attempt
         finally:
             await self._gate.release(routed, admitted, attempt)
@@ -333,11 +347,18 @@
     async def _reject(
         self,
         conn: http_io.CallerConn,
-        request_id: ids.RequestId,
+        trace: request_history.Trace,
         exc: errors.RequestRejected,
     ) -> None:
         reason = outcomes.Reason.BAD_REQUEST
-        own = forwarding.own_headers(request_id, 'not-run', reason)
+        # The text of the exception may quote a header of the caller.
+        outcome = outcomes.NotRun(
+            reason=reason,
+            detail='the request is malformed',
+            status=exc.status,
+        )
+        self._history.end(trace, outcome)
+        own = forwarding.own_headers(trace.request_id, 'not-run', reason)
         head = http_head.ResponseHead(
             status=exc.status,
             headers=(
--- a/goldcresthaven/slot_gate.py
+++ b/goldcresthaven/slot_gate.py
@@ -22,6 +22,7 @@
 from goldcresthaven import dispatch
 from goldcresthaven import ids
 from goldcresthaven import members
+from goldcresthaven import operator_views
 from goldcresthaven import outcomes
 from goldcresthaven import presets
 from goldcresthaven import retries
@@ -34,6 +35,9 @@
 SYNC_INTERVAL = timedelta(milliseconds=100)
 # A manager may grant for this long after the claim was last checked.
 CLAIM_CHECK = 4 * TICK
+# An upstream that the map does not know yet has no manager, so it gets one
+# request at a time.
+NO_DOMAIN = ids.DomainId('')
 
 Send = Callable[[ids.VmId, slots.Message], Awaitable[object]]
 
@@ -105,6 +109,9 @@
         self._local: collections.deque[slots.Message] = collections.deque()
         self._delivering = False
         self._map_version = ids.MapVersion(0)
+        self._in_use: collections.Counter[ids.UpstreamId] = (
+            collections.Counter()
+        )
 
     async def admit(
         self,
@@ -151,6 +158,7 @@
         attempt: retries.Attempt | None,
     ) -> None:
         assert self._scheduler is not None
+        self._in_use[admitted.upstream] -= 1
         outcome: outcomes.Outcome = outcomes.NotRun(
             reason=outcomes.Reason.CALLER_GONE
         )
@@ -164,6 +172,29 @@
         )
         await self._perform(actions)
 
+    def in_use(self, upstream: ids.UpstreamId) -> int:
+        """Return the requests that this process has at an upstream."""
+        return self._in_use[upstream]
+
+    def queues(self) -> tuple[operator_views.Queue, ...]:
+        """Return the requests that wait here, by pool and rank."""
+        now = self._clock.elapsed()
+        ages: dict[tuple[ids.PoolName, str], list[timedelta]] = {}
+        for waiter in self._waiters.values():
+            if waiter.result is None:
+                key = (waiter.routed.pool.name, waiter.routed.rank.value)
+                ages.setdefault(key, []).append(now - waiter.routed.arrived)
+        return tuple(
+            operator_views.Queue(
+                pool=pool,
+                rank=rank,
+                length=len(found),
+                size_bytes=0,
+                oldest_ms=max(found) // timedelta(milliseconds=1),
+            )
+            for (pool, rank), found in sorted(ages.items())
+        )
+
     async def run(self) -> None:
         """Drive the policy's timers until cancelled."""
         next_sync = timedelta()
@@ -248,6 +279,7 @@
             )
             return
         limit = view.connection_limit(waiter.routed.pool)
+        self._in_use[action.upstream] += 1
         admitted = dispatch.Admitted(
             upstream=action.upstream,
             address=member.address,
@@ -304,6 +336,8 @@
             )
         elif preset != self._preset:
             self._scheduler.set_preset(preset)
+            for manager in self._managers.values():
+                manager.set_preset(preset)
         self._preset = preset
         for pool in document.pools:
             if pool.name not in self._pools:
@@ -317,14 +351,16 @@
         domains = self._claims.domains()
         started = bool(self._known)
         for upstream, member in view.upstreams.items():
-            domain = domains.get(upstream)
-            if domain is None or member.pool not in self._pools:
+            if member.pool is None or member.pool not in self._pools:
                 continue
+            domain = domains.get(upstream, NO_DOMAIN)
             if upstream not in self._known:
-                self._known[upstream] = domain
                 self._scheduler.add_upstream(
                     now, upstream, member.pool, domain, new=started
                 )
+            elif domain != self._known[upstream]:
+                self._scheduler.set_domain(upstream, domain)
+            self._known[upstream] = domain
             await self._follow_drain(now, upstream, _leaving(view, member))
         for upstream in self._known.keys() - view.upstreams.keys():
             await self._follow_drain(now, upstream, True)
@@ -389,7 +425,7 @@
     ) -> slot_manager.Manager:
         preset = view.document.preset
         longest = max(preset.rank(r).deadline for r in outcomes.RANKS)
-        settle = slot_manager.settle_time(preset.claim_term, longest)
+        settle = slots.settle_time(preset.claim_term, longest)
         # Nobody managed the slots before the first epoch.
         first = epoch <= 1
         return slot_manager.Manager(
@@ -410,14 +446,12 @@
         if member is None or member.pool is None:
             return
         pool = self._pools[member.pool]
-        cap = view.document.preset.bulk_cap
-        if cap is None:
-            cap = max(pool.slots - 1, 1)
+        cap = slot_manager.bulk_cap(view.document.preset, pool.slots)
         grace = slot_manager.KEYED_DRAIN_GRACE if pool.keyed else timedelta()
         manager.add_upstream(
             upstream,
             slot_count=pool.slots,
-            bulk_cap=min(cap, pool.slots),
+            bulk_cap=cap,
             drain_grace=grace,
         )
 
--- a/goldcresthaven/gate_peers.py
+++ b/goldcresthaven/slot_links.py
@@ -1,4 +1,4 @@
-"""Connects the gate to this process's claims and to its peers."""
+"""Connects the slot gate to the entry process's peers and claims."""
 
 from collections.abc import Mapping
 from datetime import timedelta
@@ -13,7 +13,7 @@
 
 
 class NodeClaims:
-    """What the controller of this process knows; ``slot_gate.Claims``."""
+    """Domains and claims as the ownership controller knows them."""
 
     def __init__(self, node: node_module.Node) -> None:
         self._node = node
@@ -23,32 +23,33 @@
 
     def holder(self, domain: ids.DomainId) -> slot_gate.Holder | None:
         vm = self._node.holder(domain)
-        if vm is None:
+        epoch = self._node.controller.epoch(domain)
+        if vm is None or epoch is None:
             return None
-        return slot_gate.Holder(vm=vm, epoch=self._node.epoch(domain))
+        return slot_gate.Holder(vm=vm, epoch=epoch)
 
     def holds(self, domain: ids.DomainId, *, now: timedelta) -> bool:
         return self._node.controller.holds(domain, now=now)
 
     def entries(self) -> frozenset[ids.VmId]:
-        return frozenset(
-            vm
-            for vm, member in self._node.state.entries.items()
-            if member.state is members.MemberState.LIVE
-        )
+        others = self._node.peers().values()
+        live = members.MemberState.LIVE
+        return frozenset(m.vm for m in others if m.state is live) | {
+            self._node.vm
+        }
 
 
-def make_gate(
+def connect(
     node: node_module.Node, views: dispatch.Views
 ) -> slot_gate.SlotGate:
-    """Return the gate and register it for the slot messages of peers."""
+    """Return a gate that exchanges slot messages with the peers."""
     gate = slot_gate.SlotGate(
         vm=node.vm,
         boot=node.boot,
         clock=node.clock,
         views=views,
         claims=NodeClaims(node),
-        send=node.send,
+        send=node.links.send,
         rng=node.rng,
     )
 
@@ -63,7 +64,7 @@
         return None
 
     node.on(slots.SlotDemand, received)
-    node.on(slots.SlotGrant, received)
     node.on(slots.SlotReturn, received)
+    node.on(slots.SlotGrant, received)
     node.on(slots.SlotRecall, received)
     return gate
