--- a/goldcresthaven/caller_server.py
+++ b/goldcresthaven/caller_server.py
@@ -22,8 +22,8 @@
 from goldcresthaven import request_history
 from goldcresthaven import retries
 from goldcresthaven import routing
+from goldcresthaven import settings
 
-MAX_CALLER_CONNECTIONS = 1024
 # An idle connection notices a shutdown after at most this time.
 IDLE_CHECK = timedelta(seconds=1)
 IDLE_TIMEOUT = timedelta(seconds=75)
@@ -48,7 +48,9 @@
         forwarder: forwarding.Forwarder,
         history: request_history.RequestHistory,
         clock: clock_module.Clock,
+        limits: settings.Limits | None = None,
     ) -> None:
+        self._limits = limits or settings.Limits()
         self._views = views
         self._gate = gate
         self._records = records
@@ -87,7 +89,7 @@
 
     async def serve(self, sock: aio.Socket) -> None:
         """Answer the requests of one connection."""
-        conn = http_io.CallerConn(sock)
+        conn = http_io.CallerConn(sock, head_limit=self._limits.header_size)
         self._connections += 1
         try:
             await self._serve(conn)
@@ -96,7 +98,7 @@
             await conn.close()
 
     async def _serve(self, conn: http_io.CallerConn) -> None:
-        crowded = self._connections > MAX_CALLER_CONNECTIONS
+        crowded = self._connections > self._limits.caller_connections
         while await self._wait_for_request(conn):
             self._in_flight += 1
             try:
--- a/goldcresthaven/entry.py
+++ b/goldcresthaven/entry.py
@@ -108,6 +108,7 @@
         forwarder=forwarding.Forwarder(conns=conns, clock=clock),
         history=history,
         clock=clock,
+        limits=cfg.limits,
     )
     return Parts(
         node=node,
--- a/goldcresthaven/http_io.py
+++ b/goldcresthaven/http_io.py
@@ -50,8 +50,11 @@
 
     _role: type[Any]
 
-    def __init__(self, sock: aio.Socket) -> None:
+    def __init__(
+        self, sock: aio.Socket, *, head_limit: int = HEAD_LIMIT_BYTES
+    ) -> None:
         self._sock = sock
+        self._head_limit = head_limit
         self._buf = bytearray()
         self._h11 = self._fresh()
         self._ended = False
@@ -60,7 +63,7 @@
 
     def _fresh(self) -> h11.Connection:
         return h11.Connection(
-            self._role, max_incomplete_event_size=HEAD_LIMIT_BYTES
+            self._role, max_incomplete_event_size=self._head_limit
         )
 
     async def close(self) -> None:
@@ -95,12 +98,12 @@
         start = 0
         while (end := self._buf.find(_HEAD_END, start)) < 0:
             start = max(0, len(self._buf) - len(_HEAD_END))
-            if len(self._buf) > HEAD_LIMIT_BYTES:
+            if len(self._buf) > self._head_limit:
                 raise self._bad_head('the head is too long', 431)
             if not await self._receive():
                 return None
         size = end + len(_HEAD_END)
-        if size > HEAD_LIMIT_BYTES:
+        if size > self._head_limit:
             raise self._bad_head('the head is too long', 431)
         head = bytes(self._buf[:size])
         del self._buf[:size]
--- a/goldcresthaven/node.py
+++ b/goldcresthaven/node.py
@@ -118,6 +118,21 @@
         assert kind not in self._handlers
         self._handlers[kind] = handler
 
+    async def handle(
+        self, vm: ids.VmId, message: messages.Message
+    ) -> messages.Message | None:
+        """Pass a peer's message to its handler; return the reply.
+
+        Raises ProtocolError when there is none.
+        """
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            raise errors.ProtocolError(
+                f'{type(message).__name__} is not handled here',
+                remedy='check that both processes run adjacent releases',
+            )
+        return await handler(vm, message)
+
     async def listen(self, address: members.Address) -> int:
         """Accept peers; returns the port, chosen when it is 0."""
         return await self.links.listen(address.host, address.port)
@@ -144,7 +159,7 @@
             ),
             time=self.clock,
             address_of=self._address_of,
-            handler=self._handle,
+            handler=self.handle,
             on_event=self._note_link,
             rng=self.rng,
         )
@@ -153,17 +168,6 @@
         member = self.state.entries.get(vm)
         return None if member is None else member.address
 
-    async def _handle(
-        self, vm: ids.VmId, message: messages.Message
-    ) -> messages.Message | None:
-        handler = self._handlers.get(type(message))
-        if handler is None:
-            raise errors.ProtocolError(
-                f'{type(message).__name__} is not handled here',
-                remedy='check that both processes run adjacent releases',
-            )
-        return await handler(vm, message)
-
     def _note_link(self, event: peer_state.LinkEvent) -> None:
         name = _REFUSALS.get(event.change)
         if name is not None:
--- a/goldcresthaven/slot_links.py
+++ b/goldcresthaven/slot_links.py
@@ -56,6 +56,10 @@
     async def received(
         vm: ids.VmId, message: slots.Message
     ) -> messages.Message | None:
+        match message:
+            case slots.SlotDemand(entry=entry) | slots.SlotReturn(entry=entry):
+                if entry != vm:
+                    return messages.Refusal(reason='sent for another VM')
         await gate.received(message)
         return None
 
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -9,6 +9,7 @@
 from goldcresthaven import http_head
 from goldcresthaven import http_io
 from goldcresthaven import members
+from goldcresthaven import settings
 from tools import http_client
 from tools import rig
 
@@ -208,13 +209,31 @@
         """Guards against unbounded memory for callers' connections."""
 
         async def test() -> None:
-            path = await rig.start({'free-a': DEAD})
+            limits = settings.Limits(caller_connections=1)
+            path = await rig.start({'free-a': DEAD}, limits=limits)
+            first = await aio.connect(path.address.host, path.address.port)
+            await rig.wait_for(lambda: path.server.connections == 1)
             answer = await path.raw(GET + b'\r\n')
             self.assertIn(b'x-reason: shed', answer)
             self.assertIn(b'connection: close', answer)
+            await first.close()
+            await rig.wait_for(lambda: path.server.connections == 0)
+            again = await path.raw(GET + b'Connection: close\r\n\r\n')
+            self.assertNotIn(b'x-reason: shed', again)
 
-        with mock.patch.object(caller_server, 'MAX_CALLER_CONNECTIONS', 0):
-            rig.run(test)
+        rig.run(test)
+
+    def test_header_size_of_the_settings(self) -> None:
+        """Guards against a limit in the settings that nothing applies."""
+
+        async def test() -> None:
+            limits = settings.Limits.model_validate({'header_size': '1KiB'})
+            path = await rig.start({'free-a': DEAD}, limits=limits)
+            long = b'X-Long: ' + b'a' * 1024 + b'\r\n\r\n'
+            answer = await path.raw(GET + long)
+            self.assertIn(b' 431 ', answer.split(b'\r\n')[0])
+
+        rig.run(test)
 
 
 class OwnAnswersTest(unittest.TestCase):
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -123,6 +123,8 @@
      'an IPv4 number'),
     ('127.0.0.1:8080', '127.0.0.1', 3, 'caller_address', 'and a port'),
     ('127.0.0.1:8080', '127.0.0.1:65536', 3, 'caller_address', 'a port'),
+    ('127.0.0.1:8000', '127.0.0.1:0', 6, 'platform_address', 'a port'),
+    ('127.0.0.1:8080', '127.0.0.1:-1', 3, 'caller_address', 'a port'),
     ('127.0.0.1:8082', '0.0.0.0:8081', 5, 'operator_address',
      'another port'),
     ('127.0.0.1:8081', '0.0.0.0:8081', 4, 'peer_address', 'interface'),
@@ -148,6 +150,9 @@
         """Guards against tables that pass because their base is wrong."""
         self.assertEqual(faults_of(DEPLOYMENT), ())
         self.assertEqual(faults_of(PROCESS, process=True), ())
+        # Listening at port 0 of one host twice is no overlap.
+        any_port = PROCESS.replace(':8080', ':0').replace(':8081', ':0')
+        self.assertEqual(faults_of(any_port, process=True), ())
 
     def test_bad_files_name_line_field_and_remedy(self) -> None:
         """Guards against a wrong file that is accepted or not explained."""
--- a/tools/rig.py
+++ b/tools/rig.py
@@ -23,6 +23,7 @@
 from goldcresthaven import presets
 from goldcresthaven import request_history
 from goldcresthaven import routing
+from goldcresthaven import settings
 from goldcresthaven import shards
 from goldcresthaven import tables
 from goldcresthaven import upstream_pool
@@ -269,6 +270,7 @@
     clock: clock_module.Clock | None = None,
     conns: upstream_pool.UpstreamPool | None = None,
     records: dedup.Records | None = None,
+    limits: settings.Limits | None = None,
     server_type: type[caller_server.CallerServer] = (
         caller_server.CallerServer
     ),
@@ -286,6 +288,7 @@
         forwarder=forwarding.Forwarder(conns=conns, clock=clock),
         history=history,
         clock=clock,
+        limits=limits,
     )
     accepted: list[aio.Socket] = []
 
