Measure the load policy with real processes

The benchmark runs the policy on a virtual clock only. This tool sends the same open-loop load to real processes and runs the virtual benchmark with the same rates and service times next to it.

The entry process takes the function that makes its gate, so that a naive gate can be run without being part of the package.

--- /dev/null
+++ b/bench/overload_report.py
@@ -0,0 +1,125 @@
+"""Tables and the page of ``bench.real_overload``."""
+
+import collections
+from collections.abc import Iterable
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from bench import overload_load
+from goldcresthaven import outcomes
+from tools import processes
+
+PAGE = processes.ROOT / 'docs' / 'measurements-overload.md'
+POLICIES = ('ours', 'naive')
+
+_RANKS_HEAD = (
+    '| policy | phase | rank | run | sent | answered | within target '
+    '| not run | unknown | p50 ms | p99 ms |\n'
+    '|---|---|---|---|---|---|---|---|---|---|---|'
+)
+_PHASES_HEAD = (
+    '| policy | phase | run | peak at one endpoint | messages per request '
+    '| goodput | busiest process | generator late by | refusals and unknown |'
+    '\n|---|---|---|---|---|---|---|---|---|'
+)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Result:
+    """One phase of one run.
+
+    ``peak`` is the largest number of requests at one endpoint at a time as
+    the upstream counted them, ``busiest`` the share of a core that the
+    busiest process used and ``lag_ms`` the generator's largest lateness.
+    """
+
+    policy: str
+    phase: str
+    run: str
+    tallies: overload_load.Tallies
+    goodput: float
+    messages: float
+    peak: int | None = None
+    busiest: float | None = None
+    lag_ms: float | None = None
+
+
+def broken(results: Iterable[Result], *, slots: int) -> list[str]:
+    """Return what the product's policy promises and a real run broke."""
+    found = []
+    for one in results:
+        if one.policy != 'ours' or one.run != 'real':
+            continue
+        if one.peak is not None and one.peak > slots:
+            found.append(
+                f'{one.phase}: {one.peak} requests at an endpoint with '
+                f'{slots} slots'
+            )
+        unknown = sum(tally.unknown for tally in one.tallies.values())
+        if unknown:
+            found.append(f'{one.phase}: {unknown} unknown without a failure')
+    return found
+
+
+def tables(results: Sequence[Result]) -> str:
+    """Return both tables in Markdown."""
+    lines = [_RANKS_HEAD]
+    for one in results:
+        lines += [_rank_row(one, rank) for rank in one.tallies]
+    lines += ['', _PHASES_HEAD]
+    lines += [_phase_row(one) for one in results]
+    return '\n'.join(lines)
+
+
+def _rank_row(one: Result, rank: outcomes.Rank) -> str:
+    tally = one.tallies[rank]
+    share = tally.in_target / max(tally.sent, 1)
+    cells = (
+        one.policy,
+        one.phase,
+        rank.name,
+        one.run,
+        str(tally.sent),
+        str(tally.answered),
+        f'{tally.in_target} ({share:.1%})',
+        str(tally.not_run),
+        str(tally.unknown),
+        f'{tally.quantile(0.5):.0f}',
+        f'{tally.quantile(0.99):.0f}',
+    )
+    return _row(cells)
+
+
+def _phase_row(one: Result) -> str:
+    reasons: collections.Counter[str] = collections.Counter()
+    for tally in one.tallies.values():
+        reasons += tally.reasons
+    cells = (
+        one.policy,
+        one.phase,
+        one.run,
+        '-' if one.peak is None else str(one.peak),
+        f'{one.messages:.2f}',
+        f'{one.goodput:.2f}',
+        '-' if one.busiest is None else f'{one.busiest:.0%}',
+        '-' if one.lag_ms is None else f'{one.lag_ms:.0f} ms',
+        ', '.join(f'{n} {name}' for name, n in reasons.most_common()) or '-',
+    )
+    return _row(cells)
+
+
+def _row(cells: Iterable[str]) -> str:
+    return '| ' + ' | '.join(cells) + ' |'
+
+
+def write(text: str, failures: Sequence[str]) -> None:
+    """Write the page."""
+    found = '\n'.join(f'- {failure}' for failure in failures)
+    parts = [_INTRODUCTION, text, _DIFFERENCES]
+    if found:
+        parts.insert(2, f'Broken promises in this run:\n\n{found}')
+    PAGE.write_text('\n\n'.join(parts) + '\n')
+
+
+_INTRODUCTION = ''
+_DIFFERENCES = ''
--- a/goldcresthaven/entry.py
+++ b/goldcresthaven/entry.py
@@ -4,6 +4,7 @@
 its addresses once it listens.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
 import json
@@ -11,6 +12,7 @@
 import pathlib
 import signal
 import sys
+from typing import Protocol
 
 import statsd
 
@@ -20,6 +22,7 @@
 from goldcresthaven import clock as clock_module
 from goldcresthaven import control_driver
 from goldcresthaven import dedup
+from goldcresthaven import dispatch
 from goldcresthaven import errors
 from goldcresthaven import events
 from goldcresthaven import forwarding
@@ -30,7 +33,6 @@
 from goldcresthaven import node as node_module
 from goldcresthaven import settings
 from goldcresthaven import settings_files
-from goldcresthaven import slot_gate
 from goldcresthaven import slot_links
 from goldcresthaven import store_client
 from goldcresthaven import telemetry
@@ -42,6 +44,19 @@
 LOG_FLUSHES = 10
 
 
+class Gate(dispatch.Gate, Protocol):
+    """A gate that runs timers of its own."""
+
+    async def run(self) -> None:
+        """Drive the timers until cancelled."""
+
+    async def stop(self) -> None:
+        """Return what is held, before a planned shutdown."""
+
+
+Connect = Callable[[node_module.Node, dispatch.Views], Gate]
+
+
 @dataclass(kw_only=True)
 class Parts:
     """The parts of one entry process.
@@ -57,7 +72,7 @@
     membership: membership.Membership
     milestones: milestones.Milestones
     conns: upstream_pool.UpstreamPool
-    gate: slot_gate.SlotGate
+    gate: Gate
     server: caller_server.CallerServer
 
 
@@ -87,8 +102,12 @@
     cfg: settings.ProcessSettings,
     ring: auth.KeyRing,
     clock: clock_module.Clock,
+    connect: Connect = slot_links.connect,
 ) -> Parts:
-    """Create the parts; none of them does anything yet."""
+    """Create the parts; none of them does anything yet.
+
+    ``connect`` makes the gate; the benchmark passes others to compare with.
+    """
     node = build_node(cfg, ring, clock)
     store, control_store = (
         store_client.StoreClient(address=cfg.platform_address, clock=clock)
@@ -97,7 +116,7 @@
     control = control_driver.ControlDriver(node=node, store=control_store)
     views = control.spread
     conns = upstream_pool.UpstreamPool()
-    gate = slot_links.connect(node, views)
+    gate = connect(node, views)
     server = caller_server.CallerServer(
         views=views,
         gate=gate,
@@ -130,11 +149,15 @@
     return port
 
 
-async def serve(cfg: settings.ProcessSettings, ring: auth.KeyRing) -> None:
+async def serve(
+    cfg: settings.ProcessSettings,
+    ring: auth.KeyRing,
+    connect: Connect = slot_links.connect,
+) -> None:
     """Run until SIGTERM or SIGINT, then stop without cutting anything."""
     stop = aio.SignalWaiter(signal.SIGTERM, signal.SIGINT)
     clock = clock_module.SystemClock()
-    parts = build(cfg, ring, clock)
+    parts = build(cfg, ring, clock, connect)
     logs = install_logs(cfg, clock)
     await aio.spawn(flush(parts.node.metrics, logs))
     peer_port = await start(parts, cfg)
@@ -218,7 +241,7 @@
     return members.Address(host=address.host, port=port)
 
 
-def main(file: pathlib.Path) -> None:
+def main(file: pathlib.Path, connect: Connect = slot_links.connect) -> None:
     """Run the process.
 
     Raises SettingsError when a settings or keys file is wrong.
@@ -226,7 +249,7 @@
     cfg = settings_files.read_process(file)
     text = settings_files.read_text(cfg.keys_file)
     ring = auth.parse_keys(text, source=str(cfg.keys_file))
-    aio.run(serve, cfg, ring)
+    aio.run(serve, cfg, ring, connect)
 
 
 if __name__ == '__main__':
--- a/goldcresthaven/slot_links.py
+++ b/goldcresthaven/slot_links.py
@@ -40,16 +40,21 @@
 
 
 def connect(
-    node: node_module.Node, views: dispatch.Views
+    node: node_module.Node,
+    views: dispatch.Views,
+    send: slot_gate.Send | None = None,
 ) -> slot_gate.SlotGate:
-    """Return a gate that exchanges slot messages with the peers."""
+    """Return a gate that exchanges slot messages with the peers.
+
+    ``send`` replaces the node's own, for a caller that counts messages.
+    """
     gate = slot_gate.SlotGate(
         vm=node.vm,
         boot=node.boot,
         clock=node.clock,
         views=views,
         claims=NodeClaims(node),
-        send=node.links.send,
+        send=send or node.links.send,
         rng=node.rng,
     )
 
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -4,11 +4,13 @@
 prints one JSON line with the address of each endpoint.
 """
 
-from collections import Counter
+import collections
+from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
 from datetime import timedelta
 import json
+import random
 import signal
 import sys
 import time
@@ -30,7 +32,13 @@
 
 @dataclass(kw_only=True)
 class Settings:
-    """Behaviour of one endpoint; ``POST /behaviour`` changes it."""
+    """Behaviour of one endpoint; ``POST /behaviour`` changes it.
+
+    ``services`` gives the mean service time in ms by path prefix, where it
+    is not ``service_ms``. Times are gamma distributed with
+    ``service_shape``, and constant when it is 0. Requests beyond ``slots``
+    are refused, unless ``queue_limit`` lets them wait in order of arrival.
+    """
 
     name: str
     keyed: bool = False
@@ -38,6 +46,9 @@
     dedup: bool = False
     slots: int = 4
     service_ms: float = 5.0
+    services: Mapping[str, float] = field(default_factory=dict)
+    service_shape: float = 0.0
+    queue_limit: int = 0
     draining: bool = False
     load_report: int | None = None
 
@@ -47,15 +58,23 @@
     """One endpoint.
 
     ``executions`` counts the runs of each idempotency key; ``started``
-    remembers the keys for duplicate detection.
+    remembers the keys for duplicate detection. ``peak`` is the largest
+    number of requests present at a time, running, waiting or refused, since
+    ``GET /peak`` was last asked.
     """
 
     cfg: Settings
     lease: lease_check.Check
-    executions: Counter[str] = field(default_factory=Counter)
+    executions: collections.Counter[str] = field(
+        default_factory=collections.Counter
+    )
     started: set[str] = field(default_factory=set)
     in_use: int = 0
     served: int = 0
+    peak: int = 0
+    waiting: collections.deque[aio.Event] = field(
+        default_factory=collections.deque
+    )
 
     async def handle(self, exchange: server.Exchange) -> None:
         match exchange.path:
@@ -64,6 +83,10 @@
             case '/load':
                 await exchange.skip_body()
                 await exchange.reply(200, self._load())
+            case '/peak':
+                await exchange.skip_body()
+                peak, self.peak = self.peak, self.in_use + len(self.waiting)
+                await exchange.reply(200, {'peak': peak})
             case '/executions':
                 await exchange.skip_body()
                 await exchange.reply(200, {'counts': self.executions})
@@ -114,20 +137,53 @@
     async def _admit(
         self, exchange: server.Exchange, ticket: leases.Ticket | None
     ) -> None:
-        if self.in_use >= self.cfg.slots:
+        if not await self._take_slot():
             await self._refuse(exchange, 503, 'queue-full')
             return
+        try:
+            await self._start(exchange, ticket)
+        finally:
+            await self._free_slot()
+
+    async def _take_slot(self) -> bool:
+        self.peak = max(self.peak, self.in_use + len(self.waiting) + 1)
+        if self.in_use < self.cfg.slots:
+            self.in_use += 1
+            return True
+        if len(self.waiting) >= self.cfg.queue_limit:
+            return False
+        turn = aio.Event()
+        self.waiting.append(turn)
+        await turn.wait()
+        return True
+
+    async def _free_slot(self) -> None:
+        if self.waiting:
+            # The slot stays in use, by the next in line.
+            await self.waiting.popleft().set()
+        else:
+            self.in_use -= 1
+
+    async def _start(
+        self, exchange: server.Exchange, ticket: leases.Ticket | None
+    ) -> None:
         key = exchange.header('idempotency-key')
         if self.cfg.dedup and key in self.started:
             await self._refuse(exchange, 409, 'already-sent')
             return
         if key is not None:
             self.started.add(key)
-        self.in_use += 1
-        try:
-            await self._execute(exchange, ticket, key)
-        finally:
-            self.in_use -= 1
+        await self._execute(exchange, ticket, key)
+
+    def _service(self, path: str) -> timedelta:
+        mean = self.cfg.service_ms
+        for prefix, value in self.cfg.services.items():
+            if path.startswith(prefix):
+                mean = value
+        shape = self.cfg.service_shape
+        if shape:
+            mean = random.gammavariate(shape, mean / shape)
+        return timedelta(milliseconds=mean)
 
     async def _execute(
         self,
@@ -136,7 +192,7 @@
         key: str | None,
     ) -> None:
         received = await exchange.skip_body()
-        await aio.sleep(timedelta(milliseconds=self.cfg.service_ms))
+        await aio.sleep(self._service(exchange.path))
         if ticket is not None and not self.lease.commit(ticket):
             if key is not None:
                 self.started.discard(key)
