--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -94,7 +94,7 @@
         {
             'listings': (15, {_STANDARD: 0.85, _URGENT: 0.15}),
             'redemption': (9, {_STANDARD: 0.4, _URGENT: 0.6}),
-            'downloads': (8, {_URGENT: 0.5, _BULK: 0.5}),
+            'shop': (8, {_URGENT: 0.5, _BULK: 0.5}),
         },
     ),
 }
