Let a rank without work earn until its debt is gone

A rank paid for the slots that it held while others waited, and earned only while it had work itself. One that stayed below its floor therefore ran into debt, and when URGENT went into excess afterwards it waited until the debt was earned back: up to 1.7 s for STANDARD at 2 slots and 5 s for BULK.

--- a/goldcresthaven/admission.py
+++ b/goldcresthaven/admission.py
@@ -67,7 +67,9 @@
 
     While ranks compete, a rank with work earns its floor times the slots
     and pays for the slots that it holds. A rank with credit left is
-    owed service and goes before the others; the rest goes by rank.
+    owed service and goes before the others; the rest goes by rank. A rank
+    without work earns until its debt is gone, since what it leaves unused
+    counts towards its floor.
     """
 
     def __init__(self, *, floors: Sequence[float], slots: int) -> None:
@@ -81,10 +83,12 @@
         """Account for the time since the last call."""
         elapsed = (now - self._updated).total_seconds()
         self._updated = now
-        if elapsed <= 0.0 or not any(waiting):
+        if elapsed <= 0.0:
             return
+        contended = any(waiting)
         for level in range(RANK_COUNT):
-            if not waiting[level] and not held[level]:
+            if not contended or not (waiting[level] or held[level]):
+                self._recover(level, elapsed)
                 continue
             gain = self._income[level] - held[level]
             credit = self._credit[level] + elapsed * gain
@@ -92,6 +96,12 @@
                 max(credit, -CREDIT_LIMIT_S), CREDIT_LIMIT_S
             )
 
+    def _recover(self, level: int, elapsed: float) -> None:
+        credit = self._credit[level]
+        if credit < 0.0:
+            gained = elapsed * self._income[level]
+            self._credit[level] = min(credit + gained, 0.0)
+
     def choose(self, waiting: Sequence[int], allowed: int) -> int | None:
         """Return the level to serve next, or None when none may be served.
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -151,3 +151,36 @@
             served[level] += 1
         for count, floor in zip(served, [0.5, 0.3, 0.1]):
             self.assertGreaterEqual(count, 1000 * floor * 0.95)
+
+    def test_a_rank_below_its_floor_has_no_debt(self) -> None:
+        """Guards against a wait for service that was within the floor.
+
+        A rank that had used 10% of the slots, with a floor of 30%, was
+        served 2.3 s after a more urgent overload began.
+        """
+        shares = admission.Shares(floors=[0.5, 0.3, 0.1], slots=1)
+        for step in range(1000):
+            now = timedelta(milliseconds=10 * step)
+            held = [0, 1, 0] if step % 10 == 0 else [0, 0, 1]
+            shares.advance(now, [0, 0, 1], held)
+        waited = timedelta()
+        while shares.choose([1, 1, 0], 3) != 1:
+            waited += timedelta(milliseconds=10)
+            shares.advance(now + waited, [1, 1, 0], [1, 0, 0])
+        self.assertLess(waited, timedelta(milliseconds=300))
+
+    def test_a_debt_ends_while_nothing_waits(self) -> None:
+        """Guards against a debt from before a time without work."""
+        shares = admission.Shares(floors=[0.5, 0.3, 0.1], slots=1)
+        shares.advance(timedelta(seconds=10), [0, 1, 0], [0, 1, 0])
+        shares.advance(timedelta(seconds=20), [0, 0, 0], [0, 0, 0])
+        shares.advance(timedelta(seconds=20.1), [1, 1, 0], [1, 0, 0])
+        self.assertEqual(shares.choose([1, 1, 0], 3), 1)
+
+    def test_a_rank_without_work_saves_nothing(self) -> None:
+        """Guards against a burst that the other ranks would pay for."""
+        shares = admission.Shares(floors=[0.5, 0.3, 0.1], slots=1)
+        shares.advance(timedelta(seconds=10), [1, 0, 0], [0, 0, 0])
+        self.assertEqual(shares.choose([1, 0, 1], 3), 0)
+        shares.advance(timedelta(seconds=15), [1, 0, 0], [1, 0, 0])
+        self.assertEqual(shares.choose([1, 0, 1], 3), 0)
