Record the overload measurements with real processes

A trace shows the cause: the slot of a request that timed out is freed while the upstream still works on it. Each excess of the measured phases followed a timeout at the same endpoint by 2 to 54 ms.

--- a/bench/overload_report.py
+++ b/bench/overload_report.py
@@ -121,5 +121,44 @@
     PAGE.write_text('\n\n'.join(parts) + '\n')
 
 
-_INTRODUCTION = ''
-_DIFFERENCES = ''
+_INTRODUCTION = """\
+# Measurements of overload
+
+## Overload with real processes
+
+Written by `python -m bench.real_overload --write`, seed 1, on a machine
+shared with other jobs: 4 entry processes in 2 zones, 4 endpoints with 2
+slots each, gamma distributed service times with means of 100 ms (URGENT,
+STANDARD) and 200 ms (BULK). Half load is 20% URGENT, 15% STANDARD and 15%
+BULK of the slot time; then one rank rises to three times the capacity. Each
+phase takes 8 s, one after the other in the same processes. The naive gate
+sends each request to a random upstream, which serves in order of arrival.
+Goodput is the mean service time of the answered requests as a share of slot
+time, so it may exceed 1 when short ones are answered. The peak counts
+requests that the upstream refused or let wait."""
+
+_DIFFERENCES = """\
+Differences to the virtual benchmark:
+
+- A virtual run starts without a history, and here each phase follows
+  another. This uncovered that a rank below its floor ran into debt; since
+  the correction in `admission.Shares` STANDARD agrees with the virtual run.
+  BULK still does worse after its own excess; debt for service above its
+  floor is the likely cause, which is not proved.
+- The virtual endpoint queues what exceeds its slots, and its figures do not
+  show that. The real upstreams counted a third request at 2 slots when a
+  request had timed out: the entry frees the slot at the deadline, and the
+  upstream still works on the request. In a trace each excess of the measured
+  phases followed a timeout at the same endpoint by 2 to 54 ms. It is not
+  corrected yet; see `KNOWN-RED.txt`.
+- These timeouts are the unknown outcomes. A request is sent when two mean
+  service times are left, and a gamma distributed service with shape 4 takes
+  longer in 4 of 100 cases. The virtual runs have them too.
+- The rest is chance, since the arrivals of the two runs are drawn
+  separately; with the product's policy latency and message counts are
+  close to the virtual ones. No process used a core fully, so the processor
+  does not limit these figures.
+- In the naive runs the excess of one phase probably still fills the
+  upstreams' queues when the next begins: 100 BULK requests take 10 s at 2
+  slots, and they run although the entry gave up. The virtual run begins with
+  empty queues."""
