--- a/goldcresthaven/scheduler.py
+++ b/goldcresthaven/scheduler.py
@@ -25,6 +25,7 @@
 from goldcresthaven import outcomes
 from goldcresthaven import presets
 from goldcresthaven import slots
+from goldcresthaven import unfinished
 
 EXPIRY_INTERVAL = timedelta(milliseconds=10)
 UPKEEP_INTERVAL = timedelta(milliseconds=100)
@@ -87,6 +88,7 @@
         self._upstreams: dict[ids.UpstreamId, demand.Upstream] = {}
         self._running: dict[ids.RequestId, _Running] = {}
         self._queued: dict[ids.RequestId, demand.Line] = {}
+        self._unfinished = unfinished.Unfinished[_Running]()
         self._actions: list[Action] = []
         self._next_expiry = admission.ZERO
         self._next_upkeep = admission.ZERO
@@ -193,13 +195,13 @@
         *,
         draining: bool = False,
     ) -> list[Action]:
-        """Take the result of a dispatched attempt; its slot is free.
+        """Take the result of a dispatched attempt.
 
-        ``draining`` says that the response carried ``X-Draining``.
+        ``draining`` says that the response carried ``X-Draining``. The
+        slot is free, unless the upstream may still be running the request.
         """
         running = self._running.pop(request_id)
         one = self._upstreams[running.upstream]
-        one.running -= 1
         rank = one.line.queue.ranks[running.request.level]
         ran = now - running.started
         one.health.record(now, health.judge(outcome, ran, rank.service))
@@ -210,12 +212,23 @@
             rank.observe(ran)
         if one.health.leaving():
             self._note_leaving(now, one)
+        until = unfinished.free_at(
+            outcome, started=running.started, service=rank.service
+        )
+        if until > now:
+            self._unfinished.add(until, running)
+        else:
+            self._free(now, running)
+        return self._taken()
+
+    def _free(self, now: timedelta, running: _Running) -> None:
+        one = self._upstreams[running.upstream]
+        one.running -= 1
         if running.held is None:
             self._slots.end_fallback(running.upstream)
             self._serve_fallback(now, one.line)
         elif self._slots.release(now, running.held):
             self._serve(now, one, running.held)
-        return self._taken()
 
     def caller_gone(
         self, now: timedelta, request_id: ids.RequestId
@@ -288,6 +301,8 @@
 
     def tick(self, now: timedelta) -> list[Action]:
         """Do what depends on time alone; to be called every 5 ms."""
+        for running in self._unfinished.take(now):
+            self._free(now, running)
         if self._queued and now >= self._next_expiry:
             self._next_expiry = now + EXPIRY_INTERVAL
             for line in self._lines.values():
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -1,5 +1,6 @@
 """Tests that the documents agree with the code."""
 
+import importlib
 import pathlib
 import re
 from typing import Any
@@ -263,3 +264,22 @@
 def anchors(file: pathlib.Path) -> set[str]:
     headings = re.findall(r'^#+ (.+)$', file.read_text(), re.MULTILINE)
     return {h.lower().replace('`', '').replace(' ', '-') for h in headings}
+
+
+class ProofsTest(unittest.TestCase):
+    def test_named_tests_exist(self) -> None:
+        """Guards against a table that names tests which were renamed."""
+        text = (DOCS / 'proofs.md').read_text()
+        names = set(re.findall(r'`((?:tests|proofs)\.[\w.]+)`', text))
+        self.assertGreater(len(names), 20)
+        for name in sorted(names):
+            with self.subTest(name):
+                self.assertTrue(_exists(name), 'no such test or proof')
+
+
+def _exists(name: str) -> bool:
+    package, module, *rest = name.split('.')
+    found = importlib.import_module(f'{package}.{module}')
+    for part in rest:
+        found = getattr(found, part, None)
+    return found is not None
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -91,6 +91,38 @@
         actions = one.finished(later, ids.RequestId('1'), done)
         self.assertEqual(returned(actions), [1])
 
+    def test_slot_stays_occupied_after_a_timeout(self) -> None:
+        """Guards against a second request on a slot that is still in use.
+
+        The upstream goes on with a request whose time has run out here;
+        with a freed slot one endpoint ran 3 requests on 2 slots.
+        """
+        for reason, occupied in (
+            (outcomes.Reason.TIMEOUT, True),
+            (outcomes.Reason.CONNECTION_LOST, False),
+        ):
+            with self.subTest(reason):
+                one = make_scheduler()
+                one.arrive(NOW, make_request(1))
+                one.arrive(NOW, make_request(2))
+                one.message(NOW, make_grant(1))
+                later = NOW + timedelta(milliseconds=20)
+                actions = one.finished(
+                    later,
+                    ids.RequestId('1'),
+                    outcomes.Unknown(reason=reason),
+                )
+                dispatched = [
+                    a for a in actions if isinstance(a, scheduler.Dispatch)
+                ]
+                self.assertEqual(len(dispatched), 0 if occupied else 1)
+                actions = one.tick(NOW + timedelta(milliseconds=400))
+                self.assertEqual(
+                    scheduler.Dispatch in [type(a) for a in actions]
+                    or returned(actions) == [1],
+                    occupied,
+                )
+
     def test_slots_of_unusable_upstream_are_not_asked_for(self) -> None:
         """Guards against an endless exchange of slots with the manager."""
         one = make_scheduler()
