--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -279,7 +279,7 @@
 
 def _exists(name: str) -> bool:
     package, module, *rest = name.split('.')
-    found = importlib.import_module(f'{package}.{module}')
+    found: Any = importlib.import_module(f'{package}.{module}')
     for part in rest:
         found = getattr(found, part, None)
     return found is not None
