--- a/tests/test_partitions.py
+++ b/tests/test_partitions.py
@@ -127,7 +127,7 @@
         path = deployment.Files(folder=self.folder).write_settings(
             vm=vm, zone=zone, platform=str(platform)
         )
-        popen = processes.launch('goldcresthaven.entry', str(path))
+        popen = processes.launch('goldcresthaven', 'run', str(path))
         self.addCleanup(popen.kill)
         return popen
 
