--- a/bench/overload_report.py
+++ b/bench/overload_report.py
@@ -146,12 +146,11 @@
   BULK still does worse after its own excess; debt for service above its
   floor is the likely cause, which is not proved.
 - The virtual endpoint queues what exceeds its slots, and its figures do not
-  show that. The real upstreams counted a third request at 2 slots when a
-  request had timed out: the entry frees the slot at the deadline, and the
-  upstream still works on the request. In a trace each excess of the measured
-  phases followed a timeout at the same endpoint by 2 to 54 ms. It is not
-  corrected yet; see `KNOWN-RED.txt`.
-- These timeouts are the unknown outcomes. A request is sent when two mean
+  show that. The real upstreams once counted a third request at 2 slots after
+  a timeout, because the entry freed the slot while the upstream still worked
+  on the request. The slot now stays occupied for four mean service times
+  (`unfinished`), and the peak is 2 in the run above.
+- Timeouts are the unknown outcomes. A request is sent when two mean
   service times are left, and a gamma distributed service with shape 4 takes
   longer in 4 of 100 cases. The virtual runs have them too.
 - The rest is chance, since the arrivals of the two runs are drawn
