--- a/goldcresthaven/dispatch.py
+++ b/goldcresthaven/dispatch.py
@@ -1,19 +1,14 @@
-"""What the request path asks of the policies, and a simple policy.
+"""What the request path asks of the policies.
 
 ``caller_server`` knows admission, slots and the choice among upstreams
-only through ``Gate``. ``LocalGate`` is the policy of a process that has no
-connection to its peers.
+only through ``Gate``; ``slot_gate`` has the product's policy.
 """
 
 from collections.abc import Callable
 from collections.abc import Iterable
 from dataclasses import dataclass
-from datetime import timedelta
 from typing import Protocol
 
-from goldcresthaven import aio
-from goldcresthaven import clock as clock_module
-from goldcresthaven import errors
 from goldcresthaven import ids
 from goldcresthaven import members
 from goldcresthaven import outcomes
@@ -91,116 +86,3 @@
 
         ``attempt`` is None when the request ended without one.
         """
-
-
-class LocalGate:
-    """Slots divided evenly between entry processes, first come first served.
-
-    The choice in pools without keys goes by the process's own counts.
-    """
-
-    def __init__(self, *, views: Views, clock: clock_module.Clock) -> None:
-        self._views = views
-        self._clock = clock
-        self._in_use: dict[ids.UpstreamId, int] = {}
-        self._freed = aio.Event()
-        self._turn = 0
-
-    async def admit(
-        self,
-        routed: routing.Routed,
-        *,
-        tried: Iterable[ids.UpstreamId],
-        caller_gone: Callable[[], bool],
-    ) -> Admitted | outcomes.NotRun:
-        avoided = frozenset(tried)
-        while True:
-            view = self._views.current()
-            if view is None:
-                return _refuse(outcomes.Reason.NOT_READY)
-            candidates = self._candidates(view, routed, avoided)
-            if not candidates:
-                return _refuse(outcomes.Reason.NO_UPSTREAM)
-            chosen = self._free(view, routed, candidates)
-            if chosen is not None:
-                return self._grant(view, routed, chosen)
-            if not await self._wait(routed.deadline):
-                return _refuse(outcomes.Reason.DEADLINE_PASSED)
-            if caller_gone():
-                return _refuse(outcomes.Reason.CALLER_GONE)
-
-    async def release(
-        self,
-        routed: routing.Routed,
-        admitted: Admitted,
-        attempt: retries.Attempt | None,
-    ) -> None:
-        self._in_use[admitted.upstream] -= 1
-        await self._freed.set()
-
-    def _candidates(
-        self,
-        view: View,
-        routed: routing.Routed,
-        avoided: frozenset[ids.UpstreamId],
-    ) -> list[members.Member]:
-        if routed.pool.keyed:
-            owner = routed.owner
-            known = view.upstreams.get(owner) if owner else None
-            return [known] if known else []
-        pool = [
-            m
-            for m in view.upstreams.values()
-            if m.pool == routed.pool.name
-            and m.state is members.MemberState.LIVE
-            and ids.UpstreamId(m.vm) not in view.document.drained
-        ]
-        fresh = [m for m in pool if ids.UpstreamId(m.vm) not in avoided]
-        return fresh or pool
-
-    def _free(
-        self,
-        view: View,
-        routed: routing.Routed,
-        candidates: list[members.Member],
-    ) -> members.Member | None:
-        share = max(1, routed.pool.slots // max(1, view.entries))
-        self._turn += 1
-        start = self._turn % len(candidates)
-        ordered = candidates[start:] + candidates[:start]
-        best = min(ordered, key=lambda m: self._count(m))
-        return best if self._count(best) < share else None
-
-    def _count(self, member: members.Member) -> int:
-        return self._in_use.get(ids.UpstreamId(member.vm), 0)
-
-    def _grant(
-        self, view: View, routed: routing.Routed, chosen: members.Member
-    ) -> Admitted:
-        upstream = ids.UpstreamId(chosen.vm)
-        self._in_use[upstream] = self._count(chosen) + 1
-        return Admitted(
-            upstream=upstream,
-            address=chosen.address,
-            connection_limit=view.connection_limit(routed.pool),
-        )
-
-    async def _wait(self, deadline: timedelta) -> bool:
-        remaining = deadline - self._clock.elapsed()
-        if remaining <= timedelta():
-            return False
-        self._freed.clear()
-        try:
-            async with aio.timeout(remaining):
-                await self._freed.wait()
-        except errors.DeadlineExceeded:
-            return False
-        return True
-
-
-def _refuse(reason: outcomes.Reason) -> outcomes.NotRun:
-    return outcomes.NotRun(
-        reason=reason,
-        detail='no upstream was asked',
-        retry_after=retries.RETRY_AFTER,
-    )
--- a/tools/rig.py
+++ b/tools/rig.py
@@ -28,6 +28,7 @@
 from goldcresthaven import tables
 from goldcresthaven import upstream_pool
 from tools import http_client
+from tools import local_gate
 
 HOST = '127.0.0.1'
 TEST_LIMIT = timedelta(seconds=30)
@@ -283,7 +284,7 @@
     history = request_history.RequestHistory(vm=ids.VmId('entry'), clock=clock)
     server = server_type(
         views=views,
-        gate=dispatch.LocalGate(views=views, clock=clock),
+        gate=local_gate.LocalGate(views=views, clock=clock),
         records=records or dedup.Records(store=store or NoStore()),
         forwarder=forwarding.Forwarder(conns=conns, clock=clock),
         history=history,
