--- a/bench/overload_entry.py
+++ b/bench/overload_entry.py
@@ -15,6 +15,7 @@
 from goldcresthaven import aio
 from goldcresthaven import dispatch
 from goldcresthaven import entry
+from goldcresthaven import health
 from goldcresthaven import ids
 from goldcresthaven import members
 from goldcresthaven import node as node_module
@@ -107,6 +108,10 @@
         """Return 0; the gate does not count."""
         return 0
 
+    def condition(self, upstream: ids.UpstreamId) -> health.Condition:
+        """Return up; the gate does not judge upstreams."""
+        return health.Condition.UP
+
     def queues(self) -> tuple[operator_views.Queue, ...]:
         """Return nothing; requests do not wait here."""
         return ()
--- a/goldcresthaven/health.py
+++ b/goldcresthaven/health.py
@@ -78,6 +78,15 @@
             return Verdict.BAD
 
 
+class Condition(Enum):
+    """What the operator is told about an upstream."""
+
+    UP = 'up'
+    OPEN = 'open'
+    SLOW_START = 'slow-start'
+    DRAINING = 'draining'
+
+
 @dataclass(kw_only=True, slots=True)
 class Health:
     """One upstream as one entry process sees it."""
@@ -148,6 +157,15 @@
             return 1.0
         return max(age, LEAST_WEIGHT)
 
+    def condition(self, now: timedelta) -> Condition:
+        if self.leaving():
+            return Condition.DRAINING
+        if self.breaker is not BreakerState.CLOSED:
+            return Condition.OPEN
+        if self.weight(now) < 1.0:
+            return Condition.SLOW_START
+        return Condition.UP
+
     def _passes(self, now: timedelta) -> bool:
         if now < self.pause_until:
             return False
--- a/goldcresthaven/local_process.py
+++ b/goldcresthaven/local_process.py
@@ -15,6 +15,7 @@
 from goldcresthaven import dispatch
 from goldcresthaven import errors
 from goldcresthaven import events
+from goldcresthaven import health
 from goldcresthaven import ids
 from goldcresthaven import members
 from goldcresthaven import messages
@@ -41,6 +42,9 @@
     def in_use(self, upstream: ids.UpstreamId) -> int:
         """Return the requests that this process has at an upstream."""
 
+    def condition(self, upstream: ids.UpstreamId) -> health.Condition:
+        """Return what the process's own attempts say of an upstream."""
+
     def queues(self) -> tuple[views.Queue, ...]:
         """Return the requests that wait here, by pool and rank."""
 
@@ -206,7 +210,12 @@
         lost: frozenset[ids.UpstreamId],
     ) -> views.Upstream:
         drained = view is not None and name in view.document.drained
-        state, reason = _state(member, drained=drained, lost=name in lost)
+        state, reason = _state(
+            member,
+            drained=drained,
+            lost=name in lost,
+            condition=self.work.condition(name),
+        )
         return views.Upstream(
             upstream=name,
             pool=member.pool or ids.PoolName(''),
@@ -220,8 +229,20 @@
         )
 
 
+_CONDITIONS = {
+    health.Condition.UP: '',
+    health.Condition.OPEN: 'it failed repeatedly here; one request tries it',
+    health.Condition.SLOW_START: 'it is new or back and gets load slowly',
+    health.Condition.DRAINING: 'its own responses say that it is leaving',
+}
+
+
 def _state(
-    member: members.Member, *, drained: bool, lost: bool
+    member: members.Member,
+    *,
+    drained: bool,
+    lost: bool,
+    condition: health.Condition,
 ) -> tuple[str, str]:
     if lost:
         return 'lost', 'the holder of its claim cannot reach it'
@@ -229,7 +250,7 @@
         return 'draining', 'an operator drained it'
     if member.state is members.MemberState.LEAVING:
         return 'draining', 'the membership list says that it is leaving'
-    return 'up', ''
+    return condition.value, _CONDITIONS[condition]
 
 
 def _slots(member: members.Member, view: dispatch.View | None) -> int:
--- a/goldcresthaven/scheduler.py
+++ b/goldcresthaven/scheduler.py
@@ -161,6 +161,15 @@
         if one is not None:
             one.reported_load = load
 
+    def condition(
+        self, now: timedelta, upstream: ids.UpstreamId
+    ) -> health.Condition:
+        """Return an upstream's condition; an unknown one counts as up."""
+        one = self._upstreams.get(upstream)
+        return (
+            health.Condition.UP if one is None else one.health.condition(now)
+        )
+
     def arrive(
         self, now: timedelta, request: admission.Request
     ) -> list[Action]:
--- a/goldcresthaven/slot_gate.py
+++ b/goldcresthaven/slot_gate.py
@@ -20,6 +20,7 @@
 from goldcresthaven import aio
 from goldcresthaven import clock as clock_module
 from goldcresthaven import dispatch
+from goldcresthaven import health
 from goldcresthaven import ids
 from goldcresthaven import members
 from goldcresthaven import operator_views
@@ -176,6 +177,12 @@
         """Return the requests that this process has at an upstream."""
         return self._in_use[upstream]
 
+    def condition(self, upstream: ids.UpstreamId) -> health.Condition:
+        """Return what this process's own attempts say of an upstream."""
+        if self._scheduler is None:
+            return health.Condition.UP
+        return self._scheduler.condition(self._clock.elapsed(), upstream)
+
     def queues(self) -> tuple[operator_views.Queue, ...]:
         """Return the requests that wait here, by pool and rank."""
         now = self._clock.elapsed()
