--- a/goldcresthaven/control_driver.py
+++ b/goldcresthaven/control_driver.py
@@ -364,6 +364,7 @@
     async def _release_noticed(
         self, vm: ids.VmId, message: messages.ClaimReleased
     ) -> messages.Message | None:
+        self._node.ended.add(vm)
         if self._node.ready:
             await self.tell(control.ReleaseNoticed(domain=message.domain))
         return None
--- a/goldcresthaven/node.py
+++ b/goldcresthaven/node.py
@@ -74,6 +74,8 @@
             vm=vm, zone=zone, boot=self.boot
         )
         self.state = replica.Replica()
+        # VMs that released a claim, which they do after their last request.
+        self.ended: set[ids.VmId] = set()
         self.ready = False
         self.stopping = False
         self._handlers: dict[type[Any], Handler[Any]] = {}
--- a/goldcresthaven/slot_links.py
+++ b/goldcresthaven/slot_links.py
@@ -34,9 +34,8 @@
     def entries(self) -> frozenset[ids.VmId]:
         others = self._node.peers().values()
         live = members.MemberState.LIVE
-        return frozenset(m.vm for m in others if m.state is live) | {
-            self._node.vm
-        }
+        running = {m.vm for m in others if m.state is live}
+        return frozenset(running - self._node.ended | {self._node.vm})
 
 
 def connect(
@@ -65,6 +64,8 @@
             case slots.SlotDemand(entry=entry) | slots.SlotReturn(entry=entry):
                 if entry != vm:
                     return messages.Refusal(reason='sent for another VM')
+                # A process that starts again on the VM has slots of its own.
+                node.ended.discard(vm)
         await gate.received(message)
         return None
 
