Give granted slots a connection beyond the share of the process

Cause: with 8 connections, 4 slots and 3 processes, an entry holding 3 slots had room for 2 connections and refused the third request as connect-failed. Shares now leave room for the slots.

--- a/goldcresthaven/dispatch.py
+++ b/goldcresthaven/dispatch.py
@@ -29,8 +29,13 @@
     entries: int = 1
 
     def connection_limit(self, pool: presets.Pool) -> int:
-        """Connections that this process may hold to one endpoint."""
-        return max(1, pool.connections // max(1, self.entries))
+        """Connections that this process may hold to one endpoint.
+
+        Connections in use need a slot, so those of all processes together
+        are kept out of the shares; see ``slot_gate``.
+        """
+        spare = pool.connections - pool.slots
+        return max(1, spare // max(1, self.entries))
 
 
 class Views(Protocol):
--- a/goldcresthaven/slot_gate.py
+++ b/goldcresthaven/slot_gate.py
@@ -287,6 +287,8 @@
             return
         limit = view.connection_limit(waiter.routed.pool)
         self._in_use[action.upstream] += 1
+        # A granted slot may exceed this process's share of connections.
+        limit = max(limit, self._in_use[action.upstream])
         admitted = dispatch.Admitted(
             upstream=action.upstream,
             address=member.address,
