--- a/goldcresthaven/health.py
+++ b/goldcresthaven/health.py
@@ -142,6 +142,11 @@
         """Return whether work that others could also do may go."""
         return self.drain_since is None and self._passes(now)
 
+    def paused(self, now: timedelta) -> bool:
+        """Return whether only a short pause after a refusal holds work."""
+        calm = self.breaker is BreakerState.CLOSED and not self.leaving()
+        return calm and now < self.pause_until
+
     def begin(self) -> None:
         """Note that an attempt starts."""
         if self.breaker is BreakerState.HALF_OPEN:
--- a/goldcresthaven/scheduler.py
+++ b/goldcresthaven/scheduler.py
@@ -487,7 +487,10 @@
         if line.usable:
             return True
         self._demand.refresh(now, line)
-        return bool(line.usable)
+        if line.usable:
+            return True
+        # An upstream that shed a request is left alone for a moment only.
+        return any(one.health.paused(now) for one in line.upstreams.values())
 
     def _note_leaving(self, now: timedelta, one: demand.Upstream) -> None:
         """Tell the manager, give idle slots back, use other upstreams."""
