--- a/goldcresthaven/slots.py
+++ b/goldcresthaven/slots.py
@@ -29,8 +29,6 @@
 RENEWAL = timedelta(milliseconds=300)  # three chances within LEASE
 SILENCE = timedelta(seconds=1)
 
-FALLBACK_SLOT = 0  # lease ids start at 1
-
 
 Level = Annotated[int, codec.Range(0, admission.RANK_COUNT - 1)]
 Counts = Annotated[
