--- a/goldcresthaven/follower.py
+++ b/goldcresthaven/follower.py
@@ -20,9 +20,22 @@
 from goldcresthaven import routes
 from goldcresthaven import state_store
 
-# A poll that the store swallows is noticed after this time at the latest,
-# which is below the bound for a configuration to be in force.
-WATCH_WAIT = timedelta(seconds=4)
+# How long a poll waits for a change. A poll that the store swallows is
+# noticed only then: for configuration and registry that has to be within
+# the 3 s after which a calm machine counts and the 2 s that a change may
+# take. A stale key map costs a refusal and no promise.
+WATCH_WAIT = {
+    state_store.Table.CONFIG: timedelta(seconds=4),
+    state_store.Table.REGISTRY: timedelta(seconds=4),
+    state_store.Table.ASSIGNMENTS: timedelta(seconds=10),
+}
+# Pause after a change, so that a series of changes costs few calls. An
+# upstream that leaves may get work for 2 s after it said so.
+SETTLE = {
+    state_store.Table.CONFIG: timedelta(milliseconds=50),
+    state_store.Table.REGISTRY: timedelta(milliseconds=350),
+    state_store.Table.ASSIGNMENTS: timedelta(milliseconds=60),
+}
 FIRST_RETRY = timedelta(milliseconds=100)
 LONGEST_RETRY = timedelta(seconds=1)
 # Silence after which entries of the registry may have lapsed.
@@ -100,7 +113,7 @@
                     reading = await self._store.read(table)
                 else:
                     reading = await self._store.watch(
-                        table, after=after, wait=WATCH_WAIT
+                        table, after=after, wait=WATCH_WAIT[table]
                     )
             except state_store.HistoryLost:
                 decision_log.note('history-lost', detail=table.value)
@@ -122,6 +135,8 @@
             pause = FIRST_RETRY
             after = max(after or 0, reading.version)
             await self._apply(table, reading, whole, now)
+            if reading.rows:
+                await aio.sleep(SETTLE[table])
 
     def _note_return(
         self, table: state_store.Table, away: timedelta, now: timedelta
--- a/goldcresthaven/key_coordinator.py
+++ b/goldcresthaven/key_coordinator.py
@@ -37,7 +37,7 @@
 # A holder stops granting this long after its last renewal was sent.
 CLAIM_VALID = timedelta(seconds=5)
 # The claim is polled by all processes; together they look often enough.
-POLL_EVERY = timedelta(seconds=2)
+POLL_EVERY = timedelta(seconds=6)
 FIRST_POLL = timedelta(milliseconds=300)
 TICK = timedelta(milliseconds=100)
 PLAN_EVERY = timedelta(milliseconds=300)
@@ -142,7 +142,7 @@
         pause = FIRST_POLL
         while not self._stopped:
             await aio.sleep(pause * self._rng.uniform(0.3, 1.0))
-            pause = POLL_EVERY * 1.5
+            pause = POLL_EVERY
             if self._clock.elapsed() < self._abstain_until:
                 continue
             try:
