--- a/goldcresthaven/aio.py
+++ b/goldcresthaven/aio.py
@@ -279,6 +279,37 @@
             await self._quiet.set()
 
 
+class Datagrams:
+    """A UDP socket; what cannot be sent at once is dropped."""
+
+    def __init__(self, *, host: str, port: int) -> None:
+        raw = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        raw.setblocking(False)
+        raw.bind((host, port))
+        self._raw = raw
+        self._sock = curio_io.Socket(raw)
+
+    @property
+    def port(self) -> int:
+        return int(self._raw.getsockname()[1])
+
+    def send(self, data: bytes, host: str, port: int) -> bool:
+        """Send a datagram; returns whether the system took it."""
+        try:
+            self._raw.sendto(data, (host, port))
+        except OSError:
+            return False
+        return True
+
+    async def receive(self, size: int) -> tuple[bytes, str, int]:
+        """Return the next datagram with its sender's address."""
+        data, (host, port) = await self._sock.recvfrom(size)
+        return bytes(data), str(host), int(port)
+
+    async def close(self) -> None:
+        await self._sock.close()
+
+
 class SignalWaiter:
     """Waits for signals; they count from the moment it is created.
 
--- a/goldcresthaven/gateway.py
+++ b/goldcresthaven/gateway.py
@@ -21,7 +21,6 @@
 from goldcresthaven import http_head
 from goldcresthaven import http_io
 from goldcresthaven import ids
-from goldcresthaven import key_plan
 from goldcresthaven import outcomes
 from goldcresthaven import registry
 from goldcresthaven import request_meta
@@ -49,6 +48,8 @@
 RETRY_BURST = 3.0
 # A download's bytes between zones cost as much as this much latency.
 DOWNLOAD_PENALTY = timedelta(milliseconds=60)
+# Keys remembered between two reports of the load.
+MAX_KEYS_SEEN = 2000
 SEND_TIMEOUT = timedelta(seconds=5)
 
 
@@ -68,10 +69,7 @@
 
 
 class Gateway:
-    """Serves callers' connections.
-
-    ``keys_seen`` counts keyed requests by pool for the key coordinator.
-    """
+    """Serves callers' connections."""
 
     def __init__(
         self,
@@ -95,7 +93,7 @@
         self._draining = False
         self._stopped = False
         self.in_flight = 0
-        self.keys_seen: dict[ids.PoolName, key_plan.KeyLoad] = {}
+        self._keys_seen: dict[ids.PoolName, list[int]] = {}
 
     def is_ready(self) -> bool:
         return not self._draining and self._beliefs.is_complete()
@@ -146,6 +144,10 @@
         finally:
             await conn.close()
 
+    def take_keys_seen(self, pool: ids.PoolName) -> list[int]:
+        """Return the keys of a pool's requests since the last call."""
+        return self._keys_seen.pop(pool, [])
+
     def _limits(self) -> routes.CallerLimits:
         cfg = self._beliefs.config
         return cfg.limits if cfg else routes.CallerLimits()
@@ -261,10 +263,9 @@
     async def _run(self, work: _Work) -> outcomes.Outcome:
         self._budget.earn(RETRY_RATIO)
         if work.pool.keyed and work.call.meta.key is not None:
-            load = self.keys_seen.setdefault(
-                work.pool.name, key_plan.KeyLoad()
-            )
-            load.count(work.call.meta.key)
+            seen = self._keys_seen.setdefault(work.pool.name, [])
+            if len(seen) < MAX_KEYS_SEEN:
+                seen.append(work.call.meta.key)
         while True:
             choice = await self._choose(work)
             if isinstance(choice, outcomes.NotRun):
--- a/goldcresthaven/gateway_process.py
+++ b/goldcresthaven/gateway_process.py
@@ -24,7 +24,7 @@
 from goldcresthaven import http_io
 from goldcresthaven import ids
 from goldcresthaven import key_coordinator
-from goldcresthaven import key_plan
+from goldcresthaven import load_exchange
 from goldcresthaven import registry
 from goldcresthaven import selection
 from goldcresthaven import telemetry
@@ -104,6 +104,14 @@
             rng=self._rng,
         ).start()
         await aio.spawn(self._coordinate())
+        await load_exchange.LoadExchange(
+            address=self._cfg.peers,
+            beliefs=self._beliefs,
+            selector=self._selector,
+            take_keys=self._gateway.take_keys_seen,
+            coordinators=self._coordinators,
+            clock=self._clock,
+        ).start()
         decision_log.note('started', detail=self._identity)
         await stop.wait()
         await self._stop(callers)
@@ -140,14 +148,13 @@
             await aio.sleep(POOL_CHECK)
 
     async def _start_coordinator(self, pool: ids.PoolName) -> None:
-        load = self._gateway.keys_seen.setdefault(pool, key_plan.KeyLoad())
         coordinator = key_coordinator.KeyCoordinator(
             pool=pool,
             identity=self._identity,
             store=self._store,
             calls=self._calls,
             upstreams=self._beliefs.registry,
-            load=load,
+            address=str(self._cfg.peers),
             capacity=self._selector.capacity,
             longest_hold=self._cfg.longest_hold,
             clock=self._clock,
--- a/goldcresthaven/gateway_settings.py
+++ b/goldcresthaven/gateway_settings.py
@@ -20,6 +20,7 @@
     zone: ids.ZoneId
     callers: members.Address
     readiness: members.Address
+    peers: members.Address
     store: members.Address
     grace: timedelta
     longest_hold: timedelta
--- a/goldcresthaven/key_coordinator.py
+++ b/goldcresthaven/key_coordinator.py
@@ -13,6 +13,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
 from datetime import timedelta
@@ -35,13 +36,16 @@
 # Two beats and a slow store's answer.
 STALE_AFTER = timedelta(seconds=1.9)
 # A holder stops granting this long after its last renewal was sent.
-CLAIM_VALID = timedelta(seconds=5)
+CLAIM_VALID = timedelta(seconds=4)
+# A beat is by the holder's idea of the store's clock, which lags by the
+# time of an answer, and its call may have been slow.
+BEAT_ERROR = timedelta(seconds=1.2)
 # The claim is polled by all processes; together they look often enough.
 POLL_EVERY = timedelta(seconds=6)
 FIRST_POLL = timedelta(milliseconds=300)
 TICK = timedelta(milliseconds=100)
 PLAN_EVERY = timedelta(milliseconds=300)
-RELIEF_EVERY = timedelta(seconds=4)
+RELIEF_EVERY = timedelta(seconds=1)
 # After the first upstream registered, the others follow within a beat.
 GATHER = timedelta(seconds=1.2)
 # An owner that answers no grant for this long is taken for lost.
@@ -54,7 +58,15 @@
 REACHABLE_SHARE = 0.5
 ABSTAIN = timedelta(seconds=5)
 FENCE_BLOCK = 10000
-LOAD_HALF_LIFE = timedelta(seconds=4)
+LOAD_HALF_LIFE = timedelta(seconds=2)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Claim:
+    """The claim's row; ``beat`` is by the store's clock."""
+
+    holder: str
+    beat: timedelta
 
 
 @dataclass(kw_only=True)
@@ -77,6 +89,7 @@
     book: key_grants.HoldBook
     fence: int
     since: timedelta
+    load: key_plan.KeyLoad = field(default_factory=key_plan.KeyLoad)
     transfers: list[_Transfer] = field(default_factory=list)
     due: dict[key_map.Owner, timedelta] = field(default_factory=dict)
     renewing: set[key_map.Owner] = field(default_factory=set)
@@ -93,8 +106,8 @@
 class KeyCoordinator:
     """Follows and, when it is this process's turn, holds one pool's claim.
 
-    ``capacity`` tells an upstream's relative capacity; ``load`` counts the
-    requests that this process itself saw, which is a fair sample.
+    ``capacity`` tells an upstream's relative capacity. ``address`` is
+    where other processes report what they see of the load.
     """
 
     def __init__(
@@ -105,7 +118,7 @@
         store: state_store.StateStore,
         calls: key_grants.LeaseCalls,
         upstreams: registry_module.Registry,
-        load: key_plan.KeyLoad,
+        address: str,
         capacity: Callable[[registry_module.Upstream], float],
         longest_hold: timedelta,
         clock: clock_module.Clock,
@@ -116,7 +129,7 @@
         self._store = store
         self._calls = calls
         self._upstreams = upstreams
-        self._load = load
+        self._address_text = address
         self._capacity = capacity
         self._longest_hold = longest_hold
         self._clock = clock
@@ -137,6 +150,12 @@
     def holds_claim(self) -> bool:
         return self._tenure is not None
 
+    def count(self, keys: Iterable[int], weight: float) -> None:
+        """Count requests, each for ``weight`` ones, while it holds."""
+        if self._tenure is not None:
+            for key in keys:
+                self._tenure.load.count(key, weight)
+
     async def run(self) -> None:
         """Follow and hold the claim until ``stop``."""
         pause = FIRST_POLL
@@ -168,15 +187,23 @@
         self, row: state_store.Row | None, clock: timedelta
     ) -> bool:
         """Return whether a claim's row may be taken over."""
-        if row is None or row.value is None:
-            return True
-        try:
-            claim = json.loads(row.value)
-            beat = timedelta(seconds=claim['beat'])
-            holder = str(claim['holder'])
-        except (KeyError, TypeError, ValueError):
+        claim = _decode_claim(row)
+        if claim is None or claim.holder == self._identity:
             return True
-        return holder == self._identity or clock - beat > STALE_AFTER
+        return clock - claim.beat > STALE_AFTER
+
+    def _age(
+        self, row: state_store.Row | None, clock: timedelta
+    ) -> timedelta:
+        """Return how long ago the last holder has renewed at least.
+
+        A holder counts its claim from then. Zero for one that gave its
+        claim up: its last renewal is not known.
+        """
+        claim = _decode_claim(row)
+        if claim is None or not claim.beat:
+            return timedelta()
+        return max(timedelta(), clock - claim.beat - BEAT_ERROR)
 
     async def _try_take(self) -> _Tenure | None:
         reading = await self._store.read(state_store.Table.CLAIMS)
@@ -194,9 +221,8 @@
         maps = await self._store.read(state_store.Table.ASSIGNMENTS)
         keys = _map_of(maps, self._pool)
         # What an earlier holder may still send, and the longest hold.
-        inherited = key_grants.hold_end(
-            taken + CLAIM_VALID, self._longest_hold
-        )
+        stopped = taken + CLAIM_VALID - self._age(row, reading.clock)
+        inherited = key_grants.hold_end(stopped, self._longest_hold)
         if keys.version == state_store.ABSENT:
             inherited = timedelta()
         tenure = _Tenure(
@@ -204,7 +230,9 @@
             renewed=sent,
             store_clock=result.clock - taken,
             keys=keys,
-            book=key_grants.HoldBook(inherited=inherited),
+            book=key_grants.HoldBook(
+                inherited=inherited, first_fence=keys.next_fence
+            ),
             fence=keys.next_fence,
             since=taken,
         )
@@ -233,13 +261,13 @@
                     tenure.lost = 'not renewed in time'
                     break
                 await self._renew_due(tenure, now)
-                if now - planned > PLAN_EVERY and not tenure.transfers:
+                if now - planned > PLAN_EVERY:
                     relieve = now - relieved > RELIEF_EVERY
                     await self._start_moves(tenure, now, relieve)
                     relieved = now if relieve else relieved
                     planned = now
                 if now - decayed > LOAD_HALF_LIFE:
-                    self._load.decay(0.5)
+                    tenure.load.decay(0.5)
                     decayed = now
                 await aio.sleep(TICK)
         finally:
@@ -318,7 +346,9 @@
             if transfer.handover is not None:
                 tenure.handovers[change.fence] = transfer.handover
         limit = max(tenure.keys.next_fence, tenure.fence + FENCE_BLOCK)
-        return tenure.keys.replace(changes, next_fence=limit)
+        return tenure.keys.replace(
+            changes, next_fence=limit, coordinator=self._address_text
+        )
 
     async def _reread(self, tenure: _Tenure) -> None:
         """Learn what became of an unanswered write, or who took over."""
@@ -328,7 +358,8 @@
         if row is None or row.value is None:
             tenure.lost = 'the claim is gone'
             return
-        if json.loads(row.value).get('holder') != self._identity:
+        claim = _decode_claim(row)
+        if claim is None or claim.holder != self._identity:
             tenure.lost = 'another process took the claim'
             return
         tenure.claim_version = row.version
@@ -497,14 +528,39 @@
         candidates = self._candidates(tenure, now, owners, lost)
         if candidates is None:
             return
+        if not (relieve or self._is_due(tenure, candidates)):
+            return
+        # Ranges under way count as their targets' already.
+        fixed = [
+            key_map.KeyRange(
+                first=t.move.source.first,
+                last=t.move.source.last,
+                owner=t.move.target,
+                fence=t.move.source.fence,
+            )
+            for t in tenure.transfers
+        ]
         moves = key_plan.plan(
-            tenure.keys, candidates, self._load, relieve=relieve
+            tenure.keys.replace(fixed, next_fence=tenure.keys.next_fence),
+            candidates,
+            tenure.load,
+            fixed=fixed,
+            relieve=relieve and not fixed,
         )
         for move in moves:
             transfer = _Transfer(move=move)
             tenure.transfers.append(transfer)
             await aio.spawn(self._free(tenure, transfer))
 
+    def _is_due(
+        self, tenure: _Tenure, candidates: list[key_plan.Candidate]
+    ) -> bool:
+        """Return whether keys lack an owner, or a candidate keys."""
+        able = {candidate.owner for candidate in candidates}
+        moving = {t.move.target for t in tenure.transfers}
+        owners = {r.owner for r in tenure.keys.ranges}
+        return bool(owners - able or able - owners - moving)
+
     def _candidates(
         self,
         tenure: _Tenure,
@@ -557,20 +613,21 @@
         """Return the owner's confirmation, or None when its hold is over."""
         while owner in tenure.renewing:
             await aio.sleep(TICK / 5)
-        fences = [source.fence]
+        free_at = tenure.book.free_at(owner, source.fence)
+        fence: int | None = None
         while tenure.lost is None:
             now = self._clock.elapsed()
-            ends = [
-                tenure.book.free_at(_with_fence(source, fence))
-                for fence in fences
-            ]
-            if now >= max(ends):
+            if now >= free_at:
                 return None
             address = self._address(owner)
             if address is not None and self._may_send(tenure):
-                fence = await self._settled_fence(
-                    tenure, source, owner, address, fences
-                )
+                if tenure.book.is_settled(owner, source.fence, now):
+                    fence = fence or source.fence
+                elif fence is None and self._is_registered(owner):
+                    fence, end = await self._raise_fence(
+                        tenure, source, owner, address
+                    )
+                    free_at = max(free_at, end)
                 if fence is not None:
                     released = await self._calls.release(
                         address,
@@ -584,53 +641,70 @@
             await aio.sleep(TICK * 3)
         return None
 
-    async def _settled_fence(
+    def _is_registered(self, owner: key_map.Owner) -> bool:
+        """Return whether an owner's address is certainly its own."""
+        known = self._upstreams.get(owner.upstream_id)
+        if known is None:
+            return False
+        left = self._upstreams.departure(
+            owner.upstream_id, self._clock.elapsed()
+        )
+        return left is None or known.draining
+
+    async def _raise_fence(
         self,
         tenure: _Tenure,
         source: key_map.KeyRange,
         owner: key_map.Owner,
         address: members.Address,
-        fences: list[int],
-    ) -> int | None:
-        """Return a fence under which a release is final.
+    ) -> tuple[int | None, timedelta]:
+        """Grant keys shortly under a new fence.
 
-        While a lower grant may be under way, a short grant under a raised
-        fence makes the owner refuse it.
+        An owner that accepts it refuses all lower grants that may still be
+        under way, so that a release is final. Returns the fence, or None
+        without an answer, and when the short hold has ended.
         """
-        if len(fences) > 1:
-            return fences[-1] if fences[-1] else None
-        if tenure.book.is_settled(owner, self._clock.elapsed()):
-            return source.fence
         if tenure.keys.next_fence <= tenure.fence + 1 or tenure.doubtful:
-            return None
+            return None, timedelta()
         fence = tenure.take_fence()
         sent = self._clock.elapsed()
-        hold = key_grants.RELEASE_LIMIT
-        undo = tenure.book.sent(owner, fence, sent, hold)
         result = await self._calls.grant(
             address,
             key_grants.Grant(
                 first=source.first, last=source.last, fence=fence
             ),
-            hold=hold,
+            hold=key_grants.RELEASE_LIMIT,
             limit=key_grants.CALL_LIMIT,
         )
-        if result is key_grants.GrantResult.GRANTED:
-            fences.append(fence)
-            return fence
-        if result is not key_grants.GrantResult.NO_ANSWER:
-            undo()
-            return None
-        # The raised grant may take effect yet; only its end counts now.
-        fences.append(fence)
-        fences.append(0)
-        return None
+        match result:
+            case key_grants.GrantResult.GRANTED:
+                end = key_grants.hold_end(sent, key_grants.RELEASE_LIMIT)
+                return fence, end
+            case key_grants.GrantResult.NO_ANSWER:
+                end = key_grants.hold_end(sent, key_grants.RELEASE_LIMIT)
+                tenure.book.unanswered(owner, sent, key_grants.RELEASE_LIMIT)
+                return None, end
+        return None, timedelta()
 
 
 def _find(reading: state_store.Reading, key: str) -> state_store.Row | None:
     return next((row for row in reading.rows if row.key == key), None)
 
 
+def _decode_claim(row: state_store.Row | None) -> _Claim | None:
+    if row is None or row.value is None:
+        return None
+    try:
+        document = json.loads(row.value)
+        return _Claim(
+            holder=str(document['holder']),
+            beat=timedelta(seconds=document['beat']),
+        )
+    except (KeyError, OverflowError, TypeError, ValueError):
+        decision_log.note('claim-unreadable', detail=row.key)
+        return None
+
+
 def _map_of(reading: state_store.Reading, pool: str) -> key_map.KeyMap:
     row = _find(reading, pool)
     if row is None or row.value is None:
@@ -638,12 +712,6 @@
     return key_map.decode(row.value, version=row.version)
 
 
-def _with_fence(source: key_map.KeyRange, fence: int) -> key_map.KeyRange:
-    return key_map.KeyRange(
-        first=source.first, last=source.last, owner=source.owner, fence=fence
-    )
-
-
 def _without(
     held: key_map.KeyRange, moving: list[key_map.KeyRange]
 ) -> list[key_map.KeyRange]:
--- a/goldcresthaven/key_grants.py
+++ b/goldcresthaven/key_grants.py
@@ -79,16 +79,16 @@
 
 
 class HoldBook:
-    """Upper bounds on the holds of one pool, by owner and key.
+    """Upper bounds on the holds of one pool, by owner and fence.
 
     ``inherited`` bounds what earlier holders of the claim may have granted;
-    it applies to each range that this process did not grant itself and is
-    what a takeover has to wait for. An owner that accepted a fence raised
-    by this process refuses all earlier grants.
+    a takeover has to wait for it. It does not apply to fences from
+    ``first_fence`` on, which only this process has used.
     """
 
-    def __init__(self, *, inherited: timedelta) -> None:
+    def __init__(self, *, inherited: timedelta, first_fence: int) -> None:
         self._inherited = inherited
+        self._first_fence = first_fence
         self._bounds: dict[tuple[key_map.Owner, int], timedelta] = {}
         self._unanswered: dict[key_map.Owner, timedelta] = {}
 
@@ -117,18 +117,22 @@
         end = hold_end(at, hold)
         self._unanswered[owner] = max(self._unanswered.get(owner, end), end)
 
-    def free_at(self, key_range: key_map.KeyRange) -> timedelta:
-        """Return when a range's owner can no longer hold it."""
-        if key_range.owner is None:
-            return timedelta()
-        spot = (key_range.owner, key_range.fence)
-        return max(self._inherited, self._bounds.get(spot, timedelta()))
+    def free_at(self, owner: key_map.Owner, fence: int) -> timedelta:
+        """Return when an owner can no longer hold keys under a fence."""
+        bound = self._bounds.get((owner, fence), timedelta())
+        return max(self._inherited_for(fence), bound)
 
-    def is_settled(self, owner: key_map.Owner, now: timedelta) -> bool:
-        """Return whether no grant of a lower fence can still take effect.
+    def is_settled(
+        self, owner: key_map.Owner, fence: int, now: timedelta
+    ) -> bool:
+        """Return whether a release under a fence is final.
 
-        A release ends a hold for certain only then; otherwise a grant that
-        is still under way may revive it.
+        Otherwise a grant that is still under way may revive the hold.
         """
         unanswered = self._unanswered.get(owner, timedelta())
-        return now > max(self._inherited, unanswered)
+        return now > max(self._inherited_for(fence), unanswered)
+
+    def _inherited_for(self, fence: int) -> timedelta:
+        if fence >= self._first_fence:
+            return timedelta()
+        return self._inherited
--- a/goldcresthaven/key_map.py
+++ b/goldcresthaven/key_map.py
@@ -51,11 +51,16 @@
 
 @dataclass(frozen=True, kw_only=True)
 class KeyMap:
-    """All ranges in order, under the store's version of the row."""
+    """All ranges in order, under the store's version of the row.
+
+    ``coordinator`` is the address to which processes send what they see of
+    the load, as ``host:port``.
+    """
 
     ranges: tuple[KeyRange, ...]
     next_fence: int
     version: int = 0
+    coordinator: str = ''
     _firsts: list[int] = field(init=False, repr=False, default_factory=list)
 
     def __post_init__(self) -> None:
@@ -68,7 +73,11 @@
         return [r for r in self.ranges if r.owner == owner]
 
     def replace(
-        self, changes: Sequence[KeyRange], *, next_fence: int
+        self,
+        changes: Sequence[KeyRange],
+        *,
+        next_fence: int,
+        coordinator: str | None = None,
     ) -> 'KeyMap':
         """Return the map with some ranges replaced by ``changes``."""
         kept: list[KeyRange] = []
@@ -79,11 +88,17 @@
             ranges=tuple(_merged(ordered)),
             next_fence=next_fence,
             version=self.version,
+            coordinator=(
+                self.coordinator if coordinator is None else coordinator
+            ),
         )
 
     def at_version(self, version: int) -> 'KeyMap':
         return KeyMap(
-            ranges=self.ranges, next_fence=self.next_fence, version=version
+            ranges=self.ranges,
+            next_fence=self.next_fence,
+            version=version,
+            coordinator=self.coordinator,
         )
 
     def encode(self) -> bytes:
@@ -97,7 +112,11 @@
             ]
             for r in self.ranges
         ]
-        document = {'next_fence': self.next_fence, 'ranges': rows}
+        document = {
+            'next_fence': self.next_fence,
+            'coordinator': self.coordinator,
+            'ranges': rows,
+        }
         return json.dumps(document, separators=(',', ':')).encode()
 
 
@@ -125,7 +144,10 @@
             )
         )
         return KeyMap(
-            ranges=ranges, next_fence=document['next_fence'], version=version
+            ranges=ranges,
+            next_fence=document['next_fence'],
+            version=version,
+            coordinator=str(document.get('coordinator', '')),
         )
     except (KeyError, TypeError, ValueError) as exc:
         raise errors.ProtocolError(
--- a/goldcresthaven/key_plan.py
+++ b/goldcresthaven/key_plan.py
@@ -1,47 +1,59 @@
 """Decides which keys move to which upstream.
 
-A move costs availability and is priced, so keys move only off upstreams
-that leave, to upstreams that have none, and off one that is overloaded.
+A move interrupts its keys for the time of a release, and is priced, so
+keys move only off upstreams that leave, to upstreams that have none, and
+off those that are overloaded. Busy keys lie close together, therefore the
+load is counted for each key and a range may be cut anywhere.
 """
 
+from array import array
+from collections.abc import Iterable
 from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
+import itertools
 import math
 
 from goldcresthaven import key_map
 
-BUCKETS = 1024
-BUCKET_KEYS = key_map.KEY_COUNT // BUCKETS
 # Requests below which a sample says little about the load by key.
 MIN_SAMPLE = 60.0
-# An upstream is relieved when its load is this much above the mean, and a
-# neighbour can take the excess.
-OVERLOAD_RATIO = 1.6
-RELIEF_RATIO = 1.15
+# An upstream is relieved when its load is this much above the mean, down
+# to the second ratio; between them lies the noise of a sample.
+OVERLOAD_RATIO = 1.3
+RELIEF_RATIO = 1.05
+MAX_RELIEFS = 4  # moves of one plan that only balance
+MAX_PIECES = 3  # that one upstream gives to another in one plan
+# Share of the wanted load below which another piece is not worth a move.
+SMALLEST_PIECE = 0.15
+# A cut may overshoot the load wanted by this factor, for a busy key.
+OVERSHOOT = 1.3
 
 
 class KeyLoad:
-    """Requests by bucket of keys, halved every ``decay`` call."""
+    """Requests by key, weighted by age through ``decay``."""
 
     def __init__(self) -> None:
-        self._counts = [0.0] * BUCKETS
+        self._counts = array('d', bytes(8 * key_map.KEY_COUNT))
         self.total = 0.0
 
-    def count(self, key: int) -> None:
-        self._counts[key // BUCKET_KEYS] += 1.0
-        self.total += 1.0
+    def count(self, key: int, weight: float = 1.0) -> None:
+        self._counts[key] += weight
+        self.total += weight
 
     def decay(self, factor: float) -> None:
-        self._counts = [count * factor for count in self._counts]
+        self._counts = array('d', (c * factor for c in self._counts))
         self.total *= factor
 
-    def weights(self) -> list[float]:
-        """Return the share of each bucket; uniform for a small sample."""
-        floor = max(1.0, MIN_SAMPLE - self.total) / BUCKETS
-        raw = [count + floor for count in self._counts]
-        whole = sum(raw)
-        return [value / whole for value in raw]
+    def sums(self) -> list[float]:
+        """Return the load of all keys below each key, as shares of 1.
+
+        A small sample is filled up as if all keys were equally busy.
+        """
+        floor = max(1.0, MIN_SAMPLE - self.total) / key_map.KEY_COUNT
+        whole = self.total + floor * key_map.KEY_COUNT
+        shares = ((count + floor) / whole for count in self._counts)
+        return list(itertools.accumulate(shares, initial=0.0))
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -62,24 +74,17 @@
 
 @dataclass(kw_only=True)
 class _Books:
-    """Loads while a plan is made, relative to capacity."""
+    """Loads and ranges while a plan is made."""
 
-    weights: list[float]
+    sums: list[float]
     capacity: dict[key_map.Owner, float]
     load: dict[key_map.Owner, float] = field(default_factory=dict)
+    ranges: dict[key_map.Owner, list[key_map.KeyRange]] = field(
+        default_factory=dict
+    )
 
     def range_load(self, first: int, last: int) -> float:
-        low = first // BUCKET_KEYS
-        high = last // BUCKET_KEYS
-        if low == high:
-            return self.weights[low] * (last - first + 1) / BUCKET_KEYS
-        head = (low + 1) * BUCKET_KEYS - first
-        tail = last - high * BUCKET_KEYS + 1
-        return (
-            self.weights[low] * head / BUCKET_KEYS
-            + sum(self.weights[low + 1 : high])
-            + self.weights[high] * tail / BUCKET_KEYS
-        )
+        return self.sums[last + 1] - self.sums[first]
 
     def relative(self, owner: key_map.Owner) -> float:
         return self.load[owner] / self.capacity[owner]
@@ -87,57 +92,103 @@
     def least(self) -> key_map.Owner:
         return min(self.load, key=lambda o: (self.relative(o), str(o)))
 
+    def most(self, among: Iterable[key_map.Owner]) -> key_map.Owner:
+        return max(among, key=lambda o: (self.relative(o), str(o)))
+
+    def mean(self) -> float:
+        return sum(self.load.values()) / sum(self.capacity.values())
+
+    def give(self, piece: key_map.KeyRange, target: key_map.Owner) -> Move:
+        self.load[target] += self.range_load(piece.first, piece.last)
+        return Move(source=piece, target=target)
+
+    def take(
+        self, donor: key_map.Owner, wanted: float
+    ) -> list[key_map.KeyRange]:
+        """Cut about ``wanted`` load off a donor, in few pieces."""
+        pieces: list[key_map.KeyRange] = []
+        enough = wanted * SMALLEST_PIECE
+        while wanted > enough and len(pieces) < MAX_PIECES:
+            cuts = [
+                cut
+                for held in self.ranges[donor]
+                for cut in _cuts(held, wanted, self)
+            ]
+            if not cuts:
+                break
+            piece = max(cuts, key=self._density)
+            pieces.append(piece)
+            self.ranges[donor] = [
+                part
+                for held in self.ranges[donor]
+                for part in key_map.remainders(held, [piece])
+            ]
+            gained = self.range_load(piece.first, piece.last)
+            self.load[donor] -= gained
+            wanted -= gained
+        return pieces
+
+    def _density(self, piece: key_map.KeyRange) -> float:
+        """Prefer much load, and few keys for it."""
+        load = self.range_load(piece.first, piece.last)
+        return load / math.sqrt(piece.size)
+
 
 def plan(
     current: key_map.KeyMap,
     candidates: Sequence[Candidate],
     load: KeyLoad,
     *,
+    fixed: Sequence[key_map.KeyRange] = (),
     relieve: bool,
 ) -> list[Move]:
     """Return the moves that give every key a candidate as its owner.
 
-    ``relieve`` also moves keys off the most loaded upstream if it is far
-    above the mean.
+    ``fixed`` ranges are on their way already and do not move now.
+    ``relieve`` also moves keys off upstreams that are far above the mean.
     """
     if not candidates:
         return []
-    books = _books(current, candidates, load)
-    orphans = [r for r in current.ranges if r.owner not in books.capacity]
+    books = _books(current, candidates, load, fixed)
+    orphans = [
+        part
+        for held in current.ranges
+        if held.owner not in books.capacity
+        for part in key_map.remainders(held, fixed)
+    ]
     if len(orphans) == len(current.ranges):
-        return _first_assignment(current, candidates, books)
+        return _first_assignment(current, candidates)
     moves = [
-        _give(piece, books.least(), books)
+        books.give(piece, books.least())
         for orphan in orphans
         for piece in _pieces(orphan, books)
     ]
-    if not moves:
-        moves = _fill_empty(current, books)
+    moves += _fill_empty(books)
     if not moves and relieve and load.total >= MIN_SAMPLE:
-        moves = _relieve(current, books)
+        moves = _relieve(books)
     return moves
 
 
 def _books(
-    current: key_map.KeyMap, candidates: Sequence[Candidate], load: KeyLoad
+    current: key_map.KeyMap,
+    candidates: Sequence[Candidate],
+    load: KeyLoad,
+    fixed: Sequence[key_map.KeyRange],
 ) -> _Books:
     books = _Books(
-        weights=load.weights(),
-        capacity={c.owner: c.capacity for c in candidates},
+        sums=load.sums(), capacity={c.owner: c.capacity for c in candidates}
     )
     books.load = {owner: 0.0 for owner in books.capacity}
-    for key_range in current.ranges:
-        if key_range.owner in books.load:
-            books.load[key_range.owner] += books.range_load(
-                key_range.first, key_range.last
-            )
+    books.ranges = {owner: [] for owner in books.capacity}
+    for held in current.ranges:
+        if held.owner in books.load:
+            books.load[held.owner] += books.range_load(held.first, held.last)
+            books.ranges[held.owner] += key_map.remainders(held, fixed)
     return books
 
 
 def _first_assignment(
-    current: key_map.KeyMap,
-    candidates: Sequence[Candidate],
-    books: _Books,
+    current: key_map.KeyMap, candidates: Sequence[Candidate]
 ) -> list[Move]:
     """Divide all keys evenly by capacity; earlier owners are all gone."""
     whole = sum(c.capacity for c in candidates)
@@ -148,26 +199,18 @@
         passed += candidate.capacity
         last = round(passed / whole * key_map.KEY_COUNT) - 1
         moves += [
-            Move(source=part, target=candidate.owner)
-            for part in _cut(current, first, last)
+            Move(
+                source=held.piece(max(held.first, first), min(held.last, last)),
+                target=candidate.owner,
+            )
+            for held in current.ranges
+            if held.first <= last and held.last >= first
         ]
         first = last + 1
     return moves
 
 
-def _cut(
-    current: key_map.KeyMap, first: int, last: int
-) -> list[key_map.KeyRange]:
-    return [
-        r.piece(max(r.first, first), min(r.last, last))
-        for r in current.ranges
-        if r.first <= last and r.last >= first
-    ]
-
-
-def _pieces(
-    orphan: key_map.KeyRange, books: _Books
-) -> list[key_map.KeyRange]:
+def _pieces(orphan: key_map.KeyRange, books: _Books) -> list[key_map.KeyRange]:
     """Split a range so that no receiver gets much above the mean."""
     share = books.range_load(orphan.first, orphan.last)
     fair = 1.0 / len(books.capacity)
@@ -181,76 +224,80 @@
     ]
 
 
-def _give(
-    piece: key_map.KeyRange, target: key_map.Owner, books: _Books
-) -> Move:
-    books.load[target] += books.range_load(piece.first, piece.last)
-    return Move(source=piece, target=target)
-
-
-def _fill_empty(current: key_map.KeyMap, books: _Books) -> list[Move]:
-    """Give each upstream without keys part of the most loaded one's."""
-    owners = {r.owner for r in current.ranges}
+def _fill_empty(books: _Books) -> list[Move]:
+    """Give each upstream without load part of the most loaded one's."""
     moves: list[Move] = []
-    touched: set[key_map.Owner] = set()
-    for empty in sorted(books.capacity.keys() - owners, key=str):
-        donors = [
-            o for o in books.load if o in owners and o not in touched
-        ]
+    empties = sorted((o for o, v in books.load.items() if not v), key=str)
+    for empty in empties:
+        donors = [o for o, held in books.ranges.items() if held]
         if not donors:
             break
-        donor = max(donors, key=lambda o: (books.relative(o), str(o)))
-        touched.add(donor)
+        donor = books.most(donors)
         capacity = books.capacity[empty] + books.capacity[donor]
         wanted = books.load[donor] * books.capacity[empty] / capacity
-        moves += _shed(current, donor, empty, wanted, books)
+        for piece in books.take(donor, wanted):
+            moves.append(books.give(piece, empty))
     return moves
 
 
-def _relieve(current: key_map.KeyMap, books: _Books) -> list[Move]:
-    whole = sum(books.capacity.values())
-    mean = sum(books.load.values()) / whole
-    top = max(books.load, key=lambda o: (books.relative(o), str(o)))
-    if books.relative(top) < OVERLOAD_RATIO * mean:
-        return []
-    least = books.least()
-    room = (RELIEF_RATIO * mean - books.relative(least)) * books.capacity[
-        least
-    ]
-    excess = (books.relative(top) - RELIEF_RATIO * mean) * books.capacity[top]
-    wanted = min(room, excess)
-    if wanted <= 0:
-        return []
-    return _shed(current, top, least, wanted, books)
-
-
-def _shed(
-    current: key_map.KeyMap,
-    donor: key_map.Owner,
-    target: key_map.Owner,
-    wanted: float,
-    books: _Books,
-) -> list[Move]:
-    """Cut about ``wanted`` load from the end of a donor's ranges."""
+def _relieve(books: _Books) -> list[Move]:
     moves: list[Move] = []
-    for key_range in reversed(current.owned_by(donor)):
-        first = key_range.last + 1
-        taken = 0.0
-        while first > key_range.first and taken < wanted:
-            start = max(
-                key_range.first, (first - 1) // BUCKET_KEYS * BUCKET_KEYS
-            )
-            taken += books.range_load(start, first - 1)
-            first = start
-        if first > key_range.last:
+    mean = books.mean()
+    while len(moves) < MAX_RELIEFS:
+        top = books.most(books.load)
+        least = books.least()
+        if books.relative(top) < OVERLOAD_RATIO * mean:
             break
-        moves.append(
-            _give(key_range.piece(first, key_range.last), target, books)
+        excess = books.relative(top) - RELIEF_RATIO * mean
+        room = RELIEF_RATIO * mean - books.relative(least)
+        wanted = min(
+            excess * books.capacity[top], room * books.capacity[least]
         )
-        books.load[donor] -= taken
-        wanted -= taken
-        if wanted <= 0:
+        pieces = books.take(top, wanted) if wanted > 0 else []
+        if not pieces:
             break
+        moves += [books.give(piece, least) for piece in pieces]
     return moves
 
 
+def _cuts(
+    held: key_map.KeyRange, wanted: float, books: _Books
+) -> list[key_map.KeyRange]:
+    """Return the pieces of about the load wanted at both ends of a range."""
+    whole = books.range_load(held.first, held.last)
+    if whole <= wanted * OVERSHOOT:
+        return [held]
+    cuts = []
+    end = _reach(held, wanted, books)
+    if end >= held.first:
+        cuts.append(held.piece(held.first, end))
+    start = _reach_back(held, wanted, books)
+    if start <= held.last:
+        cuts.append(held.piece(start, held.last))
+    return cuts
+
+
+def _reach(held: key_map.KeyRange, wanted: float, books: _Books) -> int:
+    """Return the last key of a cut that begins with the range."""
+    limit = books.sums[held.first] + wanted * OVERSHOOT
+    low, high = held.first - 1, held.last - 1
+    while low < high:
+        middle = (low + high + 1) // 2
+        if books.sums[middle + 1] <= limit:
+            low = middle
+        else:
+            high = middle - 1
+    return low
+
+
+def _reach_back(held: key_map.KeyRange, wanted: float, books: _Books) -> int:
+    """Return the first key of a cut that ends with the range."""
+    limit = books.sums[held.last + 1] - wanted * OVERSHOOT
+    low, high = held.first + 1, held.last + 1
+    while low < high:
+        middle = (low + high) // 2
+        if books.sums[middle] >= limit:
+            high = middle
+        else:
+            low = middle + 1
+    return low
--- a/goldcresthaven/platform/settings.py
+++ b/goldcresthaven/platform/settings.py
@@ -42,6 +42,7 @@
         zone=ids.ZoneId(_text(fields, 'zone')),
         callers=_address(fields, 'listen', 'front'),
         readiness=_address(fields, 'listen', 'ready'),
+        peers=_peer_address(fields),
         store=_address(fields, 'platform-api', 'addr'),
         grace=_bound(bounds, 'grace-s'),
         longest_hold=_bound(bounds, 'hold-max-s'),
@@ -85,6 +86,16 @@
         raise _problem(f'{section}.{name}', 'is not host:port') from exc
 
 
+def _peer_address(fields: Mapping[str, Any]) -> members.Address:
+    """Return the first port that is free for traffic between processes."""
+    ports = fields.get('internal-ports')
+    if not isinstance(ports, list) or not ports:
+        raise _problem('internal-ports', 'is not a list of ports')
+    if type(ports[0]) is not int:
+        raise _problem('internal-ports', 'does not hold numbers')
+    return members.Address(host=_text(fields, 'ip'), port=ports[0])
+
+
 def _problem(field: str, problem: str) -> errors.SettingsError:
     return errors.SettingsError(
         f'{field} {problem}', remedy='correct this field of the settings'
--- a/goldcresthaven/registry.py
+++ b/goldcresthaven/registry.py
@@ -96,6 +96,10 @@
     def get(self, upstream_id: ids.UpstreamId) -> Upstream | None:
         return self._upstreams.get(upstream_id)
 
+    def everything(self) -> list[Upstream]:
+        """Return all known upstreams, also leaving ones."""
+        return list(self._upstreams.values())
+
     def departure(
         self, upstream_id: ids.UpstreamId, now: timedelta
     ) -> timedelta | None:
--- a/goldcresthaven/selection.py
+++ b/goldcresthaven/selection.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Collection
+from collections.abc import Iterable
 from collections.abc import Sequence
 from dataclasses import dataclass
 from datetime import timedelta
@@ -14,6 +15,7 @@
 import random
 
 from goldcresthaven import ids
+from goldcresthaven import load_reports
 from goldcresthaven import registry
 from goldcresthaven import request_meta
 
@@ -33,6 +35,12 @@
 COLD_FACTOR = 2.0
 # Candidates drawn; the best of all would attract every process at once.
 DRAWN = 3
+# Older loads say little and are not passed on.
+SHARE_AGE = timedelta(milliseconds=900)
+# A load that another process passed on has to be newer by this much, or
+# it would replace what this process saw itself.
+NEWER_BY = timedelta(milliseconds=20)
+SHARED_GAIN = 0.1
 # Latency that a response of a kilobyte from another zone is worth.
 ZONE_PENALTY = timedelta(milliseconds=3)
 _ZERO = timedelta()
@@ -155,6 +163,46 @@
         state = self.state(upstream)
         return now < max(state.open_until, state.shed_until)
 
+    def recent_loads(
+        self, upstreams: Iterable[registry.Upstream], now: timedelta
+    ) -> list[load_reports.UpstreamLoad]:
+        """Return the loads that were reported within ``SHARE_AGE``."""
+        found = []
+        for upstream in upstreams:
+            state = self.state(upstream)
+            seen = state.reported_at
+            if seen is None or now - seen > SHARE_AGE:
+                continue
+            found.append(
+                load_reports.UpstreamLoad(
+                    upstream_id=upstream.upstream_id,
+                    requests=round(state.reported),
+                    slots=state.slots,
+                    age=now - seen,
+                    service=state.service,
+                )
+            )
+        return found
+
+    def learn(
+        self,
+        upstream: registry.Upstream,
+        load: load_reports.UpstreamLoad,
+        now: timedelta,
+    ) -> None:
+        """Take over a load that another process has seen, if newer."""
+        state = self.state(upstream)
+        seen = now - load.age
+        known = state.reported_at
+        if known is not None and seen <= known + NEWER_BY:
+            return
+        state.reported = load.requests
+        state.reported_at = seen
+        state.own_at_report = state.own
+        state.slots = load.slots
+        state.service += SHARED_GAIN * (load.service - state.service)
+        self._learn_mean(upstream.pool, load.requests / load.slots)
+
     def began(self, upstream: registry.Upstream) -> None:
         self.state(upstream).own += 1
 
@@ -199,9 +247,11 @@
         state.reported_at = now
         state.own_at_report = state.own
         state.slots = load.slots
-        per_slot = state.reported / load.slots
-        mean = self._mean.get(upstream.pool, per_slot)
-        self._mean[upstream.pool] = mean + SERVICE_GAIN * (per_slot - mean)
+        self._learn_mean(upstream.pool, state.reported / load.slots)
+
+    def _learn_mean(self, pool: ids.PoolName, per_slot: float) -> None:
+        mean = self._mean.get(pool, per_slot)
+        self._mean[pool] = mean + SERVICE_GAIN * (per_slot - mean)
 
     def _learn_service(
         self,
