--- /dev/null
+++ b/goldcresthaven/fleet_messages.py
@@ -0,0 +1,300 @@
+"""Datagrams between the processes of a fleet, as CBOR.
+
+Each process sees few requests. It reports the keys of its recent requests
+and the loads that upstreams stated to the coordinator, which balances keys
+by them and sends the merged loads back. The coordinator also announces
+changes of the key map, so that only processes that miss one have to ask
+the store. A new coordinator asks the one before to stand down; its answer
+may shorten a wait. No other promise rests on a datagram's arrival.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+from typing import Any
+
+import cbor2
+
+from goldcresthaven import errors
+from goldcresthaven import ids
+from goldcresthaven import key_map
+
+MAX_KEYS = 200
+MAX_LOADS = 300
+MAX_RANGES = 300
+MAX_BOUNDS = 300
+# A UDP datagram of any length up to this is reassembled by the system.
+MAX_BYTES = 60_000
+_MS = timedelta(milliseconds=1)
+
+
+class Kind(Enum):
+    REPORT = 1
+    MERGED = 2
+    MAP_CHANGE = 3
+    STAND_DOWN = 4
+    STOOD_DOWN = 5
+    MOVING = 6
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class UpstreamLoad:
+    """An upstream's load as one process saw it ``age`` ago.
+
+    ``requests`` counts those it works on and keeps waiting; ``service`` is
+    the mean service time that the process has observed.
+    """
+
+    upstream_id: ids.UpstreamId
+    requests: int
+    slots: int
+    age: timedelta
+    service: timedelta
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Report:
+    """What one process has seen; each key stands for ``weight`` requests."""
+
+    pool: ids.PoolName
+    keys: Sequence[int]
+    weight: float
+    loads: Sequence[UpstreamLoad]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Merged:
+    """Sent by a coordinator whose claim is fresh, a few times a second.
+
+    ``map_version`` is the version of the key map that it holds.
+    """
+
+    pool: ids.PoolName
+    map_version: int
+    loads: Sequence[UpstreamLoad]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class MapChange:
+    """Ranges that changed from the map's version ``base`` to ``version``."""
+
+    pool: ids.PoolName
+    base: int
+    version: int
+    ranges: Sequence[key_map.KeyRange]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Moving:
+    """Keys whose owner has been asked to release them.
+
+    Requests for them wait for the next map instead of being refused.
+    """
+
+    pool: ids.PoolName
+    first: int
+    last: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StandDown:
+    """A new coordinator asks its predecessor to send no more grants."""
+
+    pool: ids.PoolName
+    claim_version: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HoldBound:
+    """No grant of the sender lasts longer than ``left`` at an owner."""
+
+    upstream_id: ids.UpstreamId
+    left: timedelta
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StoodDown:
+    """The predecessor has stopped; owners not named hold nothing of it."""
+
+    pool: ids.PoolName
+    claim_version: int
+    bounds: Sequence[HoldBound]
+
+
+Loads = Sequence[UpstreamLoad]
+Message = Report | Merged | MapChange | Moving | StandDown | StoodDown
+
+
+def encode(message: Message) -> bytes:
+    return cbor2.dumps(_plain(message))
+
+
+def _plain(message: Message) -> list[Any]:
+    match message:
+        case Report():
+            return [
+                Kind.REPORT.value,
+                message.pool,
+                list(message.keys[:MAX_KEYS]),
+                message.weight,
+                _plain_loads(message.loads),
+            ]
+        case Merged():
+            return [
+                Kind.MERGED.value,
+                message.pool,
+                message.map_version,
+                _plain_loads(message.loads),
+            ]
+        case MapChange():
+            return [
+                Kind.MAP_CHANGE.value,
+                message.pool,
+                message.base,
+                message.version,
+                [_plain_range(r) for r in message.ranges],
+            ]
+        case Moving():
+            return [
+                Kind.MOVING.value,
+                message.pool,
+                message.first,
+                message.last,
+            ]
+        case StandDown():
+            return [
+                Kind.STAND_DOWN.value,
+                message.pool,
+                message.claim_version,
+            ]
+        case StoodDown():
+            return [
+                Kind.STOOD_DOWN.value,
+                message.pool,
+                message.claim_version,
+                [[b.upstream_id, _ms(b.left)] for b in message.bounds],
+            ]
+
+
+def decode(data: bytes) -> Message:
+    """Decode a datagram; raises ProtocolError."""
+    try:
+        kind, pool, *fields = cbor2.loads(data)
+        return _message(Kind(kind), ids.PoolName(str(pool)), fields)
+    except (
+        cbor2.CBORDecodeError,
+        OverflowError,
+        TypeError,
+        ValueError,
+    ) as exc:
+        raise errors.ProtocolError(
+            f'a datagram cannot be read: {exc!r}',
+            remedy='check who else sends to the port',
+        ) from exc
+
+
+def _message(kind: Kind, pool: ids.PoolName, fields: list[Any]) -> Message:
+    match kind:
+        case Kind.REPORT:
+            keys, weight, loads = fields
+            return Report(
+                pool=pool,
+                keys=[_key(key) for key in keys],
+                weight=float(weight),
+                loads=[_load(load) for load in loads],
+            )
+        case Kind.MERGED:
+            version, loads = fields
+            return Merged(
+                pool=pool,
+                map_version=int(version),
+                loads=[_load(load) for load in loads],
+            )
+        case Kind.MAP_CHANGE:
+            base, version, ranges = fields
+            return MapChange(
+                pool=pool,
+                base=int(base),
+                version=int(version),
+                ranges=[_range(r) for r in ranges],
+            )
+        case Kind.MOVING:
+            first, last = fields
+            return Moving(pool=pool, first=_key(first), last=_key(last))
+        case Kind.STAND_DOWN:
+            (version,) = fields
+            return StandDown(pool=pool, claim_version=int(version))
+        case Kind.STOOD_DOWN:
+            version, bounds = fields
+            return StoodDown(
+                pool=pool,
+                claim_version=int(version),
+                bounds=[
+                    HoldBound(
+                        upstream_id=ids.UpstreamId(str(upstream_id)),
+                        left=int(left) * _MS,
+                    )
+                    for upstream_id, left in bounds
+                ],
+            )
+
+
+def _ms(duration: timedelta) -> int:
+    return round(duration / _MS)
+
+
+def _plain_loads(loads: Sequence[UpstreamLoad]) -> list[list[Any]]:
+    return [
+        [
+            load.upstream_id,
+            load.requests,
+            load.slots,
+            _ms(load.age),
+            _ms(load.service),
+        ]
+        for load in loads[:MAX_LOADS]
+    ]
+
+
+def _plain_range(held: key_map.KeyRange) -> list[Any]:
+    owner = held.owner
+    return [
+        held.first,
+        held.last,
+        owner.upstream_id if owner else '',
+        owner.incarnation if owner else 0,
+        held.fence,
+    ]
+
+
+def _key(value: Any) -> int:
+    key = int(value)
+    if not key_map.FIRST_KEY <= key <= key_map.LAST_KEY:
+        raise ValueError(f'{key} is not a key')
+    return key
+
+
+def _load(values: Any) -> UpstreamLoad:
+    upstream_id, requests, slots, age, service = values
+    if int(slots) < 1 or int(requests) < 0 or int(age) < 0:
+        raise ValueError('a load is out of range')
+    return UpstreamLoad(
+        upstream_id=ids.UpstreamId(str(upstream_id)),
+        requests=int(requests),
+        slots=int(slots),
+        age=int(age) * _MS,
+        service=max(1, int(service)) * _MS,
+    )
+
+
+def _range(values: Any) -> key_map.KeyRange:
+    first, last, upstream_id, incarnation, fence = values
+    if _key(first) > _key(last):
+        raise ValueError('a range ends before it begins')
+    return key_map.KeyRange(
+        first=int(first),
+        last=int(last),
+        owner=key_map.owner_of(str(upstream_id), int(incarnation)),
+        fence=int(fence),
+    )
--- a/goldcresthaven/follower.py
+++ b/goldcresthaven/follower.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from datetime import timedelta
 import random
 from typing import Protocol
@@ -14,6 +15,7 @@
 from goldcresthaven import clock as clock_module
 from goldcresthaven import decision_log
 from goldcresthaven import errors
+from goldcresthaven import fleet_messages
 from goldcresthaven import ids
 from goldcresthaven import key_map
 from goldcresthaven import registry as registry_module
@@ -21,21 +23,29 @@
 from goldcresthaven import state_store
 
 # How long a poll waits for a change. A poll that the store swallows is
-# noticed only then: for configuration and registry that has to be within
-# the 3 s after which a calm machine counts and the 2 s that a change may
-# take. A stale key map costs a refusal and no promise.
+# noticed only then: that has to be within the 3 s after which a calm
+# machine counts and the 2 s that a change may take.
 WATCH_WAIT = {
     state_store.Table.CONFIG: timedelta(seconds=4),
     state_store.Table.REGISTRY: timedelta(seconds=4),
-    state_store.Table.ASSIGNMENTS: timedelta(seconds=10),
 }
 # Pause after a change, so that a series of changes costs few calls. An
 # upstream that leaves may get work for 2 s after it said so.
 SETTLE = {
     state_store.Table.CONFIG: timedelta(milliseconds=50),
     state_store.Table.REGISTRY: timedelta(milliseconds=350),
-    state_store.Table.ASSIGNMENTS: timedelta(milliseconds=60),
 }
+MAP_CHECK = timedelta(milliseconds=50)
+# Least time between two reads of the key maps by one process.
+MAP_READ_PAUSE = timedelta(milliseconds=250)
+# Longest wait for a release and the write of its move; an announcement
+# that is not followed by a new map is forgotten then.
+MOVE_TIME = timedelta(seconds=1)
+# A coordinator sends three datagrams a second.
+SILENCE = timedelta(seconds=1.2)
+SILENT_READ = timedelta(seconds=1.5)
+# Reads while coordinators are heard; covers one that nobody else follows.
+CALM_READ = timedelta(seconds=12)
 FIRST_RETRY = timedelta(milliseconds=100)
 LONGEST_RETRY = timedelta(seconds=1)
 # Silence after which entries of the registry may have lapsed.
@@ -54,6 +64,12 @@
     ) -> registry_module.Upstream | None: ...
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _MovingKeys:
+    moving: fleet_messages.Moving
+    until: timedelta
+
+
 class Beliefs:
     """What this process believes of its surroundings.
 
@@ -65,18 +81,83 @@
         self.registry = registry_module.Registry()
         self.maps: dict[ids.PoolName, key_map.KeyMap] = {}
         self.heard: dict[state_store.Table, timedelta] = {}
-        self.changed = aio.Event()
+        self._coordinator_heard: dict[ids.PoolName, timedelta] = {}
+        self._moving: list[_MovingKeys] = []
+        self.maps_doubted = False
 
     def is_complete(self) -> bool:
         """Return whether requests can be routed."""
-        return self.config is not None and len(self.heard) == len(_FOLLOWED)
+        return self.config is not None and len(self.heard) == _TABLES
+
+    def hear_coordinator(
+        self, pool: ids.PoolName, map_version: int, now: timedelta
+    ) -> None:
+        """Note that a pool's coordinator is alive and which map it has."""
+        known = self.maps.get(pool)
+        self._coordinator_heard[pool] = now
+        if known is None or known.version < map_version:
+            self.maps_doubted = True
+
+    def note_moving(
+        self, moving: fleet_messages.Moving, now: timedelta
+    ) -> None:
+        """Note that keys are about to change hands."""
+        self._moving = [m for m in self._moving if now < m.until]
+        self._moving.append(_MovingKeys(moving=moving, until=now + MOVE_TIME))
+
+    def is_moving(
+        self, pool: ids.PoolName, key: int, now: timedelta
+    ) -> bool:
+        """Return whether a key is about to change hands."""
+        return any(
+            m.moving.pool == pool
+            and m.moving.first <= key <= m.moving.last
+            and now < m.until
+            for m in self._moving
+        )
+
+    def _has_moved(self, change: fleet_messages.MapChange) -> None:
+        self._moving = [
+            m
+            for m in self._moving
+            if m.moving.pool != change.pool
+            or not any(
+                r.first <= m.moving.first <= r.last for r in change.ranges
+            )
+        ]
+
+    def coordinator_silence(
+        self, pool: ids.PoolName, now: timedelta
+    ) -> timedelta:
+        """Return for how long nothing was heard of a pool's coordinator."""
+        return now - self._coordinator_heard.get(pool, timedelta())
+
+    def apply_map_change(self, change: fleet_messages.MapChange) -> None:
+        """Apply a change that a coordinator announced.
+
+        One that does not fit the known map makes the follower read it.
+        """
+        known = self.maps.get(change.pool)
+        self._has_moved(change)
+        if known is None or known.version < change.base:
+            self.maps_doubted = True
+            return
+        if known.version != change.base:
+            return
+        self.maps[change.pool] = known.replace(
+            change.ranges, next_fence=known.next_fence
+        ).at_version(change.version)
+        decision_log.note(
+            'map-applied',
+            pool=change.pool,
+            map_version=change.version,
+            count=len(change.ranges),
+            detail='announced',
+        )
 
 
-_FOLLOWED = (
-    state_store.Table.CONFIG,
-    state_store.Table.REGISTRY,
-    state_store.Table.ASSIGNMENTS,
-)
+# Tables that have to be known before requests are routed.
+_TABLES = 3
 
 
 class Follower:
@@ -98,8 +179,52 @@
         self._rng = rng
 
     async def start(self) -> None:
-        for table in _FOLLOWED:
-            await aio.spawn(self._follow(table))
+        await aio.spawn(self._follow(state_store.Table.CONFIG))
+        await aio.spawn(self._follow(state_store.Table.REGISTRY))
+        await aio.spawn(self._follow_maps())
+
+    async def _follow_maps(self) -> None:
+        """Read the key maps when the coordinators' word does not do.
+
+        They announce changes; the store is read at the start, after a
+        missed change, and while a coordinator is silent.
+        """
+        failing = False
+        while True:
+            started = self._clock.elapsed()
+            self._beliefs.maps_doubted = False
+            try:
+                reading = await self._store.read(
+                    state_store.Table.ASSIGNMENTS
+                )
+                now = self._clock.elapsed()
+                self._beliefs.heard[state_store.Table.ASSIGNMENTS] = now
+                self._apply_maps(reading)
+                failing = False
+            except errors.StoreUnavailable as exc:
+                if not failing:
+                    decision_log.note('maps-unread', detail=str(exc))
+                failing = True
+            await self._wait_for_doubt(started)
+
+    async def _wait_for_doubt(self, read_at: timedelta) -> None:
+        spread = self._rng.uniform(0.7, 1.3)
+        while True:
+            await aio.sleep(MAP_CHECK)
+            now = self._clock.elapsed()
+            if now - read_at < MAP_READ_PAUSE * spread:
+                continue
+            if self._beliefs.maps_doubted:
+                return
+            silent = any(
+                self._beliefs.coordinator_silence(pool, now) > SILENCE
+                for pool in self._beliefs.maps
+            )
+            if not self._beliefs.maps or silent:
+                if now - read_at > SILENT_READ * spread:
+                    return
+            elif now - read_at > CALM_READ * spread:
+                return
 
     async def _follow(self, table: state_store.Table) -> None:
         after: int | None = None
@@ -134,7 +259,7 @@
                 failed_since = None
             pause = FIRST_RETRY
             after = max(after or 0, reading.version)
-            await self._apply(table, reading, whole, now)
+            self._apply(table, reading, whole, now)
             if reading.rows:
                 await aio.sleep(SETTLE[table])
 
@@ -149,7 +274,7 @@
         if away > OUTAGE:
             self._beliefs.registry.reconnected(now)
 
-    async def _apply(
+    def _apply(
         self,
         table: state_store.Table,
         reading: state_store.Reading,
@@ -164,10 +289,6 @@
                 self._apply_config(reading)
             case state_store.Table.REGISTRY:
                 self._apply_registry(reading, whole, now)
-            case state_store.Table.ASSIGNMENTS:
-                self._apply_maps(reading)
-        await self._beliefs.changed.set()
-        self._beliefs.changed.clear()
 
     def _apply_config(self, reading: state_store.Reading) -> None:
         for row in reading.rows:
--- a/goldcresthaven/gateway.py
+++ b/goldcresthaven/gateway.py
@@ -31,8 +31,8 @@
 # An idle connection notices a shutdown after at most this time.
 IDLE_CHECK = timedelta(seconds=1)
 # A key without an owner is usually served again within a release's time.
-OWNER_WAIT = timedelta(milliseconds=250)
-OWNER_CHECK = timedelta(milliseconds=20)
+OWNER_WAIT = timedelta(milliseconds=350)
+OWNER_CHECK = timedelta(milliseconds=15)
 # A keyed request still goes to an owner that drains for this long.
 DRAIN_USE = timedelta(milliseconds=1200)
 # Share of the remaining time within which an upstream has to be able to
@@ -286,6 +286,7 @@
             self._metrics.retried()
             if attempt.status == 421:
                 work.refused_map = self._map_version(work.pool.name)
+                self._beliefs.maps_doubted = True
 
     def _with_retry(self, outcome: outcomes.Outcome) -> outcomes.Outcome:
         if isinstance(outcome, outcomes.NotRun):
@@ -372,12 +373,12 @@
         if keys is None or keys.version <= work.refused_map:
             return None
         owner = keys.find(key).owner
-        if owner is None:
+        now = self._clock.elapsed()
+        if owner is None or self._beliefs.is_moving(work.pool.name, key, now):
             return None
         known = self._beliefs.registry.get(owner.upstream_id)
         if known is None or known.incarnation != owner.incarnation:
             return None
-        now = self._clock.elapsed()
         left = self._beliefs.registry.departure(owner.upstream_id, now)
         if left is not None and now - left > DRAIN_USE:
             return None
--- a/goldcresthaven/gateway_process.py
+++ b/goldcresthaven/gateway_process.py
@@ -16,6 +16,7 @@
 from goldcresthaven import decision_log
 from goldcresthaven import errors
 from goldcresthaven import exchange
+from goldcresthaven import fleet_link
 from goldcresthaven import follower
 from goldcresthaven import gateway
 from goldcresthaven import gateway_metrics
@@ -24,7 +25,6 @@
 from goldcresthaven import http_io
 from goldcresthaven import ids
 from goldcresthaven import key_coordinator
-from goldcresthaven import load_exchange
 from goldcresthaven import registry
 from goldcresthaven import selection
 from goldcresthaven import telemetry
@@ -40,6 +40,9 @@
 # Left of the grace time for the last answers to be written.
 STOP_MARGIN = timedelta(milliseconds=500)
 STOP_CHECK = timedelta(milliseconds=50)
+# Upstreams are a few milliseconds away; one that does not answer by then
+# is dark, and the request can still go to another.
+CONNECT_TIMEOUT = timedelta(milliseconds=250)
 POOL_CHECK = timedelta(milliseconds=200)
 FLUSH_EVERY = timedelta(seconds=10)
 SCRAPE_TIMEOUT = timedelta(seconds=2)
@@ -62,7 +65,9 @@
         self._gateway = gateway.Gateway(
             beliefs=self._beliefs,
             exchanger=exchange.Exchanger(
-                conns=upstream_pool.UpstreamPool(accept_unframed=True),
+                conns=upstream_pool.UpstreamPool(
+                    accept_unframed=True, connect_timeout=CONNECT_TIMEOUT
+                ),
                 headers=headers,
                 clock=self._clock,
             ),
@@ -75,6 +80,14 @@
         self._coordinators: dict[
             ids.PoolName, key_coordinator.KeyCoordinator
         ] = {}
+        self._link = fleet_link.FleetLink(
+            socket=aio.Datagrams(host=cfg.peers.host, port=cfg.peers.port),
+            beliefs=self._beliefs,
+            selector=self._selector,
+            take_keys=self._gateway.take_keys_seen,
+            coordinators=self._coordinators,
+            clock=self._clock,
+        )
 
     async def run(self, stop: aio.SignalWaiter) -> None:
         """Serve until the signal to stop, then finish what has begun."""
@@ -104,14 +117,7 @@
             rng=self._rng,
         ).start()
         await aio.spawn(self._coordinate())
-        await load_exchange.LoadExchange(
-            address=self._cfg.peers,
-            beliefs=self._beliefs,
-            selector=self._selector,
-            take_keys=self._gateway.take_keys_seen,
-            coordinators=self._coordinators,
-            clock=self._clock,
-        ).start()
+        await self._link.start()
         decision_log.note('started', detail=self._identity)
         await stop.wait()
         await self._stop(callers)
@@ -156,6 +162,9 @@
             upstreams=self._beliefs.registry,
             address=str(self._cfg.peers),
             capacity=self._selector.capacity,
+            silence=self._beliefs.coordinator_silence,
+            announce=self._link.announce,
+            ask_to_stand_down=self._link.ask_to_stand_down,
             longest_hold=self._cfg.longest_hold,
             clock=self._clock,
             rng=self._rng,
--- a/goldcresthaven/key_coordinator.py
+++ b/goldcresthaven/key_coordinator.py
@@ -24,6 +24,7 @@
 from goldcresthaven import clock as clock_module
 from goldcresthaven import decision_log
 from goldcresthaven import errors
+from goldcresthaven import fleet_messages
 from goldcresthaven import ids
 from goldcresthaven import key_grants
 from goldcresthaven import key_map
@@ -40,9 +41,9 @@
 # A beat is by the holder's idea of the store's clock, which lags by the
 # time of an answer, and its call may have been slow.
 BEAT_ERROR = timedelta(seconds=1.2)
-# The claim is polled by all processes; together they look often enough.
-POLL_EVERY = timedelta(seconds=6)
-FIRST_POLL = timedelta(milliseconds=300)
+# The claim is read by every process that hears nothing of its holder.
+POLL_EVERY = timedelta(milliseconds=800)
+SILENCE = timedelta(seconds=1)
 TICK = timedelta(milliseconds=100)
 PLAN_EVERY = timedelta(milliseconds=300)
 RELIEF_EVERY = timedelta(seconds=1)
@@ -57,6 +58,8 @@
 # A holder that reaches less than this share of the owners hands over.
 REACHABLE_SHARE = 0.5
 ABSTAIN = timedelta(seconds=5)
+# A grant is answered within milliseconds; routers wait no longer for it.
+ANNOUNCE_WAIT = timedelta(milliseconds=40)
 FENCE_BLOCK = 10000
 LOAD_HALF_LIFE = timedelta(seconds=2)
 
@@ -97,6 +100,8 @@
     handovers: dict[int, str] = field(default_factory=dict)
     doubtful: bool = False
     lost: str | None = None
+    taken_version: int = 0
+    reserved: bool = False
 
     def take_fence(self) -> int:
         self.fence += 1
@@ -107,7 +112,9 @@
     """Follows and, when it is this process's turn, holds one pool's claim.
 
     ``capacity`` tells an upstream's relative capacity. ``address`` is
-    where other processes report what they see of the load.
+    where other processes report what they see of the load. ``silence``
+    tells how long nothing was heard of a pool's coordinator. ``announce``
+    and ``ask_to_stand_down`` send datagrams.
     """
 
     def __init__(
@@ -120,6 +127,11 @@
         upstreams: registry_module.Registry,
         address: str,
         capacity: Callable[[registry_module.Upstream], float],
+        silence: Callable[[ids.PoolName, timedelta], timedelta],
+        announce: Callable[
+            [fleet_messages.MapChange | fleet_messages.Moving], None
+        ],
+        ask_to_stand_down: Callable[[str, fleet_messages.StandDown], None],
         longest_hold: timedelta,
         clock: clock_module.Clock,
         rng: random.Random,
@@ -131,6 +143,9 @@
         self._upstreams = upstreams
         self._address_text = address
         self._capacity = capacity
+        self._silence = silence
+        self._announce = announce
+        self._ask_to_stand_down = ask_to_stand_down
         self._longest_hold = longest_hold
         self._clock = clock
         self._rng = rng
@@ -145,6 +160,7 @@
         self._first_seen: dict[key_map.Owner, timedelta] = {}
         self._stopped = False
         self._tenure: _Tenure | None = None
+        self._last_tenure: _Tenure | None = None
 
     @property
     def holds_claim(self) -> bool:
@@ -158,11 +174,11 @@
 
     async def run(self) -> None:
         """Follow and hold the claim until ``stop``."""
-        pause = FIRST_POLL
         while not self._stopped:
-            await aio.sleep(pause * self._rng.uniform(0.3, 1.0))
-            pause = POLL_EVERY
-            if self._clock.elapsed() < self._abstain_until:
+            await aio.sleep(POLL_EVERY * self._rng.uniform(0.2, 1.0))
+            now = self._clock.elapsed()
+            heard = self._silence(self._pool, now) < SILENCE
+            if heard or now < self._abstain_until:
                 continue
             try:
                 tenure = await self._try_take()
@@ -174,7 +190,56 @@
                 continue
             if tenure is not None:
                 await self._hold(tenure)
-                pause = FIRST_POLL
+
+    def fresh_map_version(self) -> int | None:
+        """Return the map's version; None while the claim is in doubt."""
+        tenure = self._tenure
+        if tenure is None:
+            return None
+        since = self._clock.elapsed() - tenure.renewed
+        return None if since > STORE_DOUBT else tenure.keys.version
+
+    def stand_down(
+        self, request: fleet_messages.StandDown
+    ) -> fleet_messages.StoodDown | None:
+        """Stop granting for a successor; returns what may still be held.
+
+        None without a tenure: the process may have restarted since it
+        granted keys.
+        """
+        tenure = self._tenure or self._last_tenure
+        if tenure is None or request.claim_version <= tenure.claim_version:
+            return None
+        tenure.lost = tenure.lost or 'a successor took the claim'
+        now = self._clock.elapsed()
+        bounds = tenure.book.bounds(now)
+        if bounds is None:
+            return None
+        return fleet_messages.StoodDown(
+            pool=self._pool,
+            claim_version=request.claim_version,
+            bounds=[
+                fleet_messages.HoldBound(
+                    upstream_id=owner.upstream_id, left=end - now
+                )
+                for owner, end in bounds.items()
+            ],
+        )
+
+    def predecessor_stood_down(
+        self, answer: fleet_messages.StoodDown
+    ) -> None:
+        """Replace the bound of a predecessor that may be anywhere."""
+        tenure = self._tenure
+        if tenure is None or answer.claim_version != tenure.taken_version:
+            return
+        now = self._clock.elapsed()
+        tenure.book.predecessor_stopped(
+            {bound.upstream_id: now + bound.left for bound in answer.bounds}
+        )
+        decision_log.note(
+            'predecessor-stopped', pool=self._pool, count=len(answer.bounds)
+        )
 
     async def stop(self) -> None:
         """Give the claim up, so that another process takes it at once."""
@@ -236,6 +301,14 @@
             fence=keys.next_fence,
             since=taken,
         )
+        if keys.coordinator and keys.coordinator != self._address_text:
+            self._ask_to_stand_down(
+                keys.coordinator,
+                fleet_messages.StandDown(
+                    pool=self._pool, claim_version=result.version
+                ),
+            )
+        tenure.taken_version = result.version
         decision_log.note(
             'claim-taken',
             pool=self._pool,
@@ -273,30 +346,29 @@
         finally:
             tenure.lost = tenure.lost or 'stopped'
             self._tenure = None
+            self._last_tenure = tenure
             decision_log.note(
                 'claim-lost', pool=self._pool, detail=tenure.lost
             )
             await writer.cancel()
 
     def _may_send(self, tenure: _Tenure) -> bool:
+        # The map names this process before it grants anything, so that a
+        # successor knows whom to ask.
         valid = self._clock.elapsed() - tenure.renewed < CLAIM_VALID
-        return tenure.lost is None and valid
+        return tenure.lost is None and tenure.reserved and valid
 
     # Writes to the store
 
     async def _write_loop(self, tenure: _Tenure) -> None:
-        # Fences below the stored limit may have been used by another
-        # holder, so the new limit is stored before any is used here.
-        first = True
         while tenure.lost is None:
             ready = [t for t in tenure.transfers if t.freed]
             since = self._clock.elapsed() - tenure.renewed
-            if not (first or ready or since >= BEAT):
+            if tenure.reserved and not ready and since < BEAT:
                 await aio.sleep(TICK / 4)
                 continue
             try:
-                await self._write(tenure, ready, reserve=first)
-                first = first and tenure.keys.next_fence <= tenure.fence
+                await self._write(tenure, ready)
             except errors.StoreUnavailable as exc:
                 tenure.doubtful = True
                 decision_log.note(
@@ -307,11 +379,19 @@
                 tenure.lost = str(exc)
 
     async def _write(
-        self, tenure: _Tenure, ready: list[_Transfer], *, reserve: bool
+        self, tenure: _Tenure, ready: list[_Transfer]
     ) -> None:
+        """Renew the claim, and write the map if it changes.
+
+        The first write stores a higher limit for fences: those below the
+        old one may have been used by another holder.
+        """
         sent = self._clock.elapsed()
         keys = tenure.keys
-        changed = (ready or reserve) and not tenure.doubtful
+        low = tenure.fence + FENCE_BLOCK // 2 > keys.next_fence
+        changed = (
+            bool(ready) or low or not tenure.reserved
+        ) and not tenure.doubtful
         if changed:
             keys = self._changed_map(tenure, ready)
         expected = {self._claim_key: tenure.claim_version}
@@ -328,7 +408,33 @@
         tenure.renewed = sent
         tenure.store_clock = result.clock - self._clock.elapsed()
         if changed:
+            base = tenure.keys.version
             self._adopt(tenure, keys.at_version(result.version))
+            await self._grant_moved(tenure, ready)
+            self._announce(
+                fleet_messages.MapChange(
+                    pool=self._pool,
+                    base=base,
+                    version=result.version,
+                    ranges=[
+                        held
+                        for t in ready
+                        for held in _within(tenure.keys, t.move.source)
+                    ],
+                )
+            )
+
+    async def _grant_moved(
+        self, tenure: _Tenure, moved: list[_Transfer]
+    ) -> None:
+        """Grant moved keys before their new owners are announced."""
+        started = self._clock.elapsed()
+        await self._renew_due(tenure, started)
+        targets = {t.move.target for t in moved}
+        while targets & tenure.renewing:
+            if self._clock.elapsed() - started > ANNOUNCE_WAIT:
+                break
+            await aio.sleep(TICK / 50)
 
     def _changed_map(
         self, tenure: _Tenure, ready: list[_Transfer]
@@ -345,7 +451,7 @@
         for change, transfer in zip(changes, ready):
             if transfer.handover is not None:
                 tenure.handovers[change.fence] = transfer.handover
-        limit = max(tenure.keys.next_fence, tenure.fence + FENCE_BLOCK)
+        limit = tenure.fence + FENCE_BLOCK
         return tenure.keys.replace(
             changes, next_fence=limit, coordinator=self._address_text
         )
@@ -368,6 +474,10 @@
 
     def _adopt(self, tenure: _Tenure, keys: key_map.KeyMap) -> None:
         tenure.keys = keys
+        tenure.reserved = (
+            keys.coordinator == self._address_text
+            and keys.next_fence > tenure.fence
+        )
         for transfer in list(tenure.transfers):
             source = transfer.move.source
             held = keys.find(source.first)
@@ -629,6 +739,13 @@
                     )
                     free_at = max(free_at, end)
                 if fence is not None:
+                    self._announce(
+                        fleet_messages.Moving(
+                            pool=self._pool,
+                            first=source.first,
+                            last=source.last,
+                        )
+                    )
                     released = await self._calls.release(
                         address,
                         key_grants.Grant(
@@ -668,6 +785,9 @@
             return None, timedelta()
         fence = tenure.take_fence()
         sent = self._clock.elapsed()
+        undo = tenure.book.sent(
+            owner, fence, sent, key_grants.RELEASE_LIMIT
+        )
         result = await self._calls.grant(
             address,
             key_grants.Grant(
@@ -676,14 +796,14 @@
             hold=key_grants.RELEASE_LIMIT,
             limit=key_grants.CALL_LIMIT,
         )
+        end = key_grants.hold_end(sent, key_grants.RELEASE_LIMIT)
         match result:
             case key_grants.GrantResult.GRANTED:
-                end = key_grants.hold_end(sent, key_grants.RELEASE_LIMIT)
                 return fence, end
             case key_grants.GrantResult.NO_ANSWER:
-                end = key_grants.hold_end(sent, key_grants.RELEASE_LIMIT)
                 tenure.book.unanswered(owner, sent, key_grants.RELEASE_LIMIT)
                 return None, end
+        undo()
         return None, timedelta()
 
 
@@ -712,6 +832,17 @@
     return key_map.decode(row.value, version=row.version)
 
 
+def _within(
+    keys: key_map.KeyMap, source: key_map.KeyRange
+) -> list[key_map.KeyRange]:
+    """Return the parts of a map's ranges that a range covers."""
+    return [
+        held.piece(max(held.first, source.first), min(held.last, source.last))
+        for held in keys.ranges
+        if held.first <= source.last and held.last >= source.first
+    ]
+
+
 def _without(
     held: key_map.KeyRange, moving: list[key_map.KeyRange]
 ) -> list[key_map.KeyRange]:
--- a/goldcresthaven/key_grants.py
+++ b/goldcresthaven/key_grants.py
@@ -12,6 +12,7 @@
 from enum import Enum
 from typing import Protocol
 
+from goldcresthaven import ids
 from goldcresthaven import key_map
 from goldcresthaven import members
 
@@ -88,6 +89,7 @@
 
     def __init__(self, *, inherited: timedelta, first_fence: int) -> None:
         self._inherited = inherited
+        self._predecessor: dict[ids.UpstreamId, timedelta] | None = None
         self._first_fence = first_fence
         self._bounds: dict[tuple[key_map.Owner, int], timedelta] = {}
         self._unanswered: dict[key_map.Owner, timedelta] = {}
@@ -120,7 +122,7 @@
     def free_at(self, owner: key_map.Owner, fence: int) -> timedelta:
         """Return when an owner can no longer hold keys under a fence."""
         bound = self._bounds.get((owner, fence), timedelta())
-        return max(self._inherited_for(fence), bound)
+        return max(self._inherited_for(owner, fence), bound)
 
     def is_settled(
         self, owner: key_map.Owner, fence: int, now: timedelta
@@ -130,9 +132,32 @@
         Otherwise a grant that is still under way may revive the hold.
         """
         unanswered = self._unanswered.get(owner, timedelta())
-        return now > max(self._inherited_for(fence), unanswered)
+        return now > max(self._inherited_for(owner, fence), unanswered)
 
-    def _inherited_for(self, fence: int) -> timedelta:
+    def predecessor_stopped(
+        self, ends: dict[ids.UpstreamId, timedelta]
+    ) -> None:
+        """Note when the last grants of the predecessor end, by owner."""
+        self._predecessor = ends
+
+    def bounds(
+        self, now: timedelta
+    ) -> dict[key_map.Owner, timedelta] | None:
+        """Return until when each owner may hold anything.
+
+        None while grants of an earlier holder, whose extent is not known,
+        may last.
+        """
+        if self._predecessor is None and now < self._inherited:
+            return None
+        ends: dict[key_map.Owner, timedelta] = dict(self._unanswered)
+        for (owner, _), end in self._bounds.items():
+            ends[owner] = max(ends.get(owner, end), end)
+        return {owner: end for owner, end in ends.items() if end > now}
+
+    def _inherited_for(self, owner: key_map.Owner, fence: int) -> timedelta:
         if fence >= self._first_fence:
             return timedelta()
-        return self._inherited
+        if self._predecessor is None:
+            return self._inherited
+        return self._predecessor.get(owner.upstream_id, timedelta())
--- a/goldcresthaven/key_map.py
+++ b/goldcresthaven/key_map.py
@@ -136,7 +136,7 @@
             KeyRange(
                 first=first,
                 last=last,
-                owner=_owner(upstream_id, incarnation),
+                owner=owner_of(upstream_id, incarnation),
                 fence=fence,
             )
             for (first, upstream_id, incarnation, fence), last in zip(
@@ -156,7 +156,7 @@
         ) from exc
 
 
-def _owner(upstream_id: str, incarnation: int) -> Owner | None:
+def owner_of(upstream_id: str, incarnation: int) -> Owner | None:
     if not upstream_id:
         return None
     return Owner(
--- a/goldcresthaven/selection.py
+++ b/goldcresthaven/selection.py
@@ -15,7 +15,7 @@
 import random
 
 from goldcresthaven import ids
-from goldcresthaven import load_reports
+from goldcresthaven import fleet_messages
 from goldcresthaven import registry
 from goldcresthaven import request_meta
 
@@ -165,7 +165,7 @@
 
     def recent_loads(
         self, upstreams: Iterable[registry.Upstream], now: timedelta
-    ) -> list[load_reports.UpstreamLoad]:
+    ) -> list[fleet_messages.UpstreamLoad]:
         """Return the loads that were reported within ``SHARE_AGE``."""
         found = []
         for upstream in upstreams:
@@ -174,7 +174,7 @@
             if seen is None or now - seen > SHARE_AGE:
                 continue
             found.append(
-                load_reports.UpstreamLoad(
+                fleet_messages.UpstreamLoad(
                     upstream_id=upstream.upstream_id,
                     requests=round(state.reported),
                     slots=state.slots,
@@ -187,7 +187,7 @@
     def learn(
         self,
         upstream: registry.Upstream,
-        load: load_reports.UpstreamLoad,
+        load: fleet_messages.UpstreamLoad,
         now: timedelta,
     ) -> None:
         """Take over a load that another process has seen, if newer."""
--- a/goldcresthaven/upstream_pool.py
+++ b/goldcresthaven/upstream_pool.py
@@ -27,7 +27,13 @@
     ended cleanly; otherwise a late response could answer the next request.
     """
 
-    def __init__(self, *, accept_unframed: bool = False) -> None:
+    def __init__(
+        self,
+        *,
+        accept_unframed: bool = False,
+        connect_timeout: timedelta = CONNECT_TIMEOUT,
+    ) -> None:
+        self._connect_timeout = connect_timeout
         self._accept_unframed = accept_unframed
         self._endpoints: dict[members.Address, _Endpoint] = {}
 
@@ -85,7 +91,7 @@
     ) -> http_io.UpstreamConn:
         endpoint.open_count += 1
         try:
-            async with aio.timeout(CONNECT_TIMEOUT):
+            async with aio.timeout(self._connect_timeout):
                 sock = await aio.connect(address.host, address.port)
         except errors.DeadlineExceeded as exc:
             endpoint.open_count -= 1
