--- a/goldcresthaven/gateway.py
+++ b/goldcresthaven/gateway.py
@@ -38,6 +38,8 @@
 # Share of the remaining time within which an upstream has to be able to
 # answer, by priority; less urgent work is refused earlier.
 PATIENCE = (1.0, 0.85, 0.7)
+# An upstream without a queue is tried even if it misses the target.
+ALONE_FACTOR = 1.3
 # Callers wait for a refusal's time up to a third of what they have left.
 RETRY_SHARE = 0.3
 LEAST_RETRY = timedelta(milliseconds=30)
@@ -341,8 +343,7 @@
             f'{choice.expected.total_seconds():.3f} s, report '
             f'{"none" if age is None else f"{age.total_seconds():.2f} s"} old'
         )
-        rank = min(work.route.priority, len(PATIENCE) - 1)
-        if choice.expected <= (work.deadline - now) * PATIENCE[rank]:
+        if choice.expected <= self._patience(work, choice, now):
             return choice
         return outcomes.NotRun(
             reason=outcomes.Reason.CANNOT_MEET_DEADLINE,
@@ -350,6 +351,24 @@
             retry_after=BUSY_RETRY,
         )
 
+    def _patience(
+        self, work: _Work, choice: selection.Choice, now: timedelta
+    ) -> timedelta:
+        """Return how long the request may take from now.
+
+        Under overload the throughput is the same whether queues are long
+        or short, so work that is not urgent queues only as far as it can
+        still meet its target. What has missed it already, or meets a slow
+        upstream, may take what is left.
+        """
+        rank = min(work.route.priority, len(PATIENCE) - 1)
+        patience = (work.deadline - now) * PATIENCE[rank]
+        aim = work.route.target - (now - work.arrived)
+        if rank == 0 or aim <= timedelta():
+            return patience
+        alone = self._selector.service(choice.upstream) * ALONE_FACTOR
+        return min(patience, max(aim, alone))
+
     def _penalty(self, route: routes.Route) -> timedelta:
         if route.kind is routes.RouteKind.DOWNLOAD:
             return DOWNLOAD_PENALTY
--- a/goldcresthaven/gateway_process.py
+++ b/goldcresthaven/gateway_process.py
@@ -37,8 +37,8 @@
 
 # The load balancer takes two missed probes, a second apart, to notice.
 LISTEN_AFTER_STOP = timedelta(seconds=2.3)
-# Left of the grace time for the last answers to be written.
-STOP_MARGIN = timedelta(milliseconds=500)
+# Left of the grace time for the end of all tasks, on a busy machine.
+STOP_MARGIN = timedelta(seconds=1)
 STOP_CHECK = timedelta(milliseconds=50)
 # Upstreams are a few milliseconds away; one that does not answer by then
 # is dark, and the request can still go to another.
--- a/goldcresthaven/key_coordinator.py
+++ b/goldcresthaven/key_coordinator.py
@@ -46,7 +46,9 @@
 SILENCE = timedelta(seconds=1)
 TICK = timedelta(milliseconds=100)
 PLAN_EVERY = timedelta(milliseconds=300)
-RELIEF_EVERY = timedelta(seconds=1)
+RELIEF_EVERY = timedelta(milliseconds=700)
+# Balancing waits while this many moves are under way.
+MAX_TRANSFERS = 6
 # After the first upstream registered, the others follow within a beat.
 GATHER = timedelta(seconds=1.2)
 # An owner that answers no grant for this long is taken for lost.
@@ -648,7 +650,7 @@
             candidates,
             tenure.load,
             fixed=fixed,
-            relieve=relieve and not fixed,
+            relieve=relieve and len(fixed) < MAX_TRANSFERS,
         )
         for move in moves:
             transfer = _Transfer(move=move)
@@ -716,6 +718,9 @@
             await aio.sleep(TICK / 5)
         free_at = tenure.book.free_at(owner, source.fence)
         fence: int | None = None
+        # A raised grant without an answer extends the wait, so there is
+        # one at most.
+        may_raise = True
         while tenure.lost is None:
             now = self._clock.elapsed()
             if now >= free_at:
@@ -724,11 +729,12 @@
             if address is not None and self._may_send(tenure):
                 if tenure.book.is_settled(owner, source.fence, now):
                     fence = fence or source.fence
-                elif fence is None and self._is_registered(owner):
+                elif may_raise and self._is_registered(owner):
                     fence, end = await self._raise_fence(
                         tenure, source, owner, address
                     )
                     free_at = max(free_at, end)
+                    may_raise = end == timedelta()
                 if fence is not None:
                     self._announce(
                         fleet_messages.Moving(
--- a/goldcresthaven/selection.py
+++ b/goldcresthaven/selection.py
@@ -128,6 +128,10 @@
         state = self.state(upstream)
         return upstream.slots * (FIRST_SERVICE / state.service)
 
+    def service(self, upstream: registry.Upstream) -> timedelta:
+        """Return the observed time of a request that does not queue."""
+        return self.state(upstream).service
+
     def estimate(self, upstream: registry.Upstream, now: timedelta) -> Choice:
         """Return an upstream with the time that it needs for a request."""
         state = self.state(upstream)
--- /dev/null
+++ b/tests/test_key_coordinator.py
@@ -0,0 +1,294 @@
+"""Tests of sole ownership through takeovers, lost calls and dead owners."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from datetime import timedelta
+import json
+import random
+import unittest
+
+from goldcresthaven import aio
+from goldcresthaven import clock
+from goldcresthaven import fleet_messages
+from goldcresthaven import ids
+from goldcresthaven import key_coordinator
+from goldcresthaven import key_grants
+from goldcresthaven import key_map
+from goldcresthaven import registry
+from goldcresthaven import state_store
+from tests import fake_platform
+
+POOL = fake_platform.POOL
+CLAIMS = state_store.Table.CLAIMS
+MAPS = state_store.Table.ASSIGNMENTS
+LIMIT = timedelta(seconds=12)
+LONGEST = timedelta(seconds=10)
+
+
+class Fleet:
+    """One store, the upstreams, and coordinators that share them."""
+
+    def __init__(self) -> None:
+        self.clock = clock.SystemClock()
+        self.store = fake_platform.FakeStore()
+        self.leases = fake_platform.FakeLeases()
+        self.registry = registry.Registry()
+        self.announced: list[fleet_messages.Message] = []
+        self.asked: list[tuple[str, fleet_messages.StandDown]] = []
+
+    def register(self, *names: str, draining: bool = False) -> None:
+        self.registry.apply(
+            {
+                ids.UpstreamId(name): fake_platform.upstream(
+                    name, draining=draining
+                )
+                for name in names
+            },
+            whole=False,
+            version=1,
+            now=self.clock.elapsed(),
+        )
+
+    def coordinator(self, name: str) -> key_coordinator.KeyCoordinator:
+        return key_coordinator.KeyCoordinator(
+            pool=POOL,
+            identity=name,
+            store=self.store,
+            calls=self.leases,
+            upstreams=self.registry,
+            address=f'{name}:7200',
+            capacity=lambda upstream: float(upstream.slots),
+            silence=lambda pool, now: timedelta(seconds=60),
+            announce=self.announced.append,
+            ask_to_stand_down=lambda to, ask: self.asked.append((to, ask)),
+            longest_hold=LONGEST,
+            clock=self.clock,
+            rng=random.Random(7),
+        )
+
+    def keys(self) -> key_map.KeyMap:
+        row = self.store.rows.get((MAPS, POOL))
+        if row is None or row.value is None:
+            return key_map.empty()
+        return key_map.decode(row.value, version=row.version)
+
+    def owners(self) -> set[str]:
+        return {
+            r.owner.upstream_id if r.owner else ''
+            for r in self.keys().ranges
+        }
+
+    async def until(self, condition: Callable[[], bool]) -> None:
+        async with aio.timeout(LIMIT):
+            while not condition():
+                await aio.sleep(timedelta(milliseconds=10))
+
+    def tick(self, seconds: float) -> None:
+        """Let the store's clock run, as seen in its answers."""
+        self.store.clock += seconds
+
+
+def run(test: Callable[[Fleet], Awaitable[None]]) -> None:
+    async def main() -> None:
+        await test(Fleet())
+
+    aio.run(main)
+
+
+class CoordinatorTest(unittest.TestCase):
+    def test_every_key_is_granted_at_the_first_start(self) -> None:
+        """Guards against upstreams that serve no one."""
+
+        async def main(fleet: Fleet) -> None:
+            fleet.register('u1', 'u2', 'u3')
+            await aio.spawn(fleet.coordinator('n1').run())
+            await fleet.until(lambda: len(fleet.leases.held) == 3)
+            held = sorted(
+                spot
+                for ranges in fleet.leases.held.values()
+                for spot in ranges
+            )
+            self.assertEqual(held[0][0], key_map.FIRST_KEY)
+            self.assertEqual(held[-1][1], key_map.LAST_KEY)
+            for (_, last), (first, _) in zip(held, held[1:]):
+                self.assertEqual(first, last + 1)
+
+        run(main)
+
+    def test_leaver_releases_before_the_next_owner_is_granted(self) -> None:
+        """Guards against two owners around a planned move."""
+
+        async def main(fleet: Fleet) -> None:
+            fleet.register('u1', 'u2')
+            await aio.spawn(fleet.coordinator('n1').run())
+            await fleet.until(lambda: len(fleet.leases.held) == 2)
+            fleet.register('u1', draining=True)
+            await fleet.until(lambda: fleet.owners() == {'u2'})
+            await fleet.until(
+                lambda: any(
+                    g.handover == 'from-u1'
+                    for g in fleet.leases.calls('grant', 'u2')
+                )
+            )
+            calls = [(kind, host) for kind, host, _ in fleet.leases.log]
+            released = calls.index(('release', 'u1'))
+            self.assertNotIn(('grant', 'u1'), calls[released:])
+            moved = [
+                g
+                for g in fleet.leases.calls('grant', 'u2')
+                if g.handover == 'from-u1'
+            ]
+            before = fleet.leases.calls('grant', 'u1')
+            self.assertGreater(moved[0].fence, before[-1].fence)
+
+        run(main)
+
+    def test_dark_owner_keeps_its_keys_until_its_hold_is_over(self) -> None:
+        """Guards against a second owner beside one that is only cut off."""
+
+        async def main(fleet: Fleet) -> None:
+            fleet.register('u1', 'u2')
+            await aio.spawn(fleet.coordinator('n1').run())
+            await fleet.until(lambda: len(fleet.leases.held) == 2)
+            last = fleet.clock.elapsed()
+            fleet.leases.dark.add('u1')
+            await fleet.until(lambda: fleet.owners() == {'u2'})
+            waited = fleet.clock.elapsed() - last
+            self.assertGreater(waited, key_grants.HOLD)
+            self.assertEqual(
+                [g for g in fleet.leases.calls('grant', 'u2') if g.handover],
+                [],
+            )
+
+        run(main)
+
+    def test_dead_owner_is_replaced_within_target(self) -> None:
+        """Guards against keys that nobody serves for over 4 s and a beat."""
+
+        async def main(fleet: Fleet) -> None:
+            fleet.register('u1', 'u2')
+            await aio.spawn(fleet.coordinator('n1').run())
+            await fleet.until(lambda: len(fleet.leases.held) == 2)
+            lost = fleet.clock.elapsed()
+            fleet.leases.unreachable.add('u1')
+            await fleet.until(lambda: fleet.owners() == {'u2'})
+            waited = fleet.clock.elapsed() - lost
+            self.assertLess(waited, timedelta(seconds=4.5))
+
+        run(main)
+
+    def test_successor_renews_owners_under_their_fences(self) -> None:
+        """Guards against a gap or a move when a coordinator dies."""
+
+        async def main(fleet: Fleet) -> None:
+            fleet.register('u1', 'u2')
+            first = await aio.spawn(fleet.coordinator('n1').run())
+            await fleet.until(lambda: len(fleet.leases.held) == 2)
+            fences = {r.fence for r in fleet.keys().ranges}
+            await first.cancel()
+            fleet.tick(5.0)
+            await aio.spawn(fleet.coordinator('n2').run())
+            await fleet.until(lambda: fleet.keys().coordinator == 'n2:7200')
+            before = len(fleet.leases.log)
+            await fleet.until(lambda: len(fleet.leases.log) >= before + 2)
+            renewed = {g.fence for _, _, g in fleet.leases.log[before:]}
+            self.assertLessEqual(renewed, fences)
+            self.assertEqual(fleet.asked[0][0], 'n1:7200')
+
+        run(main)
+
+    def test_successor_raises_the_fence_before_it_trusts_a_release(
+        self,
+    ) -> None:
+        """Guards against a predecessor's late grant that revives a hold."""
+
+        async def main(fleet: Fleet) -> None:
+            fleet.register('u1', 'u2')
+            first = await aio.spawn(fleet.coordinator('n1').run())
+            await fleet.until(lambda: len(fleet.leases.held) == 2)
+            recorded = {r.fence for r in fleet.keys().ranges}
+            await first.cancel()
+            fleet.tick(5.0)
+            fleet.register('u1', draining=True)
+            await aio.spawn(fleet.coordinator('n2').run())
+            await fleet.until(lambda: fleet.owners() == {'u2'})
+            releases = fleet.leases.calls('release', 'u1')
+            self.assertTrue(releases)
+            self.assertGreater(releases[0].fence, max(recorded))
+
+        run(main)
+
+    def test_deposed_coordinator_sends_no_more_grants(self) -> None:
+        """Guards against two coordinators that grant at the same time."""
+
+        async def main(fleet: Fleet) -> None:
+            fleet.register('u1', 'u2')
+            coordinator = fleet.coordinator('n1')
+            await aio.spawn(coordinator.run())
+            await fleet.until(lambda: len(fleet.leases.held) == 2)
+            claim = {'holder': 'other', 'beat': fleet.store.clock + 60}
+            fleet.store.put(CLAIMS, POOL, json.dumps(claim).encode())
+            await fleet.until(lambda: not coordinator.holds_claim)
+            before = len(fleet.leases.log)
+            await aio.sleep(timedelta(seconds=1.5))
+            self.assertEqual(len(fleet.leases.log), before)
+
+        run(main)
+
+    def test_lost_answers_of_the_store_leave_one_map(self) -> None:
+        """Guards against acting on a write whose fate is unknown."""
+
+        async def main(fleet: Fleet) -> None:
+            fleet.register('u1', 'u2')
+            coordinator = fleet.coordinator('n1')
+            await aio.spawn(coordinator.run())
+            await fleet.until(lambda: len(fleet.leases.held) == 2)
+            fleet.store.lose = 2
+            fleet.register('u1', draining=True)
+            await fleet.until(lambda: fleet.owners() == {'u2'})
+            await fleet.until(
+                lambda: len(fleet.leases.held.get('u2', {})) >= 2
+            )
+            self.assertTrue(coordinator.holds_claim)
+
+        run(main)
+
+    def test_holds_are_long_while_the_store_is_away(self) -> None:
+        """Guards against upstreams that stop with the store."""
+
+        async def main(fleet: Fleet) -> None:
+            fleet.register('u1', 'u2')
+            await aio.spawn(fleet.coordinator('n1').run())
+            await fleet.until(lambda: len(fleet.leases.held) == 2)
+            self.assertEqual(set(fleet.leases.holds), {key_grants.HOLD})
+            fleet.store.down = True
+            await fleet.until(lambda: LONGEST in fleet.leases.holds)
+
+        run(main)
+
+    def test_asked_to_stand_down_it_tells_what_may_be_held(self) -> None:
+        """Guards against a successor that must assume the worst."""
+
+        async def main(fleet: Fleet) -> None:
+            fleet.register('u1', 'u2')
+            coordinator = fleet.coordinator('n1')
+            await aio.spawn(coordinator.run())
+            await fleet.until(lambda: len(fleet.leases.held) == 2)
+            old = fleet_messages.StandDown(pool=POOL, claim_version=0)
+            self.assertIsNone(coordinator.stand_down(old))
+            ask = fleet_messages.StandDown(pool=POOL, claim_version=10**6)
+            claim = {'holder': 'other', 'beat': fleet.store.clock + 60}
+            fleet.store.put(CLAIMS, POOL, json.dumps(claim).encode())
+            answer = coordinator.stand_down(ask)
+            assert answer is not None
+            named = {bound.upstream_id for bound in answer.bounds}
+            self.assertEqual(named, {'u1', 'u2'})
+            before = len(fleet.leases.log)
+            await aio.sleep(timedelta(seconds=1.3))
+            self.assertEqual(len(fleet.leases.log), before)
+
+        run(main)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/test_key_grants.py
@@ -0,0 +1,73 @@
+"""Tests of the bounds on what upstreams may still hold."""
+
+from datetime import timedelta
+import unittest
+
+from goldcresthaven import ids
+from goldcresthaven import key_grants
+from tests import fake_platform
+
+NOW = timedelta(seconds=100)
+HOLD = timedelta(seconds=3)
+INHERITED = NOW + timedelta(seconds=14)
+OWNER = fake_platform.owner('u1')
+OLD_FENCE = 5
+OWN_FENCE = 12
+
+
+class HoldBookTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.book = key_grants.HoldBook(
+            inherited=INHERITED, first_fence=OWN_FENCE
+        )
+
+    def test_hold_counts_from_the_latest_arrival_on_a_slow_clock(self) -> None:
+        """Guards against a second owner while the first still holds."""
+        end = key_grants.hold_end(NOW, HOLD)
+        latest = NOW + key_grants.CALL_LIMIT + HOLD * 1.02
+        self.assertGreater(end, latest)
+
+    def test_earlier_holder_bounds_its_own_fences_only(self) -> None:
+        """Guards against both waits that are too short and too long."""
+        self.assertEqual(self.book.free_at(OWNER, OLD_FENCE), INHERITED)
+        self.assertEqual(self.book.free_at(OWNER, OWN_FENCE), timedelta())
+
+    def test_call_that_did_not_arrive_extends_nothing(self) -> None:
+        """Guards against a dead upstream that keeps its keys forever."""
+        self.book.sent(OWNER, OWN_FENCE, NOW, HOLD)
+        first = self.book.free_at(OWNER, OWN_FENCE)
+        undo = self.book.sent(OWNER, OWN_FENCE, NOW + HOLD, HOLD)
+        undo()
+        self.assertEqual(self.book.free_at(OWNER, OWN_FENCE), first)
+
+    def test_release_is_not_final_while_a_grant_may_arrive(self) -> None:
+        """Guards against a grant that revives a hold after its release."""
+        self.assertTrue(self.book.is_settled(OWNER, OWN_FENCE, NOW))
+        self.book.unanswered(OWNER, NOW, HOLD)
+        self.assertFalse(self.book.is_settled(OWNER, OWN_FENCE, NOW))
+        end = key_grants.hold_end(NOW, HOLD)
+        later = end + timedelta(milliseconds=1)
+        self.assertTrue(self.book.is_settled(OWNER, OWN_FENCE, later))
+        self.assertFalse(self.book.is_settled(OWNER, OLD_FENCE, later))
+
+    def test_predecessor_that_answered_replaces_the_bound(self) -> None:
+        """Guards against 14 s without an owner after each takeover."""
+        end = NOW + timedelta(seconds=2)
+        self.book.predecessor_stopped({ids.UpstreamId('u1'): end})
+        self.assertEqual(self.book.free_at(OWNER, OLD_FENCE), end)
+        other = fake_platform.owner('u2')
+        self.assertEqual(self.book.free_at(other, OLD_FENCE), timedelta())
+
+    def test_bounds_are_unknown_while_inherited_ones_last(self) -> None:
+        """Guards against a chain of successors that forgets a grant."""
+        self.assertIsNone(self.book.bounds(NOW))
+        self.book.sent(OWNER, OWN_FENCE, INHERITED, HOLD)
+        later = INHERITED + timedelta(seconds=1)
+        self.assertEqual(
+            self.book.bounds(later),
+            {OWNER: key_grants.hold_end(INHERITED, HOLD)},
+        )
+
+
+if __name__ == '__main__':
+    unittest.main()
