--- a/goldcresthaven/platform/headers.py
+++ b/goldcresthaven/platform/headers.py
@@ -62,7 +62,9 @@
 
 
 def _number(text: str | None) -> int | None:
-    if text is None or len(text) > _MAX_DIGITS or not text.isdecimal():
+    if text is None or len(text) > _MAX_DIGITS:
+        return None
+    if not (text.isascii() and text.isdecimal()):
         return None
     return int(text)
 
--- a/goldcresthaven/platform/store.py
+++ b/goldcresthaven/platform/store.py
@@ -164,7 +164,7 @@
 def _rows(document: Mapping[str, Any]) -> list[state_store.Row]:
     try:
         return [_row(row) for row in document['rows']]
-    except (KeyError, TypeError, ValueError) as exc:
+    except (AttributeError, KeyError, TypeError, ValueError) as exc:
         raise _unavailable(f'the answer has unreadable rows: {exc}') from exc
 
 
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,523 @@
+"""Tests of the request path over real sockets, with scripted upstreams."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from datetime import timedelta
+import random
+import re
+import unittest
+
+from goldcresthaven import aio
+from goldcresthaven import clock
+from goldcresthaven import exchange
+from goldcresthaven import follower
+from goldcresthaven import gateway
+from goldcresthaven import gateway_metrics
+from goldcresthaven import ids
+from goldcresthaven import key_map
+from goldcresthaven import members
+from goldcresthaven import registry
+from goldcresthaven import routes
+from goldcresthaven import selection
+from goldcresthaven import state_store
+from goldcresthaven import upstream_pool
+from goldcresthaven.platform import headers as platform_headers
+from tests import fake_platform
+
+HOST = '127.0.0.1'
+UNKEYED = ids.PoolName('orders')
+LIMIT = timedelta(seconds=6)
+ID = 'X-Goldcresthaven-Attempt-Id'
+STAMP = 'X-Goldcresthaven-Server-Stamp: s\r\n'
+NOT_RUN = 'X-Goldcresthaven-Not-Executed: 1\r\n'
+
+Script = Callable[[aio.Socket, str], Awaitable[None]]
+
+
+def answer(
+    body: str = 'whole', *, status: str = '200 OK', extra: str = STAMP
+) -> Script:
+    async def script(sock: aio.Socket, request: str) -> None:
+        await sock.sendall(
+            f'HTTP/1.1 {status}\r\n{extra}{ID}: {request_id(request)}\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n{body}'.encode()
+        )
+
+    return script
+
+
+def request_id(request: str) -> str:
+    found = re.search(rf'{ID}: (\S+)', request, re.IGNORECASE)
+    return found[1] if found else ''
+
+
+async def vanish(sock: aio.Socket, request: str) -> None:
+    aio.reset_on_close(sock)
+    await sock.close()
+
+
+class Upstream:
+    """A listener that answers each request by the next script."""
+
+    def __init__(self, *scripts: Script) -> None:
+        self.requests: list[str] = []
+        self.closed = False
+        self._scripts = list(scripts)
+        self._listener = aio.Listener(host=HOST, port=0, handler=self._serve)
+
+    async def start(self) -> int:
+        await self._listener.start()
+        return self._listener.port
+
+    async def _serve(self, sock: aio.Socket) -> None:
+        text = ''
+        while True:
+            try:
+                data = await sock.recv(65536)
+            except ConnectionResetError:
+                data = b''
+            if not data:
+                self.closed = True
+                return
+            text += data.decode()
+            if '\r\n\r\n' not in text:
+                continue
+            self.requests.append(text)
+            script = self._scripts.pop(0) if self._scripts else answer()
+            await script(sock, text)
+            text = ''
+
+
+class Router:
+    """A gateway with one route to one pool."""
+
+    def __init__(
+        self,
+        *,
+        kind: routes.RouteKind = routes.RouteKind.SAFE,
+        pool: ids.PoolName = UNKEYED,
+    ) -> None:
+        self.clock = clock.SystemClock()
+        self.beliefs = follower.Beliefs()
+        route = fake_platform.route(kind=kind, pool=pool)
+        self.config = routes.RouteConfig(
+            version=ids.ConfigVersion(3),
+            routes=(route,),
+            pools={
+                name: routes.Pool(
+                    name=name,
+                    keyed=name == fake_platform.POOL,
+                    max_connections=50,
+                )
+                for name in (UNKEYED, fake_platform.POOL)
+            },
+        )
+        self.pool = pool
+        rng = random.Random(5)
+        headers = platform_headers.PlatformHeaders()
+        self.gateway = gateway.Gateway(
+            beliefs=self.beliefs,
+            exchanger=exchange.Exchanger(
+                conns=upstream_pool.UpstreamPool(accept_unframed=True),
+                headers=headers,
+                clock=self.clock,
+            ),
+            headers=headers,
+            selector=selection.Selector(zone=ids.ZoneId('a'), rng=rng),
+            metrics=gateway_metrics.GatewayMetrics(),
+            clock=self.clock,
+            rng=rng,
+        )
+        self._listener = aio.Listener(
+            host=HOST, port=0, handler=self.gateway.serve
+        )
+
+    async def start(self, *upstreams: Upstream) -> None:
+        self.configure()
+        for place, upstream in enumerate(upstreams):
+            await self.add(f'u{place}', upstream)
+        await self._listener.start()
+
+    def configure(self) -> None:
+        self.beliefs.config = self.config
+        for table in (
+            state_store.Table.CONFIG,
+            state_store.Table.REGISTRY,
+            state_store.Table.ASSIGNMENTS,
+        ):
+            self.beliefs.heard[table] = self.clock.elapsed()
+
+    async def add(self, name: str, upstream: Upstream) -> None:
+        port = await upstream.start()
+        entry = registry.Upstream(
+            upstream_id=ids.UpstreamId(name),
+            pool=self.pool,
+            address=members.Address(host=HOST, port=port),
+            zone=ids.ZoneId('a'),
+            slots=4,
+            draining=False,
+            incarnation=registry.Incarnation(1),
+        )
+        self.beliefs.registry.apply(
+            {entry.upstream_id: entry},
+            whole=False,
+            version=1,
+            now=self.clock.elapsed(),
+        )
+
+    def assign(self, name: str, version: int) -> None:
+        whole = key_map.KeyRange(
+            first=key_map.FIRST_KEY,
+            last=key_map.LAST_KEY,
+            owner=fake_platform.owner(name),
+            fence=version,
+        )
+        self.beliefs.maps[fake_platform.POOL] = key_map.KeyMap(
+            ranges=(whole,), next_fence=version + 1, version=version
+        )
+
+    async def connect(self) -> aio.Socket:
+        return await aio.connect(HOST, self._listener.port)
+
+    async def ask(
+        self, *, method: str = 'GET', path: str = '/a/x', extra: str = ''
+    ) -> str:
+        """Send a request and return all bytes until the connection ends."""
+        sock = await self.connect()
+        await sock.sendall(request(method=method, path=path, extra=extra))
+        data = b''
+        async with aio.timeout(LIMIT):
+            while piece := await sock.recv(65536):
+                data += piece
+        await sock.close()
+        return data.decode()
+
+
+def request(
+    *, method: str = 'GET', path: str = '/a/x', extra: str = ''
+) -> bytes:
+    return (
+        f'{method} {path} HTTP/1.1\r\nHost: h.example\r\n{ID}: r1\r\n'
+        f'X-Goldcresthaven-Deadline-Ms: 1500\r\nConnection: close\r\n'
+        f'{extra}\r\n'
+    ).encode()
+
+
+def run(test: Callable[[], Awaitable[None]]) -> None:
+    aio.run(test)
+
+
+class AnswerTest(unittest.TestCase):
+    def ask(
+        self,
+        *scripts: Script,
+        kind: routes.RouteKind = routes.RouteKind.SAFE,
+        method: str = 'GET',
+    ) -> tuple[str, Upstream]:
+        upstream = Upstream(*scripts)
+        replies: list[str] = []
+
+        async def main() -> None:
+            router = Router(kind=kind)
+            await router.start(upstream)
+            replies.append(await router.ask(method=method))
+
+        run(main)
+        return replies[0], upstream
+
+    def test_whole_answer_with_its_signature(self) -> None:
+        """Guards against a changed answer or a request without limits."""
+        reply, upstream = self.ask(answer('hello'))
+        self.assertTrue(reply.startswith('HTTP/1.1 200'))
+        self.assertIn('server-stamp: s', reply.lower())
+        self.assertTrue(reply.endswith('\r\n\r\nhello'))
+        sent = upstream.requests[0].lower()
+        self.assertIn('expect-instance: u0', sent)
+        limit = re.search(r'deadline-ms: (\d+)', sent)
+        assert limit is not None
+        self.assertLessEqual(int(limit[1]), 800)
+
+    def test_success_without_signature_is_not_passed_on(self) -> None:
+        """Guards against bytes that no upstream vouches for."""
+        reply, _ = self.ask(answer(extra=''), answer(extra=''))
+        self.assertTrue(reply.startswith('HTTP/1.1 502'), reply)
+
+    def test_lost_unsafe_request_is_unknown_and_sent_once(self) -> None:
+        """Guards against a payment that runs twice or is denied."""
+        reply, upstream = self.ask(
+            vanish, kind=routes.RouteKind.UNSAFE, method='POST'
+        )
+        self.assertTrue(reply.startswith('HTTP/1.1 502'), reply)
+        self.assertEqual(len(upstream.requests), 1)
+
+    def test_unproved_refusal_of_an_unsafe_request_is_unknown(self) -> None:
+        """Guards against "not run" for a payment that has run."""
+        reply, _ = self.ask(
+            answer(status='503 Busy', extra=STAMP),
+            kind=routes.RouteKind.UNSAFE,
+            method='POST',
+        )
+        self.assertTrue(reply.startswith('HTTP/1.1 502'), reply)
+        self.assertNotIn('server-stamp', reply.lower())
+
+    def test_proved_refusal_says_when_to_come_back(self) -> None:
+        """Guards against a refusal that callers cannot use."""
+        shed = answer('', status='503 Busy', extra=NOT_RUN)
+        reply, upstream = self.ask(
+            shed, kind=routes.RouteKind.UNSAFE, method='POST'
+        )
+        self.assertTrue(reply.startswith('HTTP/1.1 503'), reply)
+        after = re.search(r'retry-after: ([\d.]+)', reply)
+        assert after is not None
+        self.assertLess(float(after[1]), 0.5)
+        self.assertEqual(len(upstream.requests), 1)
+
+    def test_late_answer_to_another_request_is_skipped(self) -> None:
+        """Guards against an answer that belongs to somebody else."""
+
+        async def late_first(sock: aio.Socket, text: str) -> None:
+            await sock.sendall(
+                f'HTTP/1.1 200 OK\r\n{STAMP}{ID}: other\r\n'
+                'Content-Length: 5\r\n\r\nwrong'.encode()
+            )
+            await answer('right')(sock, text)
+
+        reply, _ = self.ask(late_first)
+        self.assertTrue(reply.endswith('right'), reply)
+        self.assertNotIn('wrong', reply)
+
+    def test_broken_off_answer_does_not_look_whole(self) -> None:
+        """Guards against half a download taken for the whole."""
+
+        async def half(sock: aio.Socket, text: str) -> None:
+            await sock.sendall(
+                f'HTTP/1.1 200 OK\r\n{STAMP}{ID}: r1\r\n'
+                'Content-Length: 100\r\n\r\nhalf'.encode()
+            )
+            await sock.close()
+
+        upstream = Upstream(half)
+
+        async def main() -> None:
+            router = Router()
+            await router.start(upstream)
+            sock = await router.connect()
+            await sock.sendall(request())
+            data = b''
+            try:
+                while piece := await sock.recv(65536):
+                    data += piece
+            except ConnectionResetError:
+                pass
+            body = data.partition(b'\r\n\r\n')[2]
+            self.assertLess(len(body), 100)
+
+        run(main)
+
+    def test_answer_that_ends_with_its_connection(self) -> None:
+        """Guards against refusing a proper answer without a length."""
+
+        async def unframed(sock: aio.Socket, text: str) -> None:
+            await sock.sendall(
+                f'HTTP/1.1 200 OK\r\n{STAMP}{ID}: r1\r\n\r\nall of it'.encode()
+            )
+            await sock.close()
+
+        reply, _ = self.ask(unframed)
+        self.assertIn('all of it', reply)
+        self.assertTrue(reply.endswith('0\r\n\r\n'), reply)
+
+    def test_unframed_answer_that_is_reset_is_not_whole(self) -> None:
+        """Guards against a cut answer that ends like a whole one."""
+
+        async def cut(sock: aio.Socket, text: str) -> None:
+            await sock.sendall(
+                f'HTTP/1.1 200 OK\r\n{STAMP}{ID}: r1\r\n\r\nsome'.encode()
+            )
+            await aio.sleep(timedelta(milliseconds=50))
+            await vanish(sock, text)
+
+        upstream = Upstream(cut, cut)
+
+        async def main() -> None:
+            router = Router()
+            await router.start(upstream)
+            sock = await router.connect()
+            await sock.sendall(request())
+            data = b''
+            try:
+                while piece := await sock.recv(65536):
+                    data += piece
+            except ConnectionResetError:
+                pass
+            self.assertFalse(data.endswith(b'0\r\n\r\n'))
+
+        run(main)
+
+
+class RoutingTest(unittest.TestCase):
+    def test_refused_request_goes_to_another_upstream(self) -> None:
+        """Guards against a refusal while another upstream is free."""
+        shed = answer('', status='503 Busy', extra=NOT_RUN)
+        first, second = Upstream(shed), Upstream(answer('fine'))
+
+        async def main() -> None:
+            router = Router(kind=routes.RouteKind.UNSAFE)
+            await router.start(first, second)
+            reply = await router.ask(method='POST')
+            seen = len(first.requests) + len(second.requests)
+            self.assertTrue(reply.startswith('HTTP/1.1 200'), reply)
+            self.assertLessEqual(seen, 2)
+
+        run(main)
+
+    def test_no_configuration_is_no_denial(self) -> None:
+        """Guards against 404 from a process that knows no routes yet."""
+
+        async def main() -> None:
+            router = Router()
+            await router.start()
+            router.beliefs.config = None
+            reply = await router.ask()
+            self.assertTrue(reply.startswith('HTTP/1.1 503'), reply)
+            self.assertIn('retry-after', reply)
+            self.assertFalse(router.gateway.is_ready())
+            router.configure()
+            reply = await router.ask(path='/b/x')
+            self.assertTrue(reply.startswith('HTTP/1.1 404'), reply)
+
+        run(main)
+
+    def test_longest_prefix_wins(self) -> None:
+        """Guards against a request that goes to the wrong route."""
+        cfg = routes.RouteConfig(
+            version=ids.ConfigVersion(1),
+            routes=(
+                fake_platform.route('/'),
+                fake_platform.route('/a/b/'),
+                fake_platform.route('/a/'),
+                fake_platform.route('/a/b/', host='other.example'),
+            ),
+            pools={},
+        )
+        cases = (
+            ('h.example', '/a/b/c?/x/', '/a/b/'),
+            ('H.example:80', '/a/c', '/a/'),
+            ('h.example', '/a', '/'),
+            ('other.example', '/a/c', None),
+        )
+        for host, target, expected in cases:
+            with self.subTest(host=host, target=target):
+                found = cfg.match(host, target)
+                self.assertEqual(found.prefix if found else None, expected)
+
+    def test_key_that_moves_is_served_by_its_next_owner(self) -> None:
+        """Guards against refusals around a planned move."""
+        moved = answer('', status='421 Misdirected', extra=NOT_RUN)
+        old, new = Upstream(moved), Upstream(answer('from the next'))
+
+        async def main() -> None:
+            router = Router(pool=fake_platform.POOL)
+            await router.start(old, new)
+            router.assign('u0', 5)
+
+            async def move() -> None:
+                await aio.sleep(timedelta(milliseconds=100))
+                router.assign('u1', 6)
+
+            await aio.spawn(move())
+            extra = 'X-Goldcresthaven-Shard-Key: 77\r\n'
+            reply = await router.ask(extra=extra)
+            self.assertTrue(reply.endswith('from the next'), reply)
+            self.assertTrue(router.beliefs.maps_doubted)
+
+        run(main)
+
+    def test_restarted_owner_is_not_trusted(self) -> None:
+        """Guards against requests to a life that holds no keys."""
+
+        async def main() -> None:
+            upstream = Upstream()
+            router = Router(pool=fake_platform.POOL)
+            await router.start(upstream)
+            router.assign('u0', 5)
+            whole = key_map.KeyRange(
+                first=key_map.FIRST_KEY,
+                last=key_map.LAST_KEY,
+                owner=fake_platform.owner('u0', incarnation=9),
+                fence=5,
+            )
+            router.beliefs.maps[fake_platform.POOL] = key_map.KeyMap(
+                ranges=(whole,), next_fence=6, version=6
+            )
+            extra = 'X-Goldcresthaven-Shard-Key: 77\r\n'
+            reply = await router.ask(extra=extra)
+            self.assertTrue(reply.startswith('HTTP/1.1 503'), reply)
+            self.assertEqual(upstream.requests, [])
+
+        run(main)
+
+
+class CallerTest(unittest.TestCase):
+    def test_work_stops_when_the_caller_leaves(self) -> None:
+        """Guards against work that nobody waits for."""
+
+        async def never(sock: aio.Socket, text: str) -> None:
+            return
+
+        upstream = Upstream(never)
+
+        async def main() -> None:
+            router = Router()
+            await router.start(upstream)
+            sock = await router.connect()
+            await sock.sendall(request())
+            async with aio.timeout(LIMIT):
+                while not upstream.requests:
+                    await aio.sleep(timedelta(milliseconds=5))
+            await sock.close()
+            async with aio.timeout(timedelta(milliseconds=500)):
+                while not upstream.closed:
+                    await aio.sleep(timedelta(milliseconds=5))
+
+        run(main)
+
+    def test_draining_process_asks_callers_to_close(self) -> None:
+        """Guards against callers that stay until the process is gone."""
+
+        async def main() -> None:
+            router = Router()
+            await router.start(Upstream())
+            router.gateway.drain()
+            sock = await router.connect()
+            text = request().replace(b'Connection: close\r\n', b'')
+            await sock.sendall(text)
+            data = b''
+            async with aio.timeout(LIMIT):
+                while piece := await sock.recv(65536):
+                    data += piece
+            self.assertIn(b'connection: close', data.lower())
+            self.assertFalse(router.gateway.is_ready())
+
+        run(main)
+
+    def test_time_limit_ends_unknown(self) -> None:
+        """Guards against an unsafe request denied after it was sent."""
+
+        async def never(sock: aio.Socket, text: str) -> None:
+            return
+
+        async def main() -> None:
+            router = Router(kind=routes.RouteKind.UNSAFE)
+            await router.start(Upstream(never))
+            started = router.clock.elapsed()
+            reply = await router.ask(method='POST')
+            self.assertTrue(reply.startswith('HTTP/1.1 504'), reply)
+            waited = router.clock.elapsed() - started
+            self.assertLess(waited, timedelta(seconds=1.05))
+
+        run(main)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,437 @@
+"""Tests of the platform's formats and calls, with scripted answers."""
+
+import base64
+from collections.abc import Awaitable
+from collections.abc import Callable
+from datetime import timedelta
+import json
+import pathlib
+import random
+import re
+from typing import Any
+import unittest
+
+from goldcresthaven import aio
+from goldcresthaven import errors
+from goldcresthaven import fleet_messages
+from goldcresthaven import http_head
+from goldcresthaven import ids
+from goldcresthaven import key_grants
+from goldcresthaven import key_map
+from goldcresthaven import members
+from goldcresthaven import routes
+from goldcresthaven import state_store
+from goldcresthaven.platform import decode
+from goldcresthaven.platform import headers
+from goldcresthaven.platform import leases
+from goldcresthaven.platform import settings
+from goldcresthaven.platform import store
+from tests import fake_platform
+
+ROOT = pathlib.Path(__file__).parent.parent
+HOST = '127.0.0.1'
+ENTRY = {
+    'addr': '10.128.0.9:8080',
+    'info': {'service': 'huvo', 'version': 'v1', 'zone': 'a', 'slots': 4},
+    'status': {'state': 'ready', 'sequence': 4, 'cold-left-s': 0.5},
+    'born': 1700000000000,
+}
+CONFIG = {
+    'version': '0000000c',
+    'routes': {
+        'r-1': {
+            'host': 'Jepu.example',
+            'prefix': '/le/',
+            'route-kind': 'unsafe',
+            'timeout-s': 0.8,
+            'target-latency-s': 0.4,
+            'priority': 1,
+            'split': [
+                {'service': 'huvo', 'weight': 90},
+                {'service': 'kafi', 'weight': 10},
+            ],
+            'max-attempts': 2,
+        }
+    },
+    'services': {
+        'huvo': {'max-conns': 248, 'sharded': True},
+        'kafi': {'max-conns': 248},
+    },
+    'limits': {'max-header-bytes': 16384, 'idle-timeout-s': 15},
+}
+SETTINGS = """
+node = "front-a-1"
+zone = "a"
+ip = "10.1.0.18"
+internal-ports = [7200, 7215]
+bounds = ["grace-s=6", "hold-max-s=10", "drain-whole=true"]
+[listen]
+front = "10.1.0.18:8381"
+ready = "10.1.0.18:8388"
+[platform-api]
+addr = "10.200.1.7:8384"
+"""
+
+
+def row(value: bytes | None, key: str = 'i-1') -> state_store.Row:
+    return state_store.Row(key=key, version=7, value=value)
+
+
+def changed(path: str, value: Any) -> bytes:
+    """Return the entry with one field replaced, or removed for None."""
+    entry = json.loads(json.dumps(ENTRY))
+    *parents, name = path.split('.')
+    place = entry
+    for parent in parents:
+        place = place[parent]
+    if value is None:
+        del place[name]
+    else:
+        place[name] = value
+    return json.dumps(entry).encode()
+
+
+class RegistryRowTest(unittest.TestCase):
+    def test_sound_entry(self) -> None:
+        """Guards against a field that is read from the wrong place."""
+        found = decode.upstream(row(json.dumps(ENTRY).encode()))
+        assert found is not None
+        self.assertEqual(found.upstream_id, 'i-1')
+        self.assertEqual(str(found.address), '10.128.0.9:8080')
+        self.assertEqual((found.pool, found.zone), ('huvo', 'a'))
+        self.assertEqual(found.incarnation, 1700000000000)
+        self.assertEqual(found.cold_for, timedelta(seconds=0.5))
+        self.assertFalse(found.draining)
+
+    def test_entry_of_another_writer_names_no_upstream(self) -> None:
+        """Guards against requests to an address that anybody wrote."""
+        bad = [
+            changed('born', None),
+            changed('born', 1.5),
+            changed('born', True),
+            changed('born', '17'),
+            changed('addr', 'nowhere'),
+            changed('addr', '10.0.0.1:99999'),
+            changed('addr', 7),
+            changed('info', []),
+            changed('info.slots', 0),
+            changed('info.slots', '4'),
+            changed('info.service', None),
+            changed('info.zone', 5),
+            changed('status.state', 'resting'),
+            changed('status.sequence', 'x'),
+            changed('status.cold-left-s', 'soon'),
+            b'\xff\xfe',
+            b'[]',
+            b'null',
+            b'[' * 100000,
+        ]
+        for value in bad:
+            with self.subTest(value=value[:80]):
+                self.assertIsNone(decode.upstream(row(value)))
+
+
+class ConfigRowTest(unittest.TestCase):
+    def test_configuration(self) -> None:
+        """Guards against routes, weights or limits that are misread."""
+        cfg = decode.config(json.dumps(CONFIG).encode())
+        self.assertEqual(cfg.version, 12)
+        route = cfg.match('jepu.example', '/le/x')
+        assert route is not None
+        self.assertIs(route.kind, routes.RouteKind.UNSAFE)
+        self.assertEqual(route.timeout, timedelta(seconds=0.8))
+        self.assertEqual(route.max_attempts, 2)
+        self.assertTrue(cfg.pools[ids.PoolName('huvo')].keyed)
+        self.assertFalse(cfg.pools[ids.PoolName('kafi')].keyed)
+        self.assertEqual(cfg.limits.idle_timeout, timedelta(seconds=15))
+
+    def test_weights_are_kept(self) -> None:
+        """Guards against a split that drifts from its weights."""
+        cfg = decode.config(json.dumps(CONFIG).encode())
+        rng = random.Random(2)
+        drawn = [cfg.routes[0].choose_pool(rng) for _ in range(3000)]
+        self.assertAlmostEqual(drawn.count(ids.PoolName('kafi')), 300, -2)
+
+    def test_unreadable_configuration_is_an_error(self) -> None:
+        """Guards against a half-read configuration in force."""
+        for value in (b'', b'[]', b'{"version": "1"}', b'\xff'):
+            with self.subTest(value=value):
+                with self.assertRaises(errors.ProtocolError):
+                    decode.config(value)
+
+
+class HeadersTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.headers = headers.PlatformHeaders()
+
+    def test_proof_that_nothing_ran(self) -> None:
+        """Guards against a refusal without its proof, or the reverse."""
+        cases = (
+            (503, (('x-goldcresthaven-not-executed', '1'),), True),
+            (421, (), True),
+            (503, (), False),
+            (504, (), False),
+        )
+        for status, fields, expected in cases:
+            with self.subTest(status=status, fields=fields):
+                head = http_head.ResponseHead(status=status, headers=fields)
+                self.assertIs(self.headers.upstream(head).not_run, expected)
+
+    def test_callers_cannot_set_what_the_router_sets(self) -> None:
+        """Guards against a caller that chooses upstream or time limit."""
+        sent = self.headers.to_upstream(
+            (
+                ('x-goldcresthaven-deadline-ms', '99999'),
+                ('x-goldcresthaven-expect-instance', 'i-9'),
+                ('x-other', 'kept'),
+            ),
+            remaining=timedelta(milliseconds=250),
+            upstream=ids.UpstreamId('i-1'),
+        )
+        self.assertEqual(
+            sent,
+            (
+                ('x-other', 'kept'),
+                ('x-goldcresthaven-deadline-ms', '250'),
+                ('x-goldcresthaven-expect-instance', 'i-1'),
+            ),
+        )
+
+    def test_numbers_that_are_none(self) -> None:
+        """Guards against a crash by a header of a caller."""
+        for text in ('', 'x', '-1', '1.5', '9' * 30, '٣'):
+            fields = (
+                ('x-goldcresthaven-deadline-ms', text),
+                ('x-goldcresthaven-shard-key', text or '70000'),
+            )
+            with self.subTest(text=text):
+                meta = self.headers.caller(fields)
+                self.assertIsNone(meta.key)
+
+
+class SettingsTest(unittest.TestCase):
+    def test_settings(self) -> None:
+        """Guards against an address that is read from the wrong field."""
+        cfg = settings.load(SETTINGS)
+        self.assertEqual(str(cfg.peers), '10.1.0.18:7200')
+        self.assertEqual(cfg.longest_hold, timedelta(seconds=10))
+        self.assertEqual(cfg.grace, timedelta(seconds=6))
+
+    def test_each_problem_names_its_field(self) -> None:
+        """Guards against an error that does not say what to correct."""
+        cases = (
+            ('node = "front-a-1"', '', 'node'),
+            ('[7200, 7215]', '["x"]', 'internal-ports'),
+            ('hold-max-s=10', 'hold-max-s=much', 'hold-max-s'),
+            ('grace-s=6', 'grace-s=-1', 'grace-s'),
+            ('10.200.1.7:8384', '10.200.1.7:port', 'platform-api.addr'),
+            ('[listen]', '[other]', 'listen'),
+        )
+        for old, new, field in cases:
+            with self.subTest(field=field):
+                with self.assertRaises(errors.SettingsError) as caught:
+                    settings.load(SETTINGS.replace(old, new))
+                self.assertIn(field, str(caught.exception))
+
+
+class Scripted:
+    """A listener that gives prepared answers and keeps the requests."""
+
+    def __init__(self, *answers: bytes) -> None:
+        self.requests: list[str] = []
+        self._answers = list(answers)
+        self._listener = aio.Listener(host=HOST, port=0, handler=self._serve)
+
+    async def start(self) -> members.Address:
+        await self._listener.start()
+        return members.Address(host=HOST, port=self._listener.port)
+
+    async def _serve(self, sock: aio.Socket) -> None:
+        while True:
+            text = ''
+            while not _is_whole(text):
+                data = await sock.recv(65536)
+                if not data:
+                    return
+                text += data.decode()
+            self.requests.append(text)
+            reply = self._answers.pop(0)
+            if not reply:
+                await aio.sleep(timedelta(seconds=5))
+            await sock.sendall(reply)
+
+
+def _is_whole(text: str) -> bool:
+    head, end, body = text.partition('\r\n\r\n')
+    size = re.search(r'content-length: (\d+)', head.lower())
+    return bool(end) and len(body) >= (int(size[1]) if size else 0)
+
+
+def reply(status: int, document: Any = None) -> bytes:
+    body = b'' if document is None else json.dumps(document).encode()
+    return (
+        f'HTTP/1.1 {status} x\r\nContent-Length: {len(body)}\r\n\r\n'.encode()
+        + body
+    )
+
+
+def run(test: Callable[[], Awaitable[None]]) -> None:
+    aio.run(test)
+
+
+class StoreTest(unittest.TestCase):
+    KEY = state_store.Key(table=state_store.Table.CLAIMS, key='huvo')
+
+    def test_answers_of_the_store(self) -> None:
+        """Guards against a refused or lost call taken for a done one."""
+        value = base64.b64encode(b'text').decode()
+        whole = {
+            'rows': [{'key': 'k', 'value': value, 'ver': 3}],
+            'has-more': False,
+            'ver': 9,
+            'now-s': 5.5,
+        }
+        gone = {**whole, 'rows': [{'key': 'k', 'ver': 8, 'deleted': True}]}
+        scripted = Scripted(
+            reply(200, whole),
+            reply(200, gone),
+            reply(410, {}),
+            reply(200, {'ver': 12, 'now-s': 6}),
+            reply(412, {'rows': []}),
+            reply(503),
+            reply(429),
+            reply(200, {'rows': 'none'}),
+            b'',
+        )
+
+        async def main() -> None:
+            client = store.PlatformStore(address=await scripted.start())
+            table = state_store.Table.REGISTRY
+            reading = await client.read(table)
+            self.assertEqual(reading.rows[0].value, b'text')
+            self.assertEqual(reading.clock, timedelta(seconds=5.5))
+            wait = timedelta(seconds=1)
+            changes = await client.watch(table, after=3, wait=wait)
+            self.assertIsNone(changes.rows[0].value)
+            with self.assertRaises(state_store.HistoryLost):
+                await client.watch(table, after=3, wait=wait)
+            done = await client.write(
+                expected={self.KEY: 4}, puts={self.KEY: b'v'}
+            )
+            assert isinstance(done, state_store.Committed)
+            self.assertEqual(done.version, 12)
+            again = await client.write(
+                expected={self.KEY: 4}, puts={self.KEY: b'v'}
+            )
+            self.assertIsInstance(again, state_store.Conflict)
+            for _ in range(4):
+                with self.assertRaises(errors.StoreUnavailable):
+                    await client.read(table)
+
+        run(main)
+        self.assertIn('after=3', scripted.requests[1])
+        self.assertIn('"ver": 4', scripted.requests[3])
+
+
+class LeasesTest(unittest.TestCase):
+    def test_renewal_needs_the_connection_of_the_grant(self) -> None:
+        """Guards against an old fence given to a restarted upstream."""
+        scripted = Scripted(reply(200), reply(200), reply(409), reply(421))
+
+        async def main() -> None:
+            calls = leases.PlatformLeases()
+            address = await scripted.start()
+            results = [
+                await calls.grant(
+                    ids.UpstreamId('i-1'),
+                    address,
+                    key_grants.Grant(first=0, last=9, fence=4),
+                    renewal=renewal,
+                    hold=timedelta(seconds=3),
+                    limit=timedelta(seconds=1),
+                )
+                for renewal in (True, False, True, True, True)
+            ]
+            self.assertEqual(
+                [result.name for result in results],
+                [
+                    'DISCONNECTED',
+                    'GRANTED',
+                    'GRANTED',
+                    'FENCED_OFF',
+                    'ELSEWHERE',
+                ],
+            )
+
+        run(main)
+        for sent in scripted.requests:
+            self.assertIn('expect-instance: i-1', sent.lower())
+
+
+class DatagramTest(unittest.TestCase):
+    def test_messages_read_back(self) -> None:
+        """Guards against a message that another process misreads."""
+        load = fleet_messages.UpstreamLoad(
+            upstream_id=ids.UpstreamId('i-1'),
+            requests=3,
+            slots=4,
+            age=timedelta(milliseconds=20),
+            service=timedelta(milliseconds=150),
+        )
+        pool = ids.PoolName('huvo')
+        held = key_map.KeyRange(
+            first=3, last=9, owner=fake_platform.owner('i-1'), fence=8
+        )
+        messages = (
+            fleet_messages.Report(
+                pool=pool, keys=[1, 2], weight=1.5, loads=[load]
+            ),
+            fleet_messages.Merged(pool=pool, map_version=4, loads=[load]),
+            fleet_messages.MapChange(
+                pool=pool, base=4, version=5, ranges=[held]
+            ),
+            fleet_messages.Moving(pool=pool, first=3, last=9),
+            fleet_messages.StandDown(pool=pool, claim_version=7),
+            fleet_messages.StoodDown(
+                pool=pool,
+                claim_version=7,
+                bounds=[
+                    fleet_messages.HoldBound(
+                        upstream_id=ids.UpstreamId('i-1'),
+                        left=timedelta(seconds=2),
+                    )
+                ],
+            ),
+        )
+        for message in messages:
+            with self.subTest(message=type(message).__name__):
+                data = fleet_messages.encode(message)
+                self.assertEqual(fleet_messages.decode(data), message)
+
+    def test_foreign_datagrams_are_refused(self) -> None:
+        """Guards against a process that ends by a stray datagram."""
+        rng = random.Random(4)
+        for _ in range(2000):
+            data = rng.randbytes(rng.randrange(40))
+            try:
+                fleet_messages.decode(data)
+            except errors.ProtocolError:
+                continue
+
+
+class EdgeTest(unittest.TestCase):
+    NAMES = re.compile(
+        r'X-Goldcresthaven-|rows-(tx|get|feed|parts)|blob-(put|get)|'
+        r'route-kind|hold-s|cold-left-s|GOLDCRESTHAVEN_SETTINGS|now-s',
+        re.IGNORECASE,
+    )
+
+    def test_platform_names_stay_in_their_folder(self) -> None:
+        """Guards against a second place that knows the platform."""
+        for file in (ROOT / 'goldcresthaven').glob('*.py'):
+            with self.subTest(file=file.name):
+                self.assertIsNone(self.NAMES.search(file.read_text()))
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/test_registry.py
@@ -0,0 +1,75 @@
+"""Tests of which upstreams count as registered, leaving or gone."""
+
+from datetime import timedelta
+import unittest
+
+from goldcresthaven import ids
+from goldcresthaven import registry
+from tests import fake_platform
+
+NOW = timedelta(seconds=30)
+U1 = ids.UpstreamId('u1')
+
+
+class RegistryTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.registry = registry.Registry()
+        self.apply(fake_platform.upstream('u1'))
+
+    def apply(
+        self,
+        upstream: registry.Upstream | None,
+        *,
+        at: timedelta = NOW,
+        whole: bool = False,
+    ) -> None:
+        changes = {} if whole else {U1: upstream}
+        self.registry.apply(changes, whole=whole, version=1, now=at)
+
+    def usable(self, at: timedelta) -> list[str]:
+        found = self.registry.usable(fake_platform.POOL, at)
+        return [upstream.upstream_id for upstream in found]
+
+    def test_leaving_upstream_gets_nothing_new(self) -> None:
+        """Guards against work for an upstream that drains."""
+        self.apply(fake_platform.upstream('u1', draining=True))
+        self.assertEqual(self.usable(NOW), [])
+        self.assertEqual(self.registry.departure(U1, NOW), NOW)
+
+    def test_removed_upstream_gets_nothing_new(self) -> None:
+        """Guards against work for an upstream that has gone."""
+        self.apply(None)
+        self.assertEqual(self.usable(NOW), [])
+
+    def test_entry_missing_from_a_whole_reading_is_gone(self) -> None:
+        """Guards against an upstream that left while history was lost."""
+        self.apply(None, whole=True)
+        self.assertEqual(self.usable(NOW), [])
+
+    def test_lapsed_entry_counts_until_it_could_be_back(self) -> None:
+        """Guards against an empty fleet after an outage of the store."""
+        self.registry.reconnected(NOW)
+        self.apply(None, whole=True)
+        self.assertEqual(self.usable(NOW + timedelta(seconds=1)), ['u1'])
+        late = NOW + registry.LAPSE_GRACE
+        self.assertEqual(self.usable(late), [])
+
+    def test_entry_that_is_back_in_time_never_left(self) -> None:
+        """Guards against moves of keys after an outage of the store."""
+        self.registry.reconnected(NOW)
+        self.apply(None, whole=True)
+        self.apply(fake_platform.upstream('u1'), at=NOW + timedelta(seconds=2))
+        late = NOW + timedelta(seconds=9)
+        self.assertEqual(self.usable(late), ['u1'])
+
+    def test_departed_upstream_is_remembered_for_its_keys(self) -> None:
+        """Guards against keys whose last owner's address is forgotten."""
+        self.apply(None)
+        self.assertIsNotNone(self.registry.get(U1))
+        late = NOW + registry.Registry.FORGET_AFTER + timedelta(seconds=1)
+        self.registry.apply({}, whole=False, version=2, now=late)
+        self.assertIsNone(self.registry.get(U1))
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/test_selection.py
@@ -0,0 +1,119 @@
+"""Tests of the choice among upstreams and of what it learns."""
+
+from datetime import timedelta
+import random
+import unittest
+
+from goldcresthaven import fleet_messages
+from goldcresthaven import ids
+from goldcresthaven import request_meta
+from goldcresthaven import selection
+from tests import fake_platform
+
+NOW = timedelta(seconds=50)
+MS = timedelta(milliseconds=1)
+ANSWERED = selection.AttemptOutcome.ANSWERED
+FAILED = selection.AttemptOutcome.FAILED
+SHED = selection.AttemptOutcome.SHED
+
+
+class SelectorTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.selector = selection.Selector(
+            zone=ids.ZoneId('a'), rng=random.Random(9)
+        )
+        self.one = fake_platform.upstream('u1')
+        self.two = fake_platform.upstream('u2')
+
+    def end(
+        self,
+        name: str,
+        outcome: selection.AttemptOutcome,
+        *,
+        waiting: int | None = None,
+        at: timedelta = NOW,
+        elapsed: timedelta = 100 * MS,
+    ) -> None:
+        upstream = {'u1': self.one, 'u2': self.two}[name]
+        load = None
+        if waiting is not None:
+            load = request_meta.Load(running=4, waiting=waiting, slots=4)
+        self.selector.began(upstream)
+        self.selector.ended(
+            upstream, at, elapsed=elapsed, load=load, outcome=outcome
+        )
+
+    def chosen(self, at: timedelta = NOW) -> str:
+        choice = self.selector.choose([self.one, self.two], at)
+        assert choice is not None
+        return choice.upstream.upstream_id
+
+    def test_busy_upstream_is_avoided(self) -> None:
+        """Guards against queues beside free slots."""
+        self.end('u1', ANSWERED, waiting=12)
+        self.end('u2', ANSWERED, waiting=0)
+        self.assertEqual(self.chosen(), 'u2')
+
+    def test_own_requests_count_at_once(self) -> None:
+        """Guards against a burst that follows one old report."""
+        self.end('u1', ANSWERED, waiting=0)
+        self.end('u2', ANSWERED, waiting=1)
+        for _ in range(8):
+            self.selector.began(self.one)
+        self.assertEqual(self.chosen(), 'u2')
+
+    def test_report_loses_its_weight_with_age(self) -> None:
+        """Guards against an upstream that is avoided for its past."""
+        for _ in range(40):
+            self.end('u2', ANSWERED, waiting=0)
+        self.end('u1', ANSWERED, waiting=12)
+        early = self.selector.estimate(self.one, NOW).load
+        late = self.selector.estimate(
+            self.one, NOW + timedelta(seconds=20)
+        ).load
+        self.assertLess(late, early / 2)
+
+    def test_failing_upstream_rests_and_is_tried_again(self) -> None:
+        """Guards against requests into a dark upstream, and a ban."""
+        for _ in range(selection.OPEN_AFTER):
+            self.end('u1', FAILED)
+        self.assertTrue(self.selector.is_paused(self.one, NOW))
+        self.assertEqual(self.chosen(), 'u2')
+        later = NOW + selection.OPEN_FOR
+        self.assertFalse(self.selector.is_paused(self.one, later))
+
+    def test_all_paused_still_gives_a_choice(self) -> None:
+        """Guards against refusals because of refusals."""
+        self.end('u1', SHED)
+        self.end('u2', SHED)
+        self.assertIn(self.chosen(), ('u1', 'u2'))
+
+    def test_shared_load_counts_only_if_newer(self) -> None:
+        """Guards against old news that replaces what was seen here."""
+        self.end('u1', ANSWERED, waiting=10)
+
+        def learn(age: timedelta) -> float:
+            load = fleet_messages.UpstreamLoad(
+                upstream_id=ids.UpstreamId('u1'),
+                requests=1,
+                slots=4,
+                age=age,
+                service=100 * MS,
+            )
+            later = NOW + 100 * MS
+            self.selector.learn(self.one, load, later)
+            return self.selector.estimate(self.one, later).load
+
+        self.assertGreater(learn(timedelta(seconds=2)), 8)
+        self.assertLess(learn(timedelta()), 3)
+
+    def test_next_life_starts_afresh(self) -> None:
+        """Guards against a restarted upstream that inherits failures."""
+        for _ in range(selection.OPEN_AFTER):
+            self.end('u1', FAILED)
+        reborn = fake_platform.upstream('u1', incarnation=2)
+        self.assertFalse(self.selector.is_paused(reborn, NOW))
+
+
+if __name__ == '__main__':
+    unittest.main()
