--- a/goldcresthaven/explain.py
+++ b/goldcresthaven/explain.py
@@ -99,13 +99,13 @@
             False,
             f'the owner {owner.upstream} is {owner.state}'
             + (f' ({owner.reason})' if owner.reason else ''),
-            'wait for the shard to move; see operations.md, a key is refused',
+            'wait for the shard to move; see handbook.md, a key is refused',
         )
     if claim is None or claim.holder is None:
         return (
             False,
             f'nobody is known to hold the claim on {owner.domain}',
-            'see operations.md, a claim does not renew',
+            'see handbook.md, a claim does not renew',
         )
     return (
         True,
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -200,7 +200,7 @@
 class HandbookTest(unittest.TestCase):
     def test_symptoms_have_all_parts(self) -> None:
         """Guards against a symptom without a warning or a next step."""
-        found = sections(read('operations.md'), '##')
+        found = sections(read('handbook.md'), '##')
         self.assertEqual(tuple(found), SYMPTOMS)
         for symptom, body in found.items():
             with self.subTest(symptom):
@@ -210,7 +210,7 @@
     def test_reasons_exist(self) -> None:
         """Guards against a reason that callers never see."""
         known = {reason.value for reason in outcomes.Reason}
-        text = read('operations.md')
+        text = read('handbook.md')
         sentences = re.findall(r'X-Reason: [^;.]*', text)
         self.assertTrue(sentences)
         for sentence in sentences:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -69,6 +69,9 @@
         await self._listener.start()
         return self._listener.port
 
+    async def stop(self) -> None:
+        await self._listener.stop()
+
     async def _serve(self, sock: aio.Socket) -> None:
         text = ''
         while True:
