--- a/goldcresthaven/fleet_messages.py
+++ b/goldcresthaven/fleet_messages.py
@@ -22,8 +22,6 @@
 
 MAX_KEYS = 200
 MAX_LOADS = 300
-MAX_RANGES = 300
-MAX_BOUNDS = 300
 # A UDP datagram of any length up to this is reassembled by the system.
 MAX_BYTES = 60_000
 _MS = timedelta(milliseconds=1)
--- a/goldcresthaven/gateway_process.py
+++ b/goldcresthaven/gateway_process.py
@@ -39,7 +39,6 @@
 LISTEN_AFTER_STOP = timedelta(seconds=2.3)
 # Left of the grace time for the end of all tasks, on a busy machine.
 STOP_MARGIN = timedelta(seconds=1)
-STOP_CHECK = timedelta(milliseconds=50)
 # Upstreams are a few milliseconds away; one that does not answer by then
 # is dark, and the request can still go to another.
 CONNECT_TIMEOUT = timedelta(milliseconds=250)
@@ -137,10 +136,13 @@
                 await callers.wait_closed()
         except errors.DeadlineExceeded:
             decision_log.note('stop-cut-short', count=self._gateway.in_flight)
+        await self._store.close()
+        await self._calls.close()
         decision_log.note('stopped', count=self._gateway.in_flight)
 
     def _on_registry(self, changed: list[registry.Upstream]) -> None:
         now = self._clock.elapsed()
+        self._selector.forget(self._beliefs.registry.everything())
         for upstream in changed:
             self._selector.note_cold(upstream, now)
 
--- a/goldcresthaven/key_coordinator.py
+++ b/goldcresthaven/key_coordinator.py
@@ -14,10 +14,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-from dataclasses import dataclass
-from dataclasses import field
 from datetime import timedelta
-import json
 import random
 
 from goldcresthaven import aio
@@ -26,21 +23,16 @@
 from goldcresthaven import errors
 from goldcresthaven import fleet_messages
 from goldcresthaven import ids
+from goldcresthaven import key_claims
 from goldcresthaven import key_grants
 from goldcresthaven import key_map
 from goldcresthaven import key_plan
+from goldcresthaven import key_release
+from goldcresthaven import key_tenure
 from goldcresthaven import members
 from goldcresthaven import registry as registry_module
 from goldcresthaven import state_store
 
-BEAT = timedelta(milliseconds=700)
-# Two beats and a slow store's answer.
-STALE_AFTER = timedelta(seconds=1.6)
-# A holder stops granting this long after its last renewal was sent.
-CLAIM_VALID = timedelta(seconds=4)
-# A beat is by the holder's idea of the store's clock, which lags by the
-# time of an answer, and its call may have been slow.
-BEAT_ERROR = timedelta(seconds=1.2)
 # The claim is read by every process that hears nothing of its holder.
 POLL_EVERY = timedelta(milliseconds=800)
 SILENCE = timedelta(seconds=1)
@@ -62,55 +54,9 @@
 ABSTAIN = timedelta(seconds=5)
 # A grant is answered within milliseconds; routers wait no longer for it.
 ANNOUNCE_WAIT = timedelta(milliseconds=40)
-FENCE_BLOCK = 10000
 LOAD_HALF_LIFE = timedelta(seconds=2)
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class _Claim:
-    """The claim's row; ``beat`` is by the store's clock."""
-
-    holder: str
-    beat: timedelta
-
-
-@dataclass(kw_only=True)
-class _Transfer:
-    """A move under way; ``freed`` once its source holds the keys no more."""
-
-    move: key_plan.Move
-    freed: bool = False
-    handover: str | None = None
-
-
-@dataclass(kw_only=True)
-class _Tenure:
-    """State of one period in which this process holds the claim."""
-
-    claim_version: int
-    renewed: timedelta
-    store_clock: timedelta
-    keys: key_map.KeyMap
-    book: key_grants.HoldBook
-    fence: int
-    since: timedelta
-    load: key_plan.KeyLoad = field(default_factory=key_plan.KeyLoad)
-    transfers: list[_Transfer] = field(default_factory=list)
-    due: dict[key_map.Owner, timedelta] = field(default_factory=dict)
-    renewing: set[key_map.Owner] = field(default_factory=set)
-    failing: dict[key_map.Owner, timedelta] = field(default_factory=dict)
-    handovers: dict[int, str] = field(default_factory=dict)
-    doubtful: bool = False
-    lost: str | None = None
-    taken_version: int = 0
-    granted: set[tuple[key_map.Owner, int]] = field(default_factory=set)
-    reserved: bool = False
-
-    def take_fence(self) -> int:
-        self.fence += 1
-        return self.fence
-
-
 class KeyCoordinator:
     """Follows and, when it is this process's turn, holds one pool's claim.
 
@@ -159,11 +105,19 @@
             table=state_store.Table.ASSIGNMENTS, key=pool
         )
         self._abstain_until = timedelta()
-        self._addresses: dict[key_map.Owner, members.Address] = {}
+        self._owners = key_tenure.OwnerView(upstreams)
+        self._mover = key_release.Releaser(
+            pool=pool,
+            calls=calls,
+            owners=self._owners,
+            announce=announce,
+            may_send=self._may_send,
+            clock=clock,
+        )
         self._first_seen: dict[key_map.Owner, timedelta] = {}
         self._stopped = False
-        self._tenure: _Tenure | None = None
-        self._last_tenure: _Tenure | None = None
+        self._tenure: key_tenure.Tenure | None = None
+        self._last_tenure: key_tenure.Tenure | None = None
 
     @property
     def holds_claim(self) -> bool:
@@ -249,28 +203,11 @@
         if tenure is not None:
             await self._hand_over(tenure, 'stopping')
 
-    def is_stale(self, row: state_store.Row | None, clock: timedelta) -> bool:
-        """Return whether a claim's row may be taken over."""
-        claim = _decode_claim(row)
-        if claim is None or claim.holder == self._identity:
-            return True
-        return clock - claim.beat > STALE_AFTER
-
-    def _age(self, row: state_store.Row | None, clock: timedelta) -> timedelta:
-        """Return how long ago the last holder has renewed at least.
-
-        A holder counts its claim from then. Zero for one that gave its
-        claim up: its last renewal is not known.
-        """
-        claim = _decode_claim(row)
-        if claim is None or not claim.beat:
-            return timedelta()
-        return max(timedelta(), clock - claim.beat - BEAT_ERROR)
-
-    async def _try_take(self) -> _Tenure | None:
+    async def _try_take(self) -> key_tenure.Tenure | None:
         reading = await self._store.read(state_store.Table.CLAIMS)
         row = _find(reading, self._pool)
-        if not self.is_stale(row, reading.clock):
+        claim = key_claims.decode(row)
+        if not key_claims.is_stale(claim, self._identity, reading.clock):
             return None
         sent = self._clock.elapsed()
         result = await self._store.write(
@@ -283,18 +220,20 @@
         maps = await self._store.read(state_store.Table.ASSIGNMENTS)
         keys = _map_of(maps, self._pool)
         # What an earlier holder may still send, and the longest hold.
-        stopped = taken + CLAIM_VALID - self._age(row, reading.clock)
+        age = key_claims.renewal_age(claim, reading.clock)
+        stopped = taken + key_claims.CLAIM_VALID - age
         inherited = key_grants.hold_end(stopped, self._longest_hold)
         if keys.version == state_store.ABSENT:
             inherited = timedelta()
-        tenure = _Tenure(
+        tenure = key_tenure.Tenure(
+            address=self._address_text,
             claim_version=result.version,
+            taken_version=result.version,
             renewed=sent,
             store_clock=result.clock - taken,
             keys=keys,
             book=key_grants.HoldBook(inherited=inherited),
             fence=keys.next_fence,
-            since=taken,
         )
         if keys.coordinator and keys.coordinator != self._address_text:
             self._ask_to_stand_down(
@@ -303,7 +242,6 @@
                     pool=self._pool, claim_version=result.version
                 ),
             )
-        tenure.taken_version = result.version
         decision_log.note(
             'claim-taken',
             pool=self._pool,
@@ -314,23 +252,22 @@
         return tenure
 
     def _claim(self, beat: timedelta) -> bytes:
-        return json.dumps(
-            {'holder': self._identity, 'beat': beat.total_seconds()}
-        ).encode()
+        claim = key_claims.Claim(holder=self._identity, beat=beat)
+        return claim.encode()
 
-    async def _hold(self, tenure: _Tenure) -> None:
+    async def _hold(self, tenure: key_tenure.Tenure) -> None:
         self._tenure = tenure
         writer = await aio.spawn(self._write_loop(tenure))
         planned = relieved = decayed = self._clock.elapsed()
         try:
             while tenure.lost is None and not self._stopped:
                 now = self._clock.elapsed()
-                if now - tenure.renewed > CLAIM_VALID:
+                if now - tenure.renewed > key_claims.CLAIM_VALID:
                     tenure.lost = 'not renewed in time'
                     break
                 if tenure.reserved:
                     await self._renew_due(tenure, now)
-                if now - planned > PLAN_EVERY:
+                if tenure.reserved and now - planned > PLAN_EVERY:
                     relieve = now - relieved > RELIEF_EVERY
                     await self._start_moves(tenure, now, relieve)
                     relieved = now if relieve else relieved
@@ -348,19 +285,19 @@
             )
             await writer.cancel()
 
-    def _may_send(self, tenure: _Tenure) -> bool:
+    def _may_send(self, tenure: key_tenure.Tenure) -> bool:
         # The map names this process before it grants anything, so that a
         # successor knows whom to ask.
-        valid = self._clock.elapsed() - tenure.renewed < CLAIM_VALID
+        valid = self._clock.elapsed() - tenure.renewed < key_claims.CLAIM_VALID
         return tenure.lost is None and tenure.reserved and valid
 
     # Writes to the store
 
-    async def _write_loop(self, tenure: _Tenure) -> None:
+    async def _write_loop(self, tenure: key_tenure.Tenure) -> None:
         while tenure.lost is None:
             ready = [t for t in tenure.transfers if t.freed]
             since = self._clock.elapsed() - tenure.renewed
-            if tenure.reserved and not ready and since < BEAT:
+            if tenure.reserved and not ready and since < key_claims.BEAT:
                 await aio.sleep(TICK / 4)
                 continue
             try:
@@ -374,7 +311,9 @@
             except errors.ProtocolError as exc:
                 tenure.lost = str(exc)
 
-    async def _write(self, tenure: _Tenure, ready: list[_Transfer]) -> None:
+    async def _write(
+        self, tenure: key_tenure.Tenure, ready: list[key_tenure.Transfer]
+    ) -> None:
         """Renew the claim, and write the map if it changes.
 
         The first write stores a higher limit for fences: those below the
@@ -382,12 +321,10 @@
         """
         sent = self._clock.elapsed()
         keys = tenure.keys
-        low = tenure.fence + FENCE_BLOCK // 2 > keys.next_fence
-        changed = (
-            bool(ready) or low or not tenure.reserved
-        ) and not tenure.doubtful
+        wanted = bool(ready) or tenure.needs_fences() or not tenure.reserved
+        changed = wanted and not tenure.doubtful
         if changed:
-            keys = self._changed_map(tenure, ready)
+            keys = tenure.next_map(ready)
         expected = {self._claim_key: tenure.claim_version}
         puts = {self._claim_key: self._claim(sent + tenure.store_clock)}
         if changed:
@@ -419,7 +356,7 @@
             )
 
     async def _grant_moved(
-        self, tenure: _Tenure, moved: list[_Transfer]
+        self, tenure: key_tenure.Tenure, moved: list[key_tenure.Transfer]
     ) -> None:
         """Grant moved keys before their new owners are announced."""
         started = self._clock.elapsed()
@@ -430,60 +367,7 @@
                 break
             await aio.sleep(TICK / 50)
 
-    def _changed_map(
-        self, tenure: _Tenure, ready: list[_Transfer]
-    ) -> key_map.KeyMap:
-        changes = [
-            key_map.KeyRange(
-                first=t.move.source.first,
-                last=t.move.source.last,
-                owner=t.move.target,
-                fence=tenure.take_fence(),
-            )
-            for t in ready
-        ]
-        for change, transfer in zip(changes, ready):
-            source = transfer.move.source
-            if source.owner is not None and source.owner == change.owner:
-                tenure.book.raised(source.owner, source.fence, change.fence)
-            else:
-                tenure.book.moved(change.fence)
-            if transfer.handover is not None:
-                tenure.handovers[change.fence] = transfer.handover
-        if not tenure.reserved:
-            changes += self._raised_ranges(tenure)
-        limit = tenure.fence + FENCE_BLOCK
-        return tenure.keys.replace(
-            changes, next_fence=limit, coordinator=self._address_text
-        )
-
-    def _raised_ranges(self, tenure: _Tenure) -> list[key_map.KeyRange]:
-        """Return all owned ranges under new fences, for a new tenure.
-
-        An owner that accepts its new fence refuses what an earlier holder
-        of the claim may still send. Neighbours of one owner become one.
-        """
-        ranges: list[key_map.KeyRange] = []
-        for held in tenure.keys.ranges:
-            if held.owner is None:
-                continue
-            last = ranges[-1] if ranges else None
-            adjacent = last is not None and last.last + 1 == held.first
-            if last is not None and adjacent and last.owner == held.owner:
-                ranges[-1] = last.piece(last.first, held.last)
-                continue
-            ranges.append(
-                key_map.KeyRange(
-                    first=held.first,
-                    last=held.last,
-                    owner=held.owner,
-                    fence=tenure.take_fence(),
-                )
-            )
-        # ``piece`` keeps the fence, so the joined range has the new one.
-        return ranges
-
-    async def _reread(self, tenure: _Tenure) -> None:
+    async def _reread(self, tenure: key_tenure.Tenure) -> None:
         """Learn what became of an unanswered write, or who took over."""
         maps = await self._store.read(state_store.Table.ASSIGNMENTS)
         claims = await self._store.read(state_store.Table.CLAIMS)
@@ -491,7 +375,7 @@
         if row is None or row.value is None:
             tenure.lost = 'the claim is gone'
             return
-        claim = _decode_claim(row)
+        claim = key_claims.decode(row)
         if claim is None or claim.holder != self._identity:
             tenure.lost = 'another process took the claim'
             return
@@ -499,29 +383,20 @@
         tenure.doubtful = False
         self._adopt(tenure, _map_of(maps, self._pool))
 
-    def _adopt(self, tenure: _Tenure, keys: key_map.KeyMap) -> None:
-        tenure.keys = keys
-        tenure.reserved = (
-            keys.coordinator == self._address_text
-            and keys.next_fence > tenure.fence
-        )
-        for transfer in list(tenure.transfers):
+    def _adopt(self, tenure: key_tenure.Tenure, keys: key_map.KeyMap) -> None:
+        for transfer in tenure.adopt(keys):
             source = transfer.move.source
-            held = keys.find(source.first)
-            if transfer.freed and held.owner == transfer.move.target:
-                tenure.transfers.remove(transfer)
-                tenure.due.pop(transfer.move.target, None)
-                decision_log.note(
-                    'keys-moved',
-                    pool=self._pool,
-                    upstream=transfer.move.target.upstream_id,
-                    epoch=held.fence,
-                    map_version=keys.version,
-                    detail=f'{source.first}-{source.last} from {_name(source)}'
-                    f', handover {transfer.handover is not None}',
-                )
+            decision_log.note(
+                'keys-moved',
+                pool=self._pool,
+                upstream=transfer.move.target.upstream_id,
+                epoch=keys.find(source.first).fence,
+                map_version=keys.version,
+                detail=f'{source.first}-{source.last} from {_name(source)}'
+                f', handover {transfer.handover is not None}',
+            )
 
-    async def _hand_over(self, tenure: _Tenure, why: str) -> None:
+    async def _hand_over(self, tenure: key_tenure.Tenure, why: str) -> None:
         tenure.lost = why
         try:
             await self._store.write(
@@ -533,20 +408,22 @@
 
     # Renewals
 
-    async def _renew_due(self, tenure: _Tenure, now: timedelta) -> None:
-        moving = [t.move.source for t in tenure.transfers]
-        owners = {r.owner for r in tenure.keys.ranges if r.owner is not None}
+    async def _renew_due(
+        self, tenure: key_tenure.Tenure, now: timedelta
+    ) -> None:
+        moving = tenure.moving()
+        owners = tenure.owners()
         tenure.due = {o: t for o, t in tenure.due.items() if o in owners}
         for owner in owners:
             if owner in tenure.renewing or tenure.due.get(owner, now) > now:
                 continue
-            address = self._address(owner)
-            if address is None or self._has_left(owner, now):
+            address = self._owners.address(owner)
+            if address is None or self._owners.has_left(owner, now):
                 continue
             ranges = [
                 part
                 for held in tenure.keys.owned_by(owner)
-                for part in _without(held, moving)
+                for part in key_map.remainders(held, moving)
             ]
             if not ranges:
                 continue
@@ -554,23 +431,9 @@
             tenure.renewing.add(owner)
             await aio.spawn(self._renew(tenure, owner, address, ranges))
 
-    def _address(self, owner: key_map.Owner) -> members.Address | None:
-        known = self._upstreams.get(owner.upstream_id)
-        if known is not None and known.incarnation == owner.incarnation:
-            self._addresses[owner] = known.address
-        return self._addresses.get(owner)
-
-    def _has_left(self, owner: key_map.Owner, now: timedelta) -> bool:
-        """Return whether the owner's life is known to end or have ended.
-
-        Its address may then soon belong to another upstream.
-        """
-        known = self._upstreams.get(owner.upstream_id)
-        if known is None or known.incarnation != owner.incarnation:
-            return True
-        return self._upstreams.departure(owner.upstream_id, now) is not None
-
-    def _hold_time(self, tenure: _Tenure, now: timedelta) -> timedelta:
+    def _hold_time(
+        self, tenure: key_tenure.Tenure, now: timedelta
+    ) -> timedelta:
         """Return the hold to grant: long once the store may be away."""
         if now - tenure.renewed > STORE_DOUBT:
             return self._longest_hold
@@ -578,7 +441,7 @@
 
     async def _renew(
         self,
-        tenure: _Tenure,
+        tenure: key_tenure.Tenure,
         owner: key_map.Owner,
         address: members.Address,
         ranges: list[key_map.KeyRange],
@@ -592,7 +455,7 @@
 
     async def _grant(
         self,
-        tenure: _Tenure,
+        tenure: key_tenure.Tenure,
         owner: key_map.Owner,
         address: members.Address,
         key_range: key_map.KeyRange,
@@ -624,7 +487,7 @@
         if result is key_grants.GrantResult.GRANTED:
             tenure.handovers.pop(key_range.fence, None)
             tenure.failing.pop(owner, None)
-            tenure.book.answered(owner, key_range.fence)
+            tenure.book.answered(owner, key_range)
             return True
         if result is key_grants.GrantResult.NO_ANSWER:
             tenure.book.unanswered(owner, key_range.fence, sent, hold)
@@ -647,29 +510,32 @@
         )
         return False
 
-    def _refence(self, tenure: _Tenure, key_range: key_map.KeyRange) -> None:
+    def _refence(
+        self, tenure: key_tenure.Tenure, key_range: key_map.KeyRange
+    ) -> None:
         """Let a range's owner have it under a higher fence.
 
         A fence is granted once over a new connection: the next life of the
         upstream at the address must not get the fence of the one before.
         """
-        under_way = [t.move.source for t in tenure.transfers]
-        if key_range.owner is None or key_map.overlaps(key_range, under_way):
+        if key_range.owner is None:
+            return
+        if key_map.overlaps(key_range, tenure.moving()):
             return
         move = key_plan.Move(source=key_range, target=key_range.owner)
-        tenure.transfers.append(_Transfer(move=move, freed=True))
+        tenure.transfers.append(key_tenure.Transfer(move=move, freed=True))
 
     # Moves
 
     async def _start_moves(
-        self, tenure: _Tenure, now: timedelta, relieve: bool
+        self, tenure: key_tenure.Tenure, now: timedelta, relieve: bool
     ) -> None:
         lost = {
             o
             for o, since in tenure.failing.items()
             if now - since > LOST_AFTER
         }
-        owners = {r.owner for r in tenure.keys.ranges if r.owner is not None}
+        owners = tenure.owners()
         reachable = len(owners - lost)
         if len(owners) > 1 and reachable < REACHABLE_SHARE * len(owners):
             self._abstain_until = now + ABSTAIN
@@ -698,12 +564,12 @@
             relieve=relieve and len(fixed) < MAX_TRANSFERS,
         )
         for move in moves:
-            transfer = _Transfer(move=move)
+            transfer = key_tenure.Transfer(move=move)
             tenure.transfers.append(transfer)
-            await aio.spawn(self._free(tenure, transfer))
+            await aio.spawn(self._mover.free(tenure, transfer))
 
     def _is_due(
-        self, tenure: _Tenure, candidates: list[key_plan.Candidate]
+        self, tenure: key_tenure.Tenure, candidates: list[key_plan.Candidate]
     ) -> bool:
         """Return whether keys lack an owner, or a candidate keys."""
         able = {candidate.owner for candidate in candidates}
@@ -713,7 +579,7 @@
 
     def _candidates(
         self,
-        tenure: _Tenure,
+        tenure: key_tenure.Tenure,
         now: timedelta,
         owners: set[key_map.Owner],
         lost: set[key_map.Owner],
@@ -722,10 +588,7 @@
         found = []
         youngest = now
         for upstream in self._upstreams.usable(self._pool, now):
-            owner = key_map.Owner(
-                upstream_id=upstream.upstream_id,
-                incarnation=upstream.incarnation,
-            )
+            owner = key_tenure.owner_of(upstream)
             seen = self._first_seen.setdefault(owner, now)
             youngest = min(youngest, seen)
             if owner in lost:
@@ -734,7 +597,9 @@
         if not owners and now - youngest < GATHER:
             return None
         orphaned = any(
-            r.owner is None or r.owner in lost or self._has_left(r.owner, now)
+            r.owner is None
+            or r.owner in lost
+            or self._owners.has_left(r.owner, now)
             for r in tenure.keys.ranges
         )
         return [
@@ -743,134 +608,11 @@
             if owner in owners or orphaned or now - seen > JOIN_DELAY
         ]
 
-    async def _free(self, tenure: _Tenure, transfer: _Transfer) -> None:
-        """Make sure that a move's source holds the keys no more."""
-        source = transfer.move.source
-        owner = source.owner
-        if owner is not None:
-            released = await self._release(tenure, source, owner)
-            if released is not None:
-                transfer.handover = released.handover
-            elif tenure.lost is not None:
-                return
-        transfer.freed = True
-
-    async def _release(
-        self, tenure: _Tenure, source: key_map.KeyRange, owner: key_map.Owner
-    ) -> key_grants.Released | None:
-        """Return the owner's confirmation, or None when its hold is over."""
-        while owner in tenure.renewing:
-            await aio.sleep(TICK / 5)
-        free_at = tenure.book.free_at(owner, source.fence)
-        fence: int | None = None
-        # A raised grant without an answer extends the wait, so there is
-        # one at most.
-        may_raise = True
-        while tenure.lost is None:
-            now = self._clock.elapsed()
-            if now >= free_at:
-                return None
-            address = self._address(owner)
-            if address is not None and self._may_send(tenure):
-                if tenure.book.is_settled(owner, source.fence, now):
-                    fence = fence or source.fence
-                elif may_raise and self._is_registered(owner):
-                    fence, end = await self._raise_fence(
-                        tenure, source, owner, address
-                    )
-                    free_at = max(free_at, end)
-                    may_raise = end == timedelta()
-                if fence is not None:
-                    self._announce(
-                        fleet_messages.Moving(
-                            pool=self._pool,
-                            first=source.first,
-                            last=source.last,
-                        )
-                    )
-                    released = await self._calls.release(
-                        owner.upstream_id,
-                        address,
-                        key_grants.Grant(
-                            first=source.first, last=source.last, fence=fence
-                        ),
-                        limit=key_grants.RELEASE_LIMIT,
-                    )
-                    if released is not None:
-                        return released
-            left = free_at - self._clock.elapsed()
-            await aio.sleep(min(TICK * 3, left + TICK / 50))
-        return None
-
-    def _is_registered(self, owner: key_map.Owner) -> bool:
-        """Return whether an owner's address is certainly its own."""
-        known = self._upstreams.get(owner.upstream_id)
-        if known is None:
-            return False
-        left = self._upstreams.departure(
-            owner.upstream_id, self._clock.elapsed()
-        )
-        return left is None or known.draining
-
-    async def _raise_fence(
-        self,
-        tenure: _Tenure,
-        source: key_map.KeyRange,
-        owner: key_map.Owner,
-        address: members.Address,
-    ) -> tuple[int | None, timedelta]:
-        """Grant keys shortly under a new fence.
-
-        An owner that accepts it refuses all lower grants that may still be
-        under way, so that a release is final. Returns the fence, or None
-        without an answer, and when the short hold has ended.
-        """
-        if tenure.keys.next_fence <= tenure.fence + 1 or tenure.doubtful:
-            return None, timedelta()
-        fence = tenure.take_fence()
-        sent = self._clock.elapsed()
-        undo = tenure.book.sent(owner, fence, sent, key_grants.RELEASE_LIMIT)
-        result = await self._calls.grant(
-            owner.upstream_id,
-            address,
-            key_grants.Grant(
-                first=source.first, last=source.last, fence=fence
-            ),
-            renewal=False,
-            hold=key_grants.RELEASE_LIMIT,
-            limit=key_grants.CALL_LIMIT,
-        )
-        end = key_grants.hold_end(sent, key_grants.RELEASE_LIMIT)
-        match result:
-            case key_grants.GrantResult.GRANTED:
-                return fence, end
-            case key_grants.GrantResult.NO_ANSWER:
-                tenure.book.unanswered(
-                    owner, fence, sent, key_grants.RELEASE_LIMIT
-                )
-                return None, end
-        undo()
-        return None, timedelta()
-
 
 def _find(reading: state_store.Reading, key: str) -> state_store.Row | None:
     return next((row for row in reading.rows if row.key == key), None)
 
 
-def _decode_claim(row: state_store.Row | None) -> _Claim | None:
-    if row is None or row.value is None:
-        return None
-    try:
-        document = json.loads(row.value)
-        return _Claim(
-            holder=str(document['holder']),
-            beat=timedelta(seconds=document['beat']),
-        )
-    except (KeyError, OverflowError, TypeError, ValueError):
-        decision_log.note('claim-unreadable', detail=row.key)
-        return None
-
-
 def _map_of(reading: state_store.Reading, pool: str) -> key_map.KeyMap:
     row = _find(reading, pool)
     if row is None or row.value is None:
@@ -889,11 +631,5 @@
     ]
 
 
-def _without(
-    held: key_map.KeyRange, moving: list[key_map.KeyRange]
-) -> list[key_map.KeyRange]:
-    return key_map.remainders(held, moving)
-
-
 def _name(source: key_map.KeyRange) -> str:
     return source.owner.upstream_id if source.owner else 'nobody'
--- a/goldcresthaven/key_grants.py
+++ b/goldcresthaven/key_grants.py
@@ -122,6 +122,7 @@
         self._inherited = inherited
         self._predecessor: dict[ids.UpstreamId, timedelta] | None = None
         self._cleared: set[int] = set()
+        self._extents: dict[int, tuple[int, int]] = {}
         self._bounds: dict[_Spot, timedelta] = {}
         self._unanswered: dict[_Spot, timedelta] = {}
 
@@ -150,10 +151,22 @@
         end = hold_end(at, hold)
         self._unanswered[spot] = max(self._unanswered.get(spot, end), end)
 
-    def answered(self, owner: key_map.Owner, fence: int) -> None:
-        """Note that an owner accepted a fence; it refuses lower ones."""
-        self._cleared.add(fence)
-        self._unanswered.pop((owner, fence), None)
+    def created(self, key_range: key_map.KeyRange) -> None:
+        """Note the keys for which a fence was taken."""
+        self._extents[key_range.fence] = (key_range.first, key_range.last)
+
+    def answered(
+        self, owner: key_map.Owner, key_range: key_map.KeyRange
+    ) -> None:
+        """Note that an owner accepted a fence; it refuses lower ones.
+
+        It does so for the keys of this grant only. The part of a range
+        that was split clears nothing.
+        """
+        extent = (key_range.first, key_range.last)
+        if self._extents.get(key_range.fence) == extent:
+            self._cleared.add(key_range.fence)
+            self._unanswered.pop((owner, key_range.fence), None)
 
     def moved(self, fence: int) -> None:
         """Note a fence of keys that nobody held when they moved."""
--- /dev/null
+++ b/goldcresthaven/key_release.py
@@ -0,0 +1,153 @@
+"""Takes keys off their owner, so that another may have them.
+
+Either the owner confirms a release, or every hold that it may have been
+granted has ended.
+"""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+from goldcresthaven import aio
+from goldcresthaven import clock as clock_module
+from goldcresthaven import fleet_messages
+from goldcresthaven import ids
+from goldcresthaven import key_grants
+from goldcresthaven import key_map
+from goldcresthaven import key_tenure
+from goldcresthaven import members
+
+# How often a renewal under way is awaited.
+RENEWAL_CHECK = timedelta(milliseconds=20)
+# Pause before an owner that did not answer is asked again.
+RETRY_PAUSE = timedelta(milliseconds=300)
+# Beyond the end of a hold, so that a timer that fires early is no harm.
+END_MARGIN = timedelta(milliseconds=2)
+
+
+class Releaser:
+    """Frees the sources of moves during one process's tenures.
+
+    ``may_send`` tells whether a tenure still permits grants; ``announce``
+    tells the other processes which keys are about to move.
+    """
+
+    def __init__(
+        self,
+        *,
+        pool: ids.PoolName,
+        calls: key_grants.LeaseCalls,
+        owners: key_tenure.OwnerView,
+        announce: Callable[[fleet_messages.Moving], None],
+        may_send: Callable[[key_tenure.Tenure], bool],
+        clock: clock_module.Clock,
+    ) -> None:
+        self._pool = pool
+        self._calls = calls
+        self._owners = owners
+        self._announce = announce
+        self._may_send = may_send
+        self._clock = clock
+
+    async def free(
+        self, tenure: key_tenure.Tenure, transfer: key_tenure.Transfer
+    ) -> None:
+        """Make sure that a move's source holds the keys no more."""
+        source = transfer.move.source
+        owner = source.owner
+        if owner is not None:
+            released = await self._release(tenure, source, owner)
+            if released is not None:
+                transfer.handover = released.handover
+            elif tenure.lost is not None:
+                return
+        transfer.freed = True
+
+    async def _release(
+        self,
+        tenure: key_tenure.Tenure,
+        source: key_map.KeyRange,
+        owner: key_map.Owner,
+    ) -> key_grants.Released | None:
+        """Return the owner's confirmation, or None when its hold is over."""
+        while owner in tenure.renewing:
+            await aio.sleep(RENEWAL_CHECK)
+        free_at = tenure.book.free_at(owner, source.fence)
+        fence: int | None = None
+        # A raised grant without an answer extends the wait, so there is
+        # one at most.
+        may_raise = True
+        while tenure.lost is None:
+            now = self._clock.elapsed()
+            if now >= free_at:
+                return None
+            address = self._owners.address(owner)
+            if address is not None and self._may_send(tenure):
+                if tenure.book.is_settled(owner, source.fence, now):
+                    fence = fence or source.fence
+                elif may_raise and self._owners.is_registered(owner, now):
+                    fence, end = await self._raise_fence(
+                        tenure, source, owner, address
+                    )
+                    free_at = max(free_at, end)
+                    may_raise = end == timedelta()
+                if fence is not None:
+                    self._announce(
+                        fleet_messages.Moving(
+                            pool=self._pool,
+                            first=source.first,
+                            last=source.last,
+                        )
+                    )
+                    released = await self._calls.release(
+                        owner.upstream_id,
+                        address,
+                        key_grants.Grant(
+                            first=source.first, last=source.last, fence=fence
+                        ),
+                        limit=key_grants.RELEASE_LIMIT,
+                    )
+                    if released is not None:
+                        return released
+            left = free_at - self._clock.elapsed()
+            await aio.sleep(min(RETRY_PAUSE, left + END_MARGIN))
+        return None
+
+    async def _raise_fence(
+        self,
+        tenure: key_tenure.Tenure,
+        source: key_map.KeyRange,
+        owner: key_map.Owner,
+        address: members.Address,
+    ) -> tuple[int | None, timedelta]:
+        """Grant keys shortly under a new fence.
+
+        An owner that accepts it refuses all lower grants that may still be
+        under way, so that a release is final. Returns the fence, or None
+        without an answer, and when the short hold has ended.
+        """
+        if tenure.keys.next_fence <= tenure.fence + 1 or tenure.doubtful:
+            return None, timedelta()
+        fence = tenure.take_fence()
+        sent = self._clock.elapsed()
+        undo = tenure.book.sent(owner, fence, sent, key_grants.RELEASE_LIMIT)
+        result = await self._calls.grant(
+            owner.upstream_id,
+            address,
+            key_grants.Grant(
+                first=source.first, last=source.last, fence=fence
+            ),
+            renewal=False,
+            hold=key_grants.RELEASE_LIMIT,
+            limit=key_grants.CALL_LIMIT,
+        )
+        end = key_grants.hold_end(sent, key_grants.RELEASE_LIMIT)
+        match result:
+            case key_grants.GrantResult.GRANTED:
+                return fence, end
+            case key_grants.GrantResult.NO_ANSWER:
+                tenure.book.unanswered(
+                    owner, fence, sent, key_grants.RELEASE_LIMIT
+                )
+                return None, end
+        undo()
+        return None, timedelta()
--- a/goldcresthaven/platform/names.py
+++ b/goldcresthaven/platform/names.py
@@ -8,7 +8,6 @@
 # How long the sender of a request will wait, not a point in time.
 DEADLINE = 'x-goldcresthaven-deadline-ms'
 EXPECT_INSTANCE = 'x-goldcresthaven-expect-instance'
-INSTANCE_ID = 'x-goldcresthaven-instance-id'
 INSTANCE_LOAD = 'x-goldcresthaven-instance-load'
 NOT_EXECUTED = 'x-goldcresthaven-not-executed'
 # An upstream's signature under its response.
--- a/tests/test_key_grants.py
+++ b/tests/test_key_grants.py
@@ -5,6 +5,7 @@
 
 from goldcresthaven import ids
 from goldcresthaven import key_grants
+from goldcresthaven import key_map
 from tests import fake_platform
 
 NOW = timedelta(seconds=100)
@@ -57,7 +58,11 @@
         end = key_grants.hold_end(NOW, HOLD)
         self.assertEqual(self.book.free_at(OWNER, 20), end)
         self.assertFalse(self.book.is_settled(OWNER, 20, NOW))
-        self.book.answered(OWNER, 20)
+        whole = key_map.KeyRange(first=0, last=99, owner=OWNER, fence=20)
+        self.book.created(whole)
+        self.book.answered(OWNER, whole.piece(0, 49))
+        self.assertFalse(self.book.is_settled(OWNER, 20, NOW))
+        self.book.answered(OWNER, whole)
         self.assertTrue(self.book.is_settled(OWNER, 20, NOW))
         self.assertEqual(self.book.free_at(OWNER, 20), end)
 
