--- a/goldcresthaven/gateway.py
+++ b/goldcresthaven/gateway.py
@@ -6,8 +6,6 @@
 refused at once.
 """
 
-from dataclasses import dataclass
-from dataclasses import field
 from datetime import timedelta
 import random
 
@@ -22,54 +20,25 @@
 from goldcresthaven import http_io
 from goldcresthaven import ids
 from goldcresthaven import outcomes
-from goldcresthaven import registry
 from goldcresthaven import request_meta
 from goldcresthaven import retries
 from goldcresthaven import routes
 from goldcresthaven import selection
+from goldcresthaven import upstream_choice
 
 # An idle connection notices a shutdown after at most this time.
 IDLE_CHECK = timedelta(seconds=1)
-# A key without an owner is usually served again within a release's time.
-OWNER_WAIT = timedelta(milliseconds=350)
-OWNER_CHECK = timedelta(milliseconds=15)
-# A keyed request still goes to an owner that drains for this long.
-DRAIN_USE = timedelta(milliseconds=1200)
-# Share of the remaining time within which an upstream has to be able to
-# answer, by priority; less urgent work is refused earlier.
-PATIENCE = (1.0, 0.85, 0.7)
-# An upstream without a queue is tried even if it misses the target.
-ALONE_FACTOR = 1.3
 # Callers wait for a refusal's time up to a third of what they have left.
 RETRY_SHARE = 0.3
 LEAST_RETRY = timedelta(milliseconds=30)
-NO_OWNER_RETRY = timedelta(milliseconds=500)
-BUSY_RETRY = timedelta(milliseconds=300)
 # Retries per request; half of what the deployment allows in total.
 RETRY_RATIO = 0.1
 RETRY_BURST = 3.0
-# A download's bytes between zones cost as much as this much latency.
-DOWNLOAD_PENALTY = timedelta(milliseconds=60)
 # Keys remembered between two reports of the load.
 MAX_KEYS_SEEN = 2000
 SEND_TIMEOUT = timedelta(seconds=5)
 
 
-@dataclass(kw_only=True)
-class _Work:
-    """One request on its way through the router."""
-
-    call: exchange.Call
-    route: routes.Route
-    pool: routes.Pool
-    deadline: timedelta
-    arrived: timedelta
-    config_version: ids.ConfigVersion
-    made: list[retries.Attempt] = field(default_factory=list)
-    refused_map: int = 0
-    inputs: str = ''
-
-
 class Gateway:
     """Serves callers' connections."""
 
@@ -91,6 +60,9 @@
         self._metrics = metrics
         self._clock = clock
         self._rng = rng
+        self._chooser = upstream_choice.UpstreamChooser(
+            beliefs=beliefs, selector=selector, clock=clock
+        )
         self._budget = retries.RetryBudget(tokens=RETRY_BURST)
         self._draining = False
         self._stopped = False
@@ -226,13 +198,13 @@
 
     def _route(
         self, call: exchange.Call, arrived: timedelta
-    ) -> _Work | outcomes.NotRun:
+    ) -> upstream_choice.Work | outcomes.NotRun:
         cfg = self._beliefs.config
         if cfg is None or not self._beliefs.is_complete():
             return outcomes.NotRun(
                 reason=outcomes.Reason.NOT_READY,
                 detail='this process has no configuration yet',
-                retry_after=NO_OWNER_RETRY,
+                retry_after=upstream_choice.NO_OWNER_RETRY,
             )
         host = http_head.find(call.head.headers, 'host') or ''
         route = cfg.match(host, call.head.target)
@@ -248,12 +220,12 @@
             return outcomes.NotRun(
                 reason=outcomes.Reason.NO_UPSTREAM,
                 detail='the route names an unknown pool',
-                retry_after=NO_OWNER_RETRY,
+                retry_after=upstream_choice.NO_OWNER_RETRY,
             )
         limit = route.timeout
         if call.meta.remaining is not None:
             limit = min(limit, call.meta.remaining)
-        return _Work(
+        return upstream_choice.Work(
             call=call,
             route=route,
             pool=pool,
@@ -262,14 +234,14 @@
             config_version=cfg.version,
         )
 
-    async def _run(self, work: _Work) -> outcomes.Outcome:
+    async def _run(self, work: upstream_choice.Work) -> outcomes.Outcome:
         self._budget.earn(RETRY_RATIO)
         if work.pool.keyed and work.call.meta.key is not None:
             seen = self._keys_seen.setdefault(work.pool.name, [])
             if len(seen) < MAX_KEYS_SEEN:
                 seen.append(work.call.meta.key)
         while True:
-            choice = await self._choose(work)
+            choice = await self._chooser.choose(work)
             if isinstance(choice, outcomes.NotRun):
                 return retries.final(work.made, choice)
             attempt = await self._attempt(work, choice)
@@ -287,7 +259,7 @@
                 return self._with_retry(outcome)
             self._metrics.retried()
             if attempt.status == 421:
-                work.refused_map = self._map_version(work.pool.name)
+                work.refused_map = self._chooser.map_version(work.pool.name)
                 self._beliefs.maps_doubted = True
 
     def _with_retry(self, outcome: outcomes.Outcome) -> outcomes.Outcome:
@@ -296,113 +268,12 @@
                 reason=outcome.reason,
                 detail=outcome.detail,
                 status=outcome.status,
-                retry_after=BUSY_RETRY,
+                retry_after=upstream_choice.BUSY_RETRY,
             )
         return outcome
 
-    def _map_version(self, pool: ids.PoolName) -> int:
-        keys = self._beliefs.maps.get(pool)
-        return keys.version if keys else 0
-
-    # Choice of an upstream
-
-    async def _choose(self, work: _Work) -> selection.Choice | outcomes.NotRun:
-        now = self._clock.elapsed()
-        if work.pool.keyed and work.call.meta.key is not None:
-            found = await self._owner(work, work.call.meta.key)
-            now = self._clock.elapsed()
-            choice = (
-                None if found is None else self._selector.estimate(found, now)
-            )
-            reason = outcomes.Reason.NO_OWNER
-        else:
-            tried = {attempt.upstream for attempt in work.made}
-            usable = self._beliefs.registry.usable(work.pool.name, now)
-            choice = self._selector.choose(
-                [u for u in usable if u.upstream_id not in tried],
-                now,
-                away_penalty=self._penalty(work.route),
-            )
-            reason = outcomes.Reason.NO_UPSTREAM
-        if choice is None:
-            return outcomes.NotRun(
-                reason=reason,
-                detail=f'map {self._map_version(work.pool.name)}, registry '
-                f'{self._beliefs.registry.version}',
-                retry_after=NO_OWNER_RETRY,
-            )
-        return self._admit(work, choice, now)
-
-    def _admit(
-        self, work: _Work, choice: selection.Choice, now: timedelta
-    ) -> selection.Choice | outcomes.NotRun:
-        """Refuse work that the chosen upstream cannot do in time."""
-        age = choice.report_age
-        work.inputs = (
-            f'load {choice.load:.1f}, expected '
-            f'{choice.expected.total_seconds():.3f} s, report '
-            f'{"none" if age is None else f"{age.total_seconds():.2f} s"} old'
-        )
-        if choice.expected <= self._patience(work, choice, now):
-            return choice
-        return outcomes.NotRun(
-            reason=outcomes.Reason.CANNOT_MEET_DEADLINE,
-            detail=work.inputs,
-            retry_after=BUSY_RETRY,
-        )
-
-    def _patience(
-        self, work: _Work, choice: selection.Choice, now: timedelta
-    ) -> timedelta:
-        """Return how long the request may take from now.
-
-        Under overload the throughput is the same whether queues are long
-        or short, so work that is not urgent queues only as far as it can
-        still meet its target. What has missed it already, or meets a slow
-        upstream, may take what is left.
-        """
-        rank = min(work.route.priority, len(PATIENCE) - 1)
-        patience = (work.deadline - now) * PATIENCE[rank]
-        aim = work.route.target - (now - work.arrived)
-        if rank == 0 or aim <= timedelta():
-            return patience
-        alone = self._selector.service(choice.upstream) * ALONE_FACTOR
-        return min(patience, max(aim, alone))
-
-    def _penalty(self, route: routes.Route) -> timedelta:
-        if route.kind is routes.RouteKind.DOWNLOAD:
-            return DOWNLOAD_PENALTY
-        return selection.ZONE_PENALTY
-
-    async def _owner(self, work: _Work, key: int) -> registry.Upstream | None:
-        """Return the key's owner; waits shortly while it has none."""
-        stop = min(self._clock.elapsed() + OWNER_WAIT, work.deadline)
-        while True:
-            found = self._owner_now(work, key)
-            if found is not None or self._clock.elapsed() >= stop:
-                return found
-            if work.call.conn.peer_closed():
-                return None
-            await aio.sleep(OWNER_CHECK)
-
-    def _owner_now(self, work: _Work, key: int) -> registry.Upstream | None:
-        keys = self._beliefs.maps.get(work.pool.name)
-        if keys is None or keys.version <= work.refused_map:
-            return None
-        owner = keys.find(key).owner
-        now = self._clock.elapsed()
-        if owner is None or self._beliefs.is_moving(work.pool.name, key, now):
-            return None
-        known = self._beliefs.registry.get(owner.upstream_id)
-        if known is None or known.incarnation != owner.incarnation:
-            return None
-        left = self._beliefs.registry.departure(owner.upstream_id, now)
-        if left is not None and now - left > DRAIN_USE:
-            return None
-        return known
-
     async def _attempt(
-        self, work: _Work, choice: selection.Choice
+        self, work: upstream_choice.Work, choice: selection.Choice
     ) -> retries.Attempt:
         upstream = choice.upstream
         started = self._clock.elapsed()
@@ -446,7 +317,7 @@
     def _note(
         self,
         call: exchange.Call,
-        work: _Work | outcomes.NotRun,
+        work: upstream_choice.Work | outcomes.NotRun,
         outcome: outcomes.Outcome,
         elapsed: timedelta,
         inputs: str,
@@ -462,7 +333,7 @@
                 'pool': work.pool.name,
                 'rank': work.route.priority,
                 'config_version': work.config_version,
-                'map_version': self._map_version(work.pool.name),
+                'map_version': self._chooser.map_version(work.pool.name),
                 'attempt': len(work.made),
                 'upstream': work.made[-1].upstream if work.made else None,
                 'key_hash': call.meta.key,
@@ -481,7 +352,7 @@
     async def _send_own(
         self,
         call: exchange.Call,
-        work: _Work | outcomes.NotRun,
+        work: upstream_choice.Work | outcomes.NotRun,
         outcome: outcomes.Outcome,
     ) -> None:
         """Answer with a response of this process's own."""
@@ -507,10 +378,12 @@
     def _retry_after(
         self,
         call: exchange.Call,
-        work: _Work | outcomes.NotRun,
+        work: upstream_choice.Work | outcomes.NotRun,
         wanted: timedelta,
     ) -> str:
-        if call.meta.remaining is not None and isinstance(work, _Work):
+        if call.meta.remaining is not None and isinstance(
+            work, upstream_choice.Work
+        ):
             spent = self._clock.elapsed() - work.arrived
             wanted = min(wanted, (call.meta.remaining - spent) * RETRY_SHARE)
         return f'{max(wanted, LEAST_RETRY).total_seconds():.3f}'
--- a/goldcresthaven/key_coordinator.py
+++ b/goldcresthaven/key_coordinator.py
@@ -28,16 +28,19 @@
 from goldcresthaven import key_map
 from goldcresthaven import key_plan
 from goldcresthaven import key_release
+from goldcresthaven import key_renewal
 from goldcresthaven import key_tenure
-from goldcresthaven import members
 from goldcresthaven import registry as registry_module
 from goldcresthaven import state_store
 
 # The claim is read by every process that hears nothing of its holder.
 POLL_EVERY = timedelta(milliseconds=800)
 SILENCE = timedelta(seconds=1)
+# An eighth of the time between two renewals of an owner.
 TICK = timedelta(milliseconds=100)
+# As often as processes report what they see.
 PLAN_EVERY = timedelta(milliseconds=300)
+# A sample of the load has to show the last moves before the next ones.
 RELIEF_EVERY = timedelta(milliseconds=700)
 # Balancing waits while this many moves are under way.
 MAX_TRANSFERS = 6
@@ -45,15 +48,13 @@
 GATHER = timedelta(seconds=1.2)
 # An owner that answers no grant for this long is taken for lost.
 LOST_AFTER = timedelta(seconds=1)
-# Renewals fall due before the store could be declared away.
-STORE_DOUBT = timedelta(seconds=1.6)
 # Upstreams start slowly; keys of others move to a new one after this time.
 JOIN_DELAY = timedelta(seconds=2)
 # A holder that reaches less than this share of the owners hands over.
 REACHABLE_SHARE = 0.5
+# Longer than another process needs to take the claim over.
 ABSTAIN = timedelta(seconds=5)
-# A grant is answered within milliseconds; routers wait no longer for it.
-ANNOUNCE_WAIT = timedelta(milliseconds=40)
+# At 260 requests/s this leaves some 750 in the sample, 50 for an owner.
 LOAD_HALF_LIFE = timedelta(seconds=2)
 
 
@@ -88,7 +89,6 @@
         self._pool = pool
         self._identity = identity
         self._store = store
-        self._calls = calls
         self._upstreams = upstreams
         self._address_text = address
         self._capacity = capacity
@@ -114,6 +114,14 @@
             may_send=self._may_send,
             clock=clock,
         )
+        self._renewer = key_renewal.Renewer(
+            pool=pool,
+            calls=calls,
+            owners=self._owners,
+            may_send=self._may_send,
+            longest_hold=longest_hold,
+            clock=clock,
+        )
         self._first_seen: dict[key_map.Owner, timedelta] = {}
         self._stopped = False
         self._tenure: key_tenure.Tenure | None = None
@@ -154,7 +162,7 @@
         if tenure is None:
             return None
         since = self._clock.elapsed() - tenure.renewed
-        return None if since > STORE_DOUBT else tenure.keys.version
+        return None if since > key_renewal.STORE_DOUBT else tenure.keys.version
 
     def stand_down(
         self, request: fleet_messages.StandDown
@@ -266,7 +274,7 @@
                     tenure.lost = 'not renewed in time'
                     break
                 if tenure.reserved:
-                    await self._renew_due(tenure, now)
+                    await self._renewer.renew_due(tenure, now)
                 if tenure.reserved and now - planned > PLAN_EVERY:
                     relieve = now - relieved > RELIEF_EVERY
                     await self._start_moves(tenure, now, relieve)
@@ -341,7 +349,7 @@
         if changed:
             base = tenure.keys.version
             self._adopt(tenure, keys.at_version(result.version))
-            await self._grant_moved(tenure, ready)
+            await self._renewer.grant_moved(tenure, ready)
             self._announce(
                 fleet_messages.MapChange(
                     pool=self._pool,
@@ -355,18 +363,6 @@
                 )
             )
 
-    async def _grant_moved(
-        self, tenure: key_tenure.Tenure, moved: list[key_tenure.Transfer]
-    ) -> None:
-        """Grant moved keys before their new owners are announced."""
-        started = self._clock.elapsed()
-        await self._renew_due(tenure, started)
-        targets = {t.move.target for t in moved}
-        while targets & tenure.renewing:
-            if self._clock.elapsed() - started > ANNOUNCE_WAIT:
-                break
-            await aio.sleep(TICK / 50)
-
     async def _reread(self, tenure: key_tenure.Tenure) -> None:
         """Learn what became of an unanswered write, or who took over."""
         maps = await self._store.read(state_store.Table.ASSIGNMENTS)
@@ -406,125 +402,6 @@
         except errors.StoreUnavailable as exc:
             decision_log.note('claim-not-released', detail=str(exc))
 
-    # Renewals
-
-    async def _renew_due(
-        self, tenure: key_tenure.Tenure, now: timedelta
-    ) -> None:
-        moving = tenure.moving()
-        owners = tenure.owners()
-        tenure.due = {o: t for o, t in tenure.due.items() if o in owners}
-        for owner in owners:
-            if owner in tenure.renewing or tenure.due.get(owner, now) > now:
-                continue
-            address = self._owners.address(owner)
-            if address is None or self._owners.has_left(owner, now):
-                continue
-            ranges = [
-                part
-                for held in tenure.keys.owned_by(owner)
-                for part in key_map.remainders(held, moving)
-            ]
-            if not ranges:
-                continue
-            tenure.due[owner] = now + key_grants.RENEW_EVERY
-            tenure.renewing.add(owner)
-            await aio.spawn(self._renew(tenure, owner, address, ranges))
-
-    def _hold_time(
-        self, tenure: key_tenure.Tenure, now: timedelta
-    ) -> timedelta:
-        """Return the hold to grant: long once the store may be away."""
-        if now - tenure.renewed > STORE_DOUBT:
-            return self._longest_hold
-        return min(key_grants.HOLD, self._longest_hold)
-
-    async def _renew(
-        self,
-        tenure: key_tenure.Tenure,
-        owner: key_map.Owner,
-        address: members.Address,
-        ranges: list[key_map.KeyRange],
-    ) -> None:
-        try:
-            for key_range in ranges:
-                if not await self._grant(tenure, owner, address, key_range):
-                    return
-        finally:
-            tenure.renewing.discard(owner)
-
-    async def _grant(
-        self,
-        tenure: key_tenure.Tenure,
-        owner: key_map.Owner,
-        address: members.Address,
-        key_range: key_map.KeyRange,
-    ) -> bool:
-        """Send one grant; returns whether the owner answered."""
-        sent = self._clock.elapsed()
-        hold = self._hold_time(tenure, sent)
-        stale = tenure.keys.find(key_range.first).fence != key_range.fence
-        if stale or not self._may_send(tenure):
-            return False
-        undo = tenure.book.sent(owner, key_range.fence, sent, hold)
-        spot = (owner, key_range.fence)
-        renewal = spot in tenure.granted
-        tenure.granted.add(spot)
-        result = await self._calls.grant(
-            owner.upstream_id,
-            address,
-            key_grants.Grant(
-                first=key_range.first,
-                last=key_range.last,
-                fence=key_range.fence,
-                handover=tenure.handovers.get(key_range.fence),
-            ),
-            renewal=renewal,
-            hold=hold,
-            limit=key_grants.CALL_LIMIT,
-        )
-        now = self._clock.elapsed()
-        if result is key_grants.GrantResult.GRANTED:
-            tenure.handovers.pop(key_range.fence, None)
-            tenure.failing.pop(owner, None)
-            tenure.book.answered(owner, key_range)
-            return True
-        if result is key_grants.GrantResult.NO_ANSWER:
-            tenure.book.unanswered(owner, key_range.fence, sent, hold)
-        else:
-            undo()
-        if result in key_grants.NOT_SENT and not renewal:
-            tenure.granted.discard(spot)
-        else:
-            # The owner may have restarted, or a higher fence is known.
-            self._refence(tenure, key_range)
-        if result is not key_grants.GrantResult.DISCONNECTED:
-            tenure.failing.setdefault(owner, now)
-        tenure.due[owner] = now + key_grants.RENEW_EVERY / 3
-        decision_log.note(
-            'grant-failed',
-            pool=self._pool,
-            upstream=owner.upstream_id,
-            outcome=result.value,
-            epoch=key_range.fence,
-        )
-        return False
-
-    def _refence(
-        self, tenure: key_tenure.Tenure, key_range: key_map.KeyRange
-    ) -> None:
-        """Let a range's owner have it under a higher fence.
-
-        A fence is granted once over a new connection: the next life of the
-        upstream at the address must not get the fence of the one before.
-        """
-        if key_range.owner is None:
-            return
-        if key_map.overlaps(key_range, tenure.moving()):
-            return
-        move = key_plan.Move(source=key_range, target=key_range.owner)
-        tenure.transfers.append(key_tenure.Transfer(move=move, freed=True))
-
     # Moves
 
     async def _start_moves(
