--- a/goldcresthaven/key_coordinator.py
+++ b/goldcresthaven/key_coordinator.py
@@ -184,10 +184,8 @@
             pool=self._pool,
             claim_version=request.claim_version,
             bounds=[
-                fleet_messages.HoldBound(
-                    upstream_id=owner.upstream_id, left=end - now
-                )
-                for owner, end in bounds.items()
+                fleet_messages.HoldBound(upstream_id=name, left=end - now)
+                for name, end in bounds.items()
             ],
         )
 
--- a/goldcresthaven/key_grants.py
+++ b/goldcresthaven/key_grants.py
@@ -204,19 +204,20 @@
         """Note when the last grants of the predecessor end, by owner."""
         self._predecessor = ends
 
-    def bounds(self, now: timedelta) -> dict[key_map.Owner, timedelta] | None:
-        """Return until when each owner may hold anything.
+    def bounds(self, now: timedelta) -> dict[ids.UpstreamId, timedelta] | None:
+        """Return until when any life of an upstream may hold anything.
 
-        None while grants of an earlier holder, whose extent is not known,
-        may last.
+        It includes what the predecessor told. None while grants of an
+        earlier holder, whose extent is not known, may last.
         """
         if self._predecessor is None and now < self._inherited:
             return None
-        ends: dict[key_map.Owner, timedelta] = {}
+        ends = dict(self._predecessor or {})
         for book in (self._bounds, self._unanswered):
             for (owner, _), end in book.items():
-                ends[owner] = max(ends.get(owner, end), end)
-        return {owner: end for owner, end in ends.items() if end > now}
+                known = ends.get(owner.upstream_id, end)
+                ends[owner.upstream_id] = max(known, end)
+        return {name: end for name, end in ends.items() if end > now}
 
     def _inherited_for(self, owner: key_map.Owner, fence: int) -> timedelta:
         if fence in self._cleared:
--- a/tests/test_key_grants.py
+++ b/tests/test_key_grants.py
@@ -81,9 +81,24 @@
         later = INHERITED + timedelta(seconds=1)
         self.assertEqual(
             self.book.bounds(later),
-            {OWNER: key_grants.hold_end(INHERITED, HOLD)},
+            {OWNER.upstream_id: key_grants.hold_end(INHERITED, HOLD)},
         )
 
+    def test_bounds_pass_on_what_the_predecessor_told(self) -> None:
+        """Guards against a grant forgotten after two takeovers in a row."""
+        end = NOW + timedelta(seconds=8)
+        self.book.predecessor_stopped({OWNER.upstream_id: end})
+        self.assertEqual(self.book.bounds(NOW), {OWNER.upstream_id: end})
+
+    def test_bounds_take_the_later_of_two_lives(self) -> None:
+        """Guards against a restart that hides the hold of the first life."""
+        self.book.predecessor_stopped({})
+        self.book.sent(OWNER, OWN_FENCE, NOW + HOLD, HOLD)
+        reborn = fake_platform.owner('u1', incarnation=2)
+        self.book.sent(reborn, OWN_FENCE + 1, NOW, HOLD)
+        end = key_grants.hold_end(NOW + HOLD, HOLD)
+        self.assertEqual(self.book.bounds(NOW), {OWNER.upstream_id: end})
+
 
 if __name__ == '__main__':
     unittest.main()
