Let coordinators follow the store's tables for all processes

Ruled out: longer polls, since a change has to be in force within 2 s and each reader pays a call for each change all the same.

The holder of a pool's claim now polls once a second, passes changed rows on in datagrams and says three times a second how far it has got and how old the store's last answer is. Others ask the store only when that is older than 1.6 s, when they missed a change, or when nobody is heard. A table of more than one page is followed from its first page's version; a change between two pages was lost. Small VMs leave claims to larger ones at first, and loads are sent only as often as the link allows.

--- a/goldcresthaven/fleet_messages.py
+++ b/goldcresthaven/fleet_messages.py
@@ -3,8 +3,8 @@
 Each process sees few requests. It reports the keys of its recent requests
 and the loads that upstreams stated to the coordinator, which balances keys
 by them and sends the merged loads back. The coordinator also announces
-changes of the key map, so that only processes that miss one have to ask
-the store. A new coordinator asks the one before to stand down; its answer
+changes of the key map, and passes on what changes in the tables that it
+follows, so that only processes that miss one have to ask the store. A new coordinator asks the one before to stand down; its answer
 may shorten a wait. No other promise rests on a datagram's arrival.
 """
 
@@ -19,6 +19,8 @@
 from goldcresthaven import errors
 from goldcresthaven import ids
 from goldcresthaven import key_map
+from goldcresthaven import state_store
+from goldcresthaven import table_relay
 
 MAX_KEYS = 200
 MAX_LOADS = 300
@@ -34,6 +36,7 @@
     STAND_DOWN = 4
     STOOD_DOWN = 5
     MOVING = 6
+    ROWS = 7
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -65,12 +68,22 @@
 class Merged:
     """Sent by a coordinator whose claim is fresh, a few times a second.
 
-    ``map_version`` is the version of the key map that it holds.
+    ``map_version`` is the version of the key map that it holds, ``tables``
+    how far it has followed the tables of others.
     """
 
     pool: ids.PoolName
     map_version: int
     loads: Sequence[UpstreamLoad]
+    tables: Sequence[table_relay.TableState] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PassedOn:
+    """Rows that a coordinator has just learned of."""
+
+    pool: ids.PoolName
+    changes: table_relay.RowChanges
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -121,7 +134,9 @@
 
 
 Loads = Sequence[UpstreamLoad]
-Message = Report | Merged | MapChange | Moving | StandDown | StoodDown
+Message = (
+    Report | Merged | PassedOn | MapChange | Moving | StandDown | StoodDown
+)
 
 
 def encode(message: Message) -> bytes:
@@ -144,6 +159,17 @@
                 message.pool,
                 message.map_version,
                 _plain_loads(message.loads),
+                [_plain_table(state) for state in message.tables],
+            ]
+        case PassedOn():
+            changes = message.changes
+            return [
+                Kind.ROWS.value,
+                message.pool,
+                changes.table.value,
+                changes.base,
+                changes.reached,
+                [[row.key, row.version, row.value] for row in changes.rows],
             ]
         case MapChange():
             return [
@@ -203,11 +229,23 @@
                 loads=[_load(load) for load in loads],
             )
         case Kind.MERGED:
-            version, loads = fields
+            version, loads, tables = fields
             return Merged(
                 pool=pool,
                 map_version=int(version),
                 loads=[_load(load) for load in loads],
+                tables=[_table(state) for state in tables],
+            )
+        case Kind.ROWS:
+            table, base, reached, rows = fields
+            return PassedOn(
+                pool=pool,
+                changes=table_relay.RowChanges(
+                    table=state_store.Table(table),
+                    base=int(base),
+                    reached=int(reached),
+                    rows=tuple(_row(row) for row in rows),
+                ),
             )
         case Kind.MAP_CHANGE:
             base, version, ranges = fields
@@ -255,6 +293,34 @@
     ]
 
 
+def _plain_table(state: table_relay.TableState) -> list[Any]:
+    return [
+        state.table.value,
+        state.changed,
+        state.reached,
+        _ms(state.age),
+    ]
+
+
+def _table(values: Any) -> table_relay.TableState:
+    table, changed, reached, age = values
+    if int(age) < 0 or int(changed) > int(reached):
+        raise ValueError('the state of a table is out of range')
+    return table_relay.TableState(
+        table=state_store.Table(table),
+        changed=int(changed),
+        reached=int(reached),
+        age=int(age) * _MS,
+    )
+
+
+def _row(values: Any) -> state_store.Row:
+    key, version, value = values
+    if value is not None and not isinstance(value, bytes):
+        raise ValueError('the value of a row is not bytes')
+    return state_store.Row(key=str(key), version=int(version), value=value)
+
+
 def _plain_range(held: key_map.KeyRange) -> list[Any]:
     owner = held.owner
     return [
--- a/goldcresthaven/follower.py
+++ b/goldcresthaven/follower.py
@@ -1,11 +1,14 @@
 """Keeps configuration, registry and key maps current from the store.
 
-Each table is read once and then watched by long polls. A poll that is not
-answered counts as an outage; when the store answers again, the registry is
-told, because its entries may have lapsed meanwhile.
+Each table is read once. Afterwards a coordinator watches it by long polls
+and passes the changes on; the other processes do so only while no
+coordinator is heard. A poll that is not answered counts as an outage; when
+the store answers again, the registry is told, because its entries may have
+lapsed meanwhile.
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 import random
@@ -21,6 +24,7 @@
 from goldcresthaven import registry as registry_module
 from goldcresthaven import routes
 from goldcresthaven import state_store
+from goldcresthaven import table_relay
 
 # How long a poll waits for a change. A poll that the store swallows is
 # noticed only then: that has to be within the 3 s after which a calm
@@ -29,12 +33,20 @@
     state_store.Table.CONFIG: timedelta(seconds=4),
     state_store.Table.REGISTRY: timedelta(seconds=4),
 }
+# A coordinator polls more often: what it passes on is believed only while
+# the store's last answer is recent.
+RELAY_WAIT = timedelta(seconds=1)
 # Pause after a change, so that a series of changes costs few calls. An
 # upstream that leaves may get work for 2 s after it said so.
 SETTLE = {
     state_store.Table.CONFIG: timedelta(milliseconds=50),
     state_store.Table.REGISTRY: timedelta(milliseconds=350),
 }
+# The same for a coordinator, whose calls serve all processes.
+RELAY_SETTLE = timedelta(milliseconds=150)
+RELAY_CHECK = timedelta(milliseconds=50)
+# Spread of the calls of processes that have missed the same change.
+RELAY_SPREAD = timedelta(milliseconds=150)
 MAP_CHECK = timedelta(milliseconds=50)
 # Least time between two reads of the key maps by one process.
 MAP_READ_PAUSE = timedelta(milliseconds=250)
@@ -45,7 +57,7 @@
 SILENCE = timedelta(seconds=1.2)
 SILENT_READ = timedelta(seconds=1.5)
 # Reads while coordinators are heard; covers one that nobody else follows.
-CALM_READ = timedelta(seconds=12)
+CALM_READ = timedelta(seconds=30)
 FIRST_RETRY = timedelta(milliseconds=100)
 LONGEST_RETRY = timedelta(seconds=1)
 # Silence after which entries of the registry may have lapsed.
@@ -73,21 +85,29 @@
 class Beliefs:
     """What this process believes of its surroundings.
 
-    ``heard`` tells for each table when the store last answered.
+    ``positions`` tells how far each table of others was followed.
     """
 
     def __init__(self) -> None:
         self.config: routes.RouteConfig | None = None
         self.registry = registry_module.Registry()
         self.maps: dict[ids.PoolName, key_map.KeyMap] = {}
-        self.heard: dict[state_store.Table, timedelta] = {}
+        self.positions = {
+            table: table_relay.Position() for table in WATCH_WAIT
+        }
+        self.maps_read = False
         self._coordinator_heard: dict[ids.PoolName, timedelta] = {}
         self._moving: list[_MovingKeys] = []
         self.maps_doubted = False
 
     def is_complete(self) -> bool:
         """Return whether requests can be routed."""
-        return self.config is not None and len(self.heard) == _TABLES
+        registry_known = self.positions[state_store.Table.REGISTRY].heard
+        return (
+            self.config is not None
+            and registry_known is not None
+            and self.maps_read
+        )
 
     def hear_coordinator(
         self, pool: ids.PoolName, map_version: int, now: timedelta
@@ -154,11 +174,13 @@
         )
 
 
-# Tables that have to be known before requests are routed.
-_TABLES = 3
+class Follower:
+    """Follows the tables of others and the key maps.
 
+    ``is_relay`` tells whether this process passes changes on, ``pass_on``
+    does so.
+    """
 
-class Follower:
     def __init__(
         self,
         *,
@@ -166,6 +188,8 @@
         decoder: Decoder,
         beliefs: Beliefs,
         on_registry: Callable[[list[registry_module.Upstream]], None],
+        is_relay: Callable[[], bool],
+        pass_on: Callable[[table_relay.RowChanges], None],
         clock: clock_module.Clock,
         rng: random.Random,
     ) -> None:
@@ -173,6 +197,8 @@
         self._decoder = decoder
         self._beliefs = beliefs
         self._on_registry = on_registry
+        self._is_relay = is_relay
+        self._pass_on = pass_on
         self._clock = clock
         self._rng = rng
 
@@ -193,8 +219,7 @@
             self._beliefs.maps_doubted = False
             try:
                 reading = await self._store.read(state_store.Table.ASSIGNMENTS)
-                now = self._clock.elapsed()
-                self._beliefs.heard[state_store.Table.ASSIGNMENTS] = now
+                self._beliefs.maps_read = True
                 self._apply_maps(reading)
                 failing = False
             except errors.StoreUnavailable as exc:
@@ -222,29 +247,43 @@
             elif now - read_at > CALM_READ * spread:
                 return
 
+    def hear(
+        self, states: Iterable[table_relay.TableState], now: timedelta
+    ) -> None:
+        """Take the report of a coordinator on the tables it follows."""
+        for state in states:
+            position = self._beliefs.positions.get(state.table)
+            if position is not None:
+                position.hear(state, now)
+
+    def take(self, changes: table_relay.RowChanges, now: timedelta) -> None:
+        """Apply rows that a coordinator passed on."""
+        position = self._beliefs.positions.get(changes.table)
+        rows = position.missing(changes) if position is not None else ()
+        if rows:
+            self._apply(changes.table, rows, changes.reached, False, now)
+
     async def _follow(self, table: state_store.Table) -> None:
-        after: int | None = None
         pause = FIRST_RETRY
         failed_since: timedelta | None = None
+        position = self._beliefs.positions[table]
         while True:
+            # A long poll that a store in trouble swallows is noticed late,
+            # so it is asked briefly until it answers.
+            whole = position.reached is None or failed_since is not None
+            if not whole:
+                await self._wait_while_told(position)
             started = self._clock.elapsed()
+            base = position.reached
             try:
-                # A long poll that a store in trouble swallows is noticed
-                # late, so it is asked briefly until it answers.
-                whole = after is None or failed_since is not None
-                if after is None or whole:
-                    reading = await self._store.read(table)
-                else:
-                    reading = await self._store.watch(
-                        table, after=after, wait=WATCH_WAIT[table]
-                    )
+                reading = await self._ask(table, None if whole else base)
             except state_store.HistoryLost:
                 decision_log.note('history-lost', detail=table.value)
-                after = None
+                position.forget()
                 continue
             except errors.StoreUnavailable as exc:
                 if failed_since is None:
-                    failed_since = started
+                    failed_since = position.heard or started
                     decision_log.note(
                         'store-lost', detail=f'{table.value}: {exc}'
                     )
@@ -256,10 +295,38 @@
                 self._note_return(table, now - failed_since, now)
                 failed_since = None
             pause = FIRST_RETRY
-            after = max(after or 0, reading.version)
-            self._apply(table, reading, whole, now)
-            if reading.rows:
-                await aio.sleep(SETTLE[table])
+            rows = position.answered(reading, now, whole=whole)
+            if rows or (whole and rows is not None):
+                self._apply(table, rows, reading.version, whole, now)
+            if not rows:
+                continue
+            if not whole and base is not None:
+                self._pass_on(
+                    table_relay.RowChanges(
+                        table=table,
+                        base=base,
+                        reached=reading.version,
+                        rows=rows,
+                    )
+                )
+            relay = self._is_relay()
+            await aio.sleep(RELAY_SETTLE if relay else SETTLE[table])
+
+    async def _wait_while_told(self, position: table_relay.Position) -> None:
+        """Return when the store has to be asked."""
+        patience = RELAY_SPREAD * self._rng.random()
+        while not self._is_relay():
+            if position.must_ask(self._clock.elapsed(), patience):
+                return
+            await aio.sleep(RELAY_CHECK)
+
+    async def _ask(
+        self, table: state_store.Table, after: int | None
+    ) -> state_store.Reading:
+        if after is None:
+            return await self._store.read(table)
+        wait = RELAY_WAIT if self._is_relay() else WATCH_WAIT[table]
+        return await self._store.watch(table, after=after, wait=wait)
 
     def _note_return(
         self, table: state_store.Table, away: timedelta, now: timedelta
@@ -275,21 +342,19 @@
     def _apply(
         self,
         table: state_store.Table,
-        reading: state_store.Reading,
+        rows: tuple[state_store.Row, ...],
+        version: int,
         whole: bool,
         now: timedelta,
     ) -> None:
-        self._beliefs.heard[table] = now
-        if not reading.rows and not whole:
-            return
         match table:
             case state_store.Table.CONFIG:
-                self._apply_config(reading)
+                self._apply_config(rows)
             case state_store.Table.REGISTRY:
-                self._apply_registry(reading, whole, now)
+                self._apply_registry(rows, version, whole, now)
 
-    def _apply_config(self, reading: state_store.Reading) -> None:
-        for row in reading.rows:
+    def _apply_config(self, rows: tuple[state_store.Row, ...]) -> None:
+        for row in rows:
             if not self._decoder.is_config(row) or row.value is None:
                 continue
             try:
@@ -308,17 +373,21 @@
             )
 
     def _apply_registry(
-        self, reading: state_store.Reading, whole: bool, now: timedelta
+        self,
+        rows: tuple[state_store.Row, ...],
+        version: int,
+        whole: bool,
+        now: timedelta,
     ) -> None:
         changes: dict[ids.UpstreamId, registry_module.Upstream | None] = {}
-        for row in reading.rows:
+        for row in rows:
             upstream = self._decoder.upstream(row)
             if upstream is None and row.value is not None:
                 decision_log.note('entry-unreadable', upstream=row.key[:64])
             changes[ids.UpstreamId(row.key)] = upstream
         registry = self._beliefs.registry
         touched = registry.apply(
-            changes, whole=whole, version=reading.version, now=now
+            changes, whole=whole, version=version, now=now
         )
         present = []
         for upstream_id in touched:
@@ -329,7 +398,7 @@
                 'upstream-changed',
                 upstream=upstream_id,
                 state=_state_of(known),
-                map_version=reading.version,
+                map_version=version,
             )
         self._on_registry(present)
 
--- a/goldcresthaven/gateway_process.py
+++ b/goldcresthaven/gateway_process.py
@@ -85,6 +85,7 @@
             selector=self._selector,
             take_keys=self._gateway.take_keys_seen,
             coordinators=self._coordinators,
+            link_bytes_per_s=cfg.link_bytes_per_s,
             clock=self._clock,
         )
 
@@ -107,16 +108,19 @@
         )
         for listener in (callers, readiness, scrapes):
             await listener.start()
-        await follower.Follower(
+        tables = follower.Follower(
             store=self._store,
             decoder=decode,
             beliefs=self._beliefs,
             on_registry=self._on_registry,
+            is_relay=self._link.is_relay,
+            pass_on=self._link.pass_on,
             clock=self._clock,
             rng=self._rng,
-        ).start()
+        )
+        await tables.start()
         await aio.spawn(self._coordinate())
-        await self._link.start()
+        await self._link.start(tables)
         decision_log.note('started', detail=self._identity)
         await stop.wait()
         await self._stop(callers)
@@ -168,6 +172,7 @@
             announce=self._link.announce,
             ask_to_stand_down=self._link.ask_to_stand_down,
             longest_hold=self._cfg.longest_hold,
+            reluctance=key_coordinator.reluctance(self._cfg.processor),
             clock=self._clock,
             rng=self._rng,
         )
--- a/goldcresthaven/gateway_settings.py
+++ b/goldcresthaven/gateway_settings.py
@@ -13,7 +13,8 @@
 
     ``grace`` is the time between the request to stop and the end of the
     process by force, ``longest_hold`` the longest grant of keys that an
-    upstream accepts.
+    upstream accepts. ``processor`` is what the VM has in cores, and
+    ``link_bytes_per_s`` what its network link carries.
     """
 
     vm: ids.VmId
@@ -24,3 +25,5 @@
     store: members.Address
     grace: timedelta
     longest_hold: timedelta
+    processor: float
+    link_bytes_per_s: float
--- a/goldcresthaven/key_coordinator.py
+++ b/goldcresthaven/key_coordinator.py
@@ -36,6 +36,10 @@
 # The claim is read by every process that hears nothing of its holder.
 POLL_EVERY = timedelta(milliseconds=800)
 SILENCE = timedelta(seconds=1)
+# Coordinating a hundred owners takes about this much of a core. A smaller
+# VM lets larger ones take a claim first.
+WANTED_PROCESSOR = 0.5
+RELUCTANCE = timedelta(milliseconds=800)
 # An eighth of the time between two renewals of an owner.
 TICK = timedelta(milliseconds=100)
 # As often as processes report what they see.
@@ -64,7 +68,8 @@
     ``capacity`` tells an upstream's relative capacity. ``address`` is
     where other processes report what they see of the load. ``silence``
     tells how long nothing was heard of a pool's coordinator. ``announce``
-    and ``ask_to_stand_down`` send datagrams.
+    and ``ask_to_stand_down`` send datagrams. ``reluctance`` is how much
+    longer than others this process waits before it takes a claim.
     """
 
     def __init__(
@@ -83,6 +88,7 @@
         ],
         ask_to_stand_down: Callable[[str, fleet_messages.StandDown], None],
         longest_hold: timedelta,
+        reluctance: timedelta = timedelta(),
         clock: clock_module.Clock,
         rng: random.Random,
     ) -> None:
@@ -96,6 +102,7 @@
         self._announce = announce
         self._ask_to_stand_down = ask_to_stand_down
         self._longest_hold = longest_hold
+        self._reluctance = reluctance
         self._clock = clock
         self._rng = rng
         self._claim_key = state_store.Key(
@@ -139,11 +146,12 @@
 
     async def run(self) -> None:
         """Follow and hold the claim until ``stop``."""
+        eager_from = self._clock.elapsed() + self._reluctance
         while not self._stopped:
             await aio.sleep(POLL_EVERY * self._rng.uniform(0.2, 1.0))
             now = self._clock.elapsed()
-            heard = self._silence(self._pool, now) < SILENCE
-            if heard or now < self._abstain_until:
+            heard = self._silence(self._pool, now) < SILENCE + self._reluctance
+            if heard or now < max(self._abstain_until, eager_from):
                 continue
             try:
                 tenure = await self._try_take()
@@ -484,6 +492,11 @@
         ]
 
 
+def reluctance(processor: float) -> timedelta:
+    """Return how much longer a VM with this many cores leaves a claim."""
+    return timedelta() if processor >= WANTED_PROCESSOR else RELUCTANCE
+
+
 def _find(reading: state_store.Reading, key: str) -> state_store.Row | None:
     return next((row for row in reading.rows if row.key == key), None)
 
--- a/goldcresthaven/platform/settings.py
+++ b/goldcresthaven/platform/settings.py
@@ -15,6 +15,7 @@
 
 # The port that deploy/system.toml names; the platform assigns none.
 METRICS_PORT = 9464
+_BYTES_PER_MEGABIT = 125_000
 
 
 def path() -> pathlib.Path:
@@ -46,6 +47,10 @@
         store=_address(fields, 'platform-api', 'addr'),
         grace=_bound(bounds, 'grace-s'),
         longest_hold=_bound(bounds, 'hold-max-s'),
+        # ``cores`` is how many times as fast as a usual core the one is of
+        # which the VM has a share.
+        processor=_limit(fields, 'cpu-share') * _limit(fields, 'cores'),
+        link_bytes_per_s=_limit(fields, 'link-mbps') * _BYTES_PER_MEGABIT,
     )
 
 
@@ -67,6 +72,16 @@
     return timedelta(seconds=value)
 
 
+def _limit(fields: Mapping[str, Any], name: str) -> float:
+    limits = fields.get('limits')
+    value = limits.get(name) if isinstance(limits, dict) else None
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise _problem(f'limits.{name}', 'is not a number')
+    if not 0 < value < 1e6:
+        raise _problem(f'limits.{name}', 'is out of range')
+    return float(value)
+
+
 def _text(fields: Mapping[str, Any], name: str) -> str:
     value = fields.get(name)
     if not isinstance(value, str) or not value:
--- a/goldcresthaven/platform/store.py
+++ b/goldcresthaven/platform/store.py
@@ -44,6 +44,7 @@
     async def read(self, table: state_store.Table) -> state_store.Reading:
         rows: list[state_store.Row] = []
         start = ''
+        version: int | None = None
         while True:
             document = await self._get(
                 '/rows-get',
@@ -57,8 +58,14 @@
             )
             page = _rows(document)
             rows += page
+            # Each page is of a moment of its own. Changes after the first
+            # one have to be read again.
+            if version is None:
+                version = _integer(document, 'ver')
             if not document.get('has-more') or not page:
-                return _reading(document, rows)
+                return state_store.Reading(
+                    rows=tuple(rows), version=version, clock=_clock(document)
+                )
             start = page[-1].key + '\0'
 
     async def watch(
--- /dev/null
+++ b/tests/test_fleet_link.py
@@ -0,0 +1,202 @@
+"""Tests of the datagrams between a coordinator and the other processes."""
+
+from collections.abc import Iterable
+from datetime import timedelta
+import random
+from typing import Any
+from typing import cast
+import unittest
+
+from goldcresthaven import aio
+from goldcresthaven import clock
+from goldcresthaven import fleet_link
+from goldcresthaven import follower
+from goldcresthaven import ids
+from goldcresthaven import key_map
+from goldcresthaven import selection
+from goldcresthaven import state_store
+from goldcresthaven import table_relay
+from tests import fake_platform
+
+HOST = '127.0.0.1'
+LIMIT = timedelta(seconds=3)
+REGISTRY = state_store.Table.REGISTRY
+# Enough for every report to carry loads.
+FAST_LINK = 1e9
+SLOW_LINK = 100.0
+
+
+class Coordinator:
+    """The part of a key coordinator that the link uses."""
+
+    def __init__(self) -> None:
+        self.holds_claim = True
+        self.version: int | None = 5
+        self.counted: list[int] = []
+
+    def fresh_map_version(self) -> int | None:
+        return self.version
+
+    def count(self, keys: Iterable[int], weight: float) -> None:
+        self.counted += keys
+
+
+class Tables:
+    """Notes what a coordinator tells."""
+
+    def __init__(self) -> None:
+        self.states: list[table_relay.TableState] = []
+        self.changes: list[table_relay.RowChanges] = []
+
+    def hear(
+        self, states: Iterable[table_relay.TableState], now: timedelta
+    ) -> None:
+        self.states += states
+
+    def take(self, changes: table_relay.RowChanges, now: timedelta) -> None:
+        self.changes.append(changes)
+
+
+class Process:
+    """A link with its own socket and beliefs."""
+
+    def __init__(
+        self, *coordinators: Coordinator, link: float = FAST_LINK
+    ) -> None:
+        self.clock = clock.SystemClock()
+        self.beliefs = follower.Beliefs()
+        self.tables = Tables()
+        self.selector = selection.Selector(
+            zone=ids.ZoneId('a'), rng=random.Random(1)
+        )
+        self.socket = aio.Datagrams(host=HOST, port=0)
+        self.link = fleet_link.FleetLink(
+            socket=self.socket,
+            beliefs=self.beliefs,
+            selector=self.selector,
+            take_keys=lambda pool: [7],
+            coordinators=cast(
+                Any, {fake_platform.POOL: c for c in coordinators}
+            ),
+            link_bytes_per_s=link,
+            clock=self.clock,
+        )
+
+    async def start(self, coordinator: 'Process') -> None:
+        self.beliefs.maps[fake_platform.POOL] = key_map.KeyMap(
+            ranges=key_map.empty().ranges,
+            next_fence=1,
+            version=5,
+            coordinator=f'{HOST}:{coordinator.socket.port}',
+        )
+        await self.link.start(self.tables)
+
+    def know(self, name: str) -> None:
+        """Register an upstream that has just reported its load."""
+        upstream = fake_platform.upstream(name)
+        self.beliefs.registry.apply(
+            {upstream.upstream_id: upstream},
+            whole=False,
+            version=1,
+            now=self.clock.elapsed(),
+        )
+        state = self.selector.state(upstream)
+        state.reported_at = self.clock.elapsed()
+
+
+class FleetLinkTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.coordinator = Coordinator()
+
+    async def connect(self, link: float = FAST_LINK) -> None:
+        self.hub = Process(self.coordinator, link=link)
+        self.other = Process()
+        position = self.hub.beliefs.positions[REGISTRY]
+        position.answered(
+            state_store.Reading(rows=(), version=9, clock=timedelta()),
+            self.hub.clock.elapsed(),
+            whole=True,
+        )
+        await self.hub.start(self.hub)
+        await self.other.start(self.hub)
+
+    async def until_told(self) -> None:
+        async with aio.timeout(LIMIT):
+            while not self.other.tables.states:
+                await aio.sleep(timedelta(milliseconds=5))
+
+    def test_coordinator_tells_how_far_it_has_followed(self) -> None:
+        """Guards against processes that each ask the store."""
+
+        async def main() -> None:
+            await self.connect()
+            await self.until_told()
+            told = self.other.tables.states[0]
+            self.assertEqual((told.table, told.reached), (REGISTRY, 9))
+            self.assertIn(7, self.coordinator.counted)
+            self.assertTrue(self.hub.link.is_relay())
+            self.assertFalse(self.other.link.is_relay())
+
+        aio.run(main)
+
+    def test_coordinator_in_doubt_tells_nothing(self) -> None:
+        """Guards against belief in a coordinator that lost the store."""
+        self.coordinator.version = None
+
+        async def main() -> None:
+            await self.connect()
+            await aio.sleep(fleet_link.REPORT_EVERY * 3)
+            self.hub.link.pass_on(self.changes(b'v'))
+            await aio.sleep(timedelta(milliseconds=50))
+            self.assertEqual(self.other.tables.states, [])
+            self.assertEqual(self.other.tables.changes, [])
+
+        aio.run(main)
+
+    def changes(self, value: bytes) -> table_relay.RowChanges:
+        return table_relay.RowChanges(
+            table=REGISTRY,
+            base=9,
+            reached=10,
+            rows=(state_store.Row(key='u', version=10, value=value),),
+        )
+
+    def test_changed_rows_are_passed_on(self) -> None:
+        """Guards against a change that waits for the next call."""
+
+        async def main() -> None:
+            await self.connect()
+            await self.until_told()
+            self.hub.link.pass_on(self.changes(b'v' * 20_000))
+            self.hub.link.pass_on(self.changes(b'v'))
+            async with aio.timeout(LIMIT):
+                while not self.other.tables.changes:
+                    await aio.sleep(timedelta(milliseconds=5))
+            # Rows that need many fragments are left to the store.
+            self.assertEqual(self.other.tables.changes, [self.changes(b'v')])
+
+        aio.run(main)
+
+    def test_loads_leave_room_on_a_slow_link(self) -> None:
+        """Guards against reports that fill a small VM's link."""
+
+        async def loads_seen(link: float) -> int:
+            await self.connect(link)
+            self.other.know('u1')
+            upstream = self.other.beliefs.registry.everything()[0]
+            seen = set()
+            for _ in range(40):
+                self.hub.know('u1')
+                await aio.sleep(fleet_link.REPORT_EVERY / 10)
+                seen.add(self.other.selector.state(upstream).reported_at)
+            return len(seen) - 1
+
+        async def main() -> None:
+            self.assertGreaterEqual(await loads_seen(FAST_LINK), 3)
+            self.assertLessEqual(await loads_seen(SLOW_LINK), 1)
+
+        aio.run(main)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -15,11 +15,13 @@
 from goldcresthaven import registry
 from goldcresthaven import routes
 from goldcresthaven import state_store
+from goldcresthaven import table_relay
 from tests import fake_platform
 
 CONFIG = state_store.Table.CONFIG
 REGISTRY = state_store.Table.REGISTRY
 LIMIT = timedelta(seconds=3)
+STALE = timedelta(seconds=5)
 
 
 class Decoder:
@@ -51,16 +53,56 @@
     def setUp(self) -> None:
         self.store = fake_platform.FakeStore()
         self.beliefs = follower.Beliefs()
-
-    async def start(self) -> None:
-        await follower.Follower(
+        self.relay = False
+        self.passed_on: list[table_relay.RowChanges] = []
+        self.clock = clock.SystemClock()
+        self.follower = follower.Follower(
             store=self.store,
             decoder=Decoder(),
             beliefs=self.beliefs,
             on_registry=lambda changed: None,
-            clock=clock.SystemClock(),
+            is_relay=lambda: self.relay,
+            pass_on=self.passed_on.append,
+            clock=self.clock,
             rng=random.Random(1),
-        ).start()
+        )
+
+    async def start(self) -> None:
+        await self.follower.start()
+
+    def tell(self, *, age: float = 0.0, changed: int = 0) -> None:
+        """Report as a coordinator that is as far as the store."""
+        self.follower.hear(
+            [
+                table_relay.TableState(
+                    table=table,
+                    changed=changed,
+                    reached=self.store.version,
+                    age=timedelta(seconds=age),
+                )
+                for table in (CONFIG, REGISTRY)
+            ],
+            self.clock.elapsed(),
+        )
+
+    async def told_for(self, seconds: float) -> int:
+        """Report for a while; returns how often the store was watched."""
+        # The polls that began before the first report end first.
+        self.store.put(CONFIG, 'other', b'0')
+        self.store.put(REGISTRY, 'new', b'fine')
+        await until(lambda: len(self.beliefs.registry.everything()) == 1)
+        await until(
+            lambda: all(
+                position.reached == self.store.version
+                for position in self.beliefs.positions.values()
+            )
+        )
+        before = self.store.watches
+        end = self.clock.elapsed() + timedelta(seconds=seconds)
+        while self.clock.elapsed() < end:
+            self.tell()
+            await aio.sleep(timedelta(milliseconds=50))
+        return self.store.watches - before
 
     def version(self) -> int:
         return self.beliefs.config.version if self.beliefs.config else 0
@@ -121,6 +163,85 @@
 
         aio.run(main)
 
+    def test_store_is_not_asked_while_a_coordinator_tells(self) -> None:
+        """Guards against calls that grow with the number of processes."""
+
+        async def main() -> None:
+            self.store.put(CONFIG, 'newest', b'1')
+            await self.start()
+            await until(lambda: self.version() == 1)
+            self.assertEqual(await self.told_for(0.8), 0)
+            before = self.store.version
+            self.store.put(CONFIG, 'newest', b'2')
+            self.follower.take(
+                table_relay.RowChanges(
+                    table=CONFIG,
+                    base=before,
+                    reached=self.store.version,
+                    rows=(self.store.rows[(CONFIG, 'newest')],),
+                ),
+                self.clock.elapsed(),
+            )
+            self.assertEqual(self.version(), 2)
+
+        aio.run(main)
+
+    def test_missed_change_is_asked_for(self) -> None:
+        """Guards against an old configuration after a lost datagram."""
+
+        async def main() -> None:
+            self.store.put(CONFIG, 'newest', b'1')
+            await self.start()
+            await until(lambda: self.version() == 1)
+            await self.told_for(0.1)
+            self.store.put(CONFIG, 'newest', b'2')
+            self.tell(changed=self.store.version)
+            await until(lambda: self.version() == 2)
+
+        aio.run(main)
+
+    def test_store_is_asked_when_the_coordinator_knows_nothing_new(
+        self,
+    ) -> None:
+        """Guards against trust in a coordinator that is cut off itself."""
+
+        async def main() -> None:
+            self.store.put(CONFIG, 'newest', b'1')
+            await self.start()
+            await until(lambda: self.version() == 1)
+            await self.told_for(0.1)
+            self.store.put(CONFIG, 'newest', b'2')
+            end = self.clock.elapsed() + table_relay.LONGEST_AGE
+            while self.version() == 1 and self.clock.elapsed() < end:
+                self.follower.hear(
+                    [
+                        table_relay.TableState(
+                            table=CONFIG, changed=1, reached=1, age=STALE
+                        )
+                    ],
+                    self.clock.elapsed(),
+                )
+                await aio.sleep(timedelta(milliseconds=50))
+            self.assertEqual(self.version(), 2)
+
+        aio.run(main)
+
+    def test_relay_passes_its_changes_on(self) -> None:
+        """Guards against a coordinator that keeps a change to itself."""
+
+        async def main() -> None:
+            self.relay = True
+            self.store.put(CONFIG, 'newest', b'1')
+            await self.start()
+            await until(lambda: self.version() == 1)
+            base = self.store.version
+            self.store.put(CONFIG, 'newest', b'2')
+            await until(lambda: bool(self.passed_on))
+            self.assertEqual(self.passed_on[0].base, base)
+            self.assertEqual(self.passed_on[0].rows[0].value, b'2')
+
+        aio.run(main)
+
 
 class BeliefsTest(unittest.TestCase):
     def setUp(self) -> None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -143,12 +143,9 @@
 
     def configure(self) -> None:
         self.beliefs.config = self.config
-        for table in (
-            state_store.Table.CONFIG,
-            state_store.Table.REGISTRY,
-            state_store.Table.ASSIGNMENTS,
-        ):
-            self.beliefs.heard[table] = self.clock.elapsed()
+        for position in self.beliefs.positions.values():
+            position.heard = self.clock.elapsed()
+        self.beliefs.maps_read = True
 
     async def add(self, name: str, upstream: Upstream) -> None:
         port = await upstream.start()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -21,6 +21,7 @@
 from goldcresthaven import members
 from goldcresthaven import routes
 from goldcresthaven import state_store
+from goldcresthaven import table_relay
 from goldcresthaven.platform import decode
 from goldcresthaven.platform import headers
 from goldcresthaven.platform import leases
@@ -68,6 +69,10 @@
 [listen]
 front = "10.1.0.18:8381"
 ready = "10.1.0.18:8388"
+[limits]
+cpu-share = 0.25
+cores = 3
+link-mbps = 8.0
 [platform-api]
 addr = "10.200.1.7:8384"
 """
@@ -216,6 +221,8 @@
         self.assertEqual(str(cfg.peers), '10.1.0.18:7200')
         self.assertEqual(cfg.longest_hold, timedelta(seconds=10))
         self.assertEqual(cfg.grace, timedelta(seconds=6))
+        self.assertEqual(cfg.processor, 0.75)
+        self.assertEqual(cfg.link_bytes_per_s, 1_000_000)
 
     def test_each_problem_names_its_field(self) -> None:
         """Guards against an error that does not say what to correct."""
@@ -226,6 +233,8 @@
             ('grace-s=6', 'grace-s=-1', 'grace-s'),
             ('10.200.1.7:8384', '10.200.1.7:port', 'platform-api.addr'),
             ('[listen]', '[other]', 'listen'),
+            ('cpu-share = 0.25', 'cpu-share = "much"', 'limits.cpu-share'),
+            ('link-mbps = 8.0', 'link-mbps = 0', 'limits.link-mbps'),
         )
         for old, new, field in cases:
             with self.subTest(field=field):
@@ -332,6 +341,25 @@
         self.assertIn('after=3', scripted.requests[1])
         self.assertIn('"ver": 4', scripted.requests[3])
 
+    def test_change_between_two_pages_is_not_lost(self) -> None:
+        """Guards against a table followed from the last page's version."""
+        first = {
+            'rows': [{'key': 'a', 'value': '', 'ver': 3}],
+            'has-more': True,
+            'ver': 9,
+            'now-s': 5.5,
+        }
+        second = {**first, 'has-more': False, 'ver': 12}
+        scripted = Scripted(reply(200, first), reply(200, second))
+
+        async def main() -> None:
+            client = store.PlatformStore(address=await scripted.start())
+            reading = await client.read(state_store.Table.REGISTRY)
+            self.assertEqual(len(reading.rows), 2)
+            self.assertEqual(reading.version, 9)
+
+        run(main)
+
 
 class LeasesTest(unittest.TestCase):
     def test_renewal_needs_the_connection_of_the_grant(self) -> None:
@@ -386,7 +414,31 @@
             fleet_messages.Report(
                 pool=pool, keys=[1, 2], weight=1.5, loads=[load]
             ),
-            fleet_messages.Merged(pool=pool, map_version=4, loads=[load]),
+            fleet_messages.Merged(
+                pool=pool,
+                map_version=4,
+                loads=[load],
+                tables=[
+                    table_relay.TableState(
+                        table=state_store.Table.REGISTRY,
+                        changed=3,
+                        reached=8,
+                        age=timedelta(milliseconds=700),
+                    )
+                ],
+            ),
+            fleet_messages.PassedOn(
+                pool=pool,
+                changes=table_relay.RowChanges(
+                    table=state_store.Table.CONFIG,
+                    base=3,
+                    reached=8,
+                    rows=(
+                        state_store.Row(key='a', version=5, value=b'v'),
+                        state_store.Row(key='b', version=8, value=None),
+                    ),
+                ),
+            ),
             fleet_messages.MapChange(
                 pool=pool, base=4, version=5, ranges=[held]
             ),
