Renew a fence only over a connection from its grant; add a fault soak

Cause, found by the first seed of the new soak: a renewal asked whether any connection to the upstream was idle. After an upstream had restarted under its id, the connection of a grant under a new fence let renewals under the fences of its earlier life through, so that the new life held keys under a fence that the earlier one had (key 8885, fence 10). Ruled out: the refused renewal of the other range, which raised its fence as it should.

A grant's reply now names the connections that were open then, and a renewal uses one of those. The soak (python -m soak, make soak) runs gateways, store and upstreams as processes, with relays and signals as faults, and checks the promises from what callers and upstreams saw.

--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,9 @@
 VENV := .venv
 PY := $(VENV)/bin/python
 READY := $(VENV)/ready-$(shell cat requirements*.txt | sha256sum | cut -c1-12)
-CODE := goldcresthaven standins tools bench proofs tests
+CODE := goldcresthaven standins tools bench proofs soak tests
 
-.PHONY: env run test format check unit prove bench capacity
+.PHONY: env run test format check unit prove bench capacity soak
 
 env: $(READY)
 
@@ -41,3 +41,7 @@
 
 capacity: env
 	$(PY) -m tools.capacity
+
+# One seed; more by hand: python -m soak --count 50
+soak: env
+	$(PY) -m soak
--- a/goldcresthaven/fleet_messages.py
+++ b/goldcresthaven/fleet_messages.py
@@ -4,8 +4,9 @@
 and the loads that upstreams stated to the coordinator, which balances keys
 by them and sends the merged loads back. The coordinator also announces
 changes of the key map, and passes on what changes in the tables that it
-follows, so that only processes that miss one have to ask the store. A new coordinator asks the one before to stand down; its answer
-may shorten a wait. No other promise rests on a datagram's arrival.
+follows, so that only processes that miss one have to ask the store. A new
+coordinator asks the one before to stand down; its answer may shorten a
+wait. No other promise rests on a datagram's arrival.
 """
 
 from collections.abc import Sequence
--- a/goldcresthaven/http_io.py
+++ b/goldcresthaven/http_io.py
@@ -305,10 +305,18 @@
     _method = ''
 
     def __init__(
-        self, sock: aio.Socket, *, accept_unframed: bool = False
+        self,
+        sock: aio.Socket,
+        *,
+        accept_unframed: bool = False,
+        number: int = 0,
     ) -> None:
-        """``accept_unframed`` takes bodies that end with the connection."""
+        """``accept_unframed`` takes bodies that end with the connection.
+
+        ``number`` orders the connections of a pool by when they opened.
+        """
         super().__init__(sock)
+        self.number = number
         self._accept_unframed = accept_unframed
         self._unframed = False
 
--- a/goldcresthaven/key_grants.py
+++ b/goldcresthaven/key_grants.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
+from typing import NewType
 from typing import Protocol
 
 from goldcresthaven import ids
@@ -44,8 +45,8 @@
 class GrantResult(Enum):
     """What became of a grant.
 
-    DISCONNECTED: nothing was sent, because the connection over which the
-    owner was granted the keys is gone, and the owner may have restarted.
+    DISCONNECTED: nothing was sent, because no connection is left that was
+    open when the owner was granted the keys, and it may have restarted.
     ELSEWHERE: another upstream has the address now.
     """
 
@@ -67,6 +68,19 @@
 _Spot = tuple[key_map.Owner, int]
 
 
+# The connections to an upstream that were open at some moment.
+Connections = NewType('Connections', int)
+NO_CONNECTIONS = Connections(0)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GrantReply:
+    """What became of a grant, and which connections were open then."""
+
+    result: GrantResult
+    connections: Connections = NO_CONNECTIONS
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Released:
     """An upstream confirmed that it has stopped work on the keys."""
@@ -83,14 +97,15 @@
         address: members.Address,
         grant: Grant,
         *,
-        renewal: bool,
+        renewal: Connections | None,
         hold: timedelta,
         limit: timedelta,
-    ) -> GrantResult:
+    ) -> GrantReply:
         """Grant or renew keys.
 
-        A ``renewal`` uses only a connection that has been open since the
-        last grant. It proves that the same life of the upstream answers.
+        A ``renewal`` uses only a connection that was open at the last grant
+        of the same fence, whose reply named them. It proves that the same
+        life of the upstream answers.
         """
 
     async def release(
--- a/goldcresthaven/key_release.py
+++ b/goldcresthaven/key_release.py
@@ -130,18 +130,18 @@
         fence = tenure.take_fence()
         sent = self._clock.elapsed()
         undo = tenure.book.sent(owner, fence, sent, key_grants.RELEASE_LIMIT)
-        result = await self._calls.grant(
+        reply = await self._calls.grant(
             owner.upstream_id,
             address,
             key_grants.Grant(
                 first=source.first, last=source.last, fence=fence
             ),
-            renewal=False,
+            renewal=None,
             hold=key_grants.RELEASE_LIMIT,
             limit=key_grants.CALL_LIMIT,
         )
         end = key_grants.hold_end(sent, key_grants.RELEASE_LIMIT)
-        match result:
+        match reply.result:
             case key_grants.GrantResult.GRANTED:
                 return fence, end
             case key_grants.GrantResult.NO_ANSWER:
--- a/goldcresthaven/key_renewal.py
+++ b/goldcresthaven/key_renewal.py
@@ -115,9 +115,10 @@
             return False
         undo = tenure.book.sent(owner, key_range.fence, sent, hold)
         spot = (owner, key_range.fence)
-        renewal = spot in tenure.granted
-        tenure.granted.add(spot)
-        result = await self._calls.grant(
+        renewal = tenure.granted.get(spot)
+        # Without an answer, no connection is known to prove anything.
+        tenure.granted[spot] = key_grants.NO_CONNECTIONS
+        reply = await self._calls.grant(
             owner.upstream_id,
             address,
             key_grants.Grant(
@@ -131,7 +132,9 @@
             limit=key_grants.CALL_LIMIT,
         )
         now = self._clock.elapsed()
+        result = reply.result
         if result is key_grants.GrantResult.GRANTED:
+            tenure.granted[spot] = reply.connections
             tenure.handovers.pop(key_range.fence, None)
             tenure.failing.pop(owner, None)
             tenure.book.answered(owner, key_range)
@@ -140,8 +143,8 @@
             tenure.book.unanswered(owner, key_range.fence, sent, hold)
         else:
             undo()
-        if result in key_grants.NOT_SENT and not renewal:
-            tenure.granted.discard(spot)
+        if result in key_grants.NOT_SENT and renewal is None:
+            del tenure.granted[spot]
         else:
             # The owner may have restarted, or a higher fence is known.
             self._refence(tenure, key_range)
--- a/goldcresthaven/key_tenure.py
+++ b/goldcresthaven/key_tenure.py
@@ -52,7 +52,9 @@
     renewing: set[key_map.Owner] = field(default_factory=set)
     failing: dict[key_map.Owner, timedelta] = field(default_factory=dict)
     handovers: dict[int, str] = field(default_factory=dict)
-    granted: set[tuple[key_map.Owner, int]] = field(default_factory=set)
+    granted: dict[tuple[key_map.Owner, int], key_grants.Connections] = field(
+        default_factory=dict
+    )
     reserved: bool = False
     doubtful: bool = False
     lost: str | None = None
--- a/goldcresthaven/platform/leases.py
+++ b/goldcresthaven/platform/leases.py
@@ -42,12 +42,10 @@
         address: members.Address,
         grant: key_grants.Grant,
         *,
-        renewal: bool,
+        renewal: key_grants.Connections | None,
         hold: timedelta,
         limit: timedelta,
-    ) -> key_grants.GrantResult:
-        if renewal and not self._grants.has_idle(address):
-            return key_grants.GrantResult.DISCONNECTED
+    ) -> key_grants.GrantReply:
         body: dict[str, Any] = {
             'from': grant.first,
             'to': grant.last,
@@ -56,22 +54,36 @@
         }
         if grant.handover is not None:
             body['handover'] = grant.handover
+        conn: http_io.UpstreamConn | None = None
+        if renewal is not None:
+            conn = self._grants.take_older(address, opened=renewal)
+            if conn is None:
+                return _reply(key_grants.GrantResult.DISCONNECTED)
         try:
             response = await self._call(
-                self._grants, upstream, address, names.GRANT_PATH, body, limit
+                self._grants,
+                upstream,
+                address,
+                names.GRANT_PATH,
+                body,
+                limit,
+                conn=conn,
             )
         except errors.ConnectionFailed:
-            return key_grants.GrantResult.UNREACHABLE
+            return _reply(key_grants.GrantResult.UNREACHABLE)
         except errors.Error:
-            return key_grants.GrantResult.NO_ANSWER
+            return _reply(key_grants.GrantResult.NO_ANSWER)
         match response.status:
             case 200:
-                return key_grants.GrantResult.GRANTED
+                return key_grants.GrantReply(
+                    result=key_grants.GrantResult.GRANTED,
+                    connections=key_grants.Connections(self._grants.opened),
+                )
             case 409:
-                return key_grants.GrantResult.FENCED_OFF
+                return _reply(key_grants.GrantResult.FENCED_OFF)
             case 421:
-                return key_grants.GrantResult.ELSEWHERE
-        return key_grants.GrantResult.NO_ANSWER
+                return _reply(key_grants.GrantResult.ELSEWHERE)
+        return _reply(key_grants.GrantResult.NO_ANSWER)
 
     async def release(
         self,
@@ -107,6 +119,8 @@
         path: str,
         body: dict[str, Any],
         limit: timedelta,
+        *,
+        conn: http_io.UpstreamConn | None = None,
     ) -> http_head.ResponseHead:
         head = http_head.RequestHead(
             method='POST',
@@ -118,7 +132,8 @@
             ),
         )
         async with aio.timeout(limit):
-            conn = await self._take(conns, address)
+            if conn is None:
+                conn = await self._take(conns, address)
             try:
                 response, _ = await http_io.fetch(
                     conn,
@@ -143,3 +158,7 @@
                 f'cannot connect to {address} in time',
                 remedy='check that the upstream is up and reachable',
             ) from exc
+
+
+def _reply(result: key_grants.GrantResult) -> key_grants.GrantReply:
+    return key_grants.GrantReply(result=result)
--- a/goldcresthaven/upstream_pool.py
+++ b/goldcresthaven/upstream_pool.py
@@ -20,7 +20,7 @@
 
 
 class UpstreamPool:
-    """Open connections by address.
+    """Open connections by address; ``opened`` counts all that ever were.
 
     A connection leaves ``idle`` while it carries an exchange, so a task
     never reads another task's response. It returns only when the exchange
@@ -36,6 +36,7 @@
         self._connect_timeout = connect_timeout
         self._accept_unframed = accept_unframed
         self._endpoints: dict[members.Address, _Endpoint] = {}
+        self.opened = 0
 
     def open_count(self, address: members.Address) -> int:
         endpoint = self._endpoints.get(address)
@@ -63,12 +64,20 @@
             )
         return await self._open(endpoint, address)
 
-    def has_idle(self, address: members.Address) -> bool:
-        """Return whether an idle connection is open and quiet."""
-        endpoint = self._endpoints.get(address)
-        return endpoint is not None and any(
-            conn.is_quiet() for conn in endpoint.idle
-        )
+    def take_older(
+        self, address: members.Address, *, opened: int
+    ) -> http_io.UpstreamConn | None:
+        """Return an idle connection from the time of an earlier moment.
+
+        ``opened`` is what this attribute of the pool was at that moment.
+        """
+        endpoint = self._endpoints.setdefault(address, _Endpoint())
+        for conn in endpoint.idle:
+            if conn.number <= opened and conn.is_quiet():
+                endpoint.idle.remove(conn)
+                conn.begin()
+                return conn
+        return None
 
     async def give_back(
         self, address: members.Address, conn: http_io.UpstreamConn
@@ -109,8 +118,9 @@
         except BaseException:
             endpoint.open_count -= 1
             raise
+        self.opened += 1
         return http_io.UpstreamConn(
-            sock, accept_unframed=self._accept_unframed
+            sock, accept_unframed=self._accept_unframed, number=self.opened
         )
 
     async def _close(
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized runs of the real programs under faults from outside."""
--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,233 @@
+"""The processes of one soak: the store, upstreams and gateways.
+
+Every gateway has a loopback address of its own. A relay stands before each
+upstream, and one between each gateway and the store.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+import json
+import os
+import pathlib
+import random
+import signal
+import subprocess  # nosec
+import sys
+import time
+from typing import Any
+
+from goldcresthaven import members
+from soak import relay
+from standins import table_store
+from tools import http_client
+from tools import processes
+
+GATEWAYS = 4
+KEYED = 5
+PLAIN = 3
+KEYED_POOL = 'keyed'
+PLAIN_POOL = 'plain'
+HOST_NAME = 'soak.example'
+FRONT_PORT, READY_PORT, PEER_PORT = 7301, 7302, 7303
+ZONES = ('a', 'b')
+HOLD_MAX_S = 6
+GRACE_S = 6
+# Of the clocks that measure holds; the platform allows 2%.
+CLOCK_RATES = (1.0, 0.98, 1.01)
+MAX_LOG_BYTES = 64 << 20
+
+
+@dataclass(kw_only=True)
+class Proc:
+    """One started process; ``log`` is the file of its standard output."""
+
+    name: str
+    popen: subprocess.Popen[bytes]
+    log: pathlib.Path
+    errors: pathlib.Path
+    stopped_by_us: bool = False
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal unless the process has ended."""
+        if self.popen.poll() is None:
+            self.popen.send_signal(number)
+
+
+@dataclass(kw_only=True)
+class Upstream:
+    name: str
+    pool: str
+    zone: str
+    relay: relay.Relay
+    lives: list[Proc] = field(default_factory=list)
+
+
+@dataclass(kw_only=True)
+class Gateway:
+    name: str
+    host: str
+    zone: str
+    store: relay.Relay
+    lives: list[Proc] = field(default_factory=list)
+
+    @property
+    def address(self) -> members.Address:
+        return members.Address(host=self.host, port=FRONT_PORT)
+
+
+class Fleet:
+    """Starts, restarts and ends the processes, by their ids."""
+
+    def __init__(self, *, folder: pathlib.Path, rng: random.Random) -> None:
+        self._folder = folder
+        self._rng = rng
+        self._count = 0
+        self.config_version = 0
+        self.upstreams: list[Upstream] = []
+        self.gateways: list[Gateway] = []
+        self.all: list[Proc] = []
+        # A range of loopback addresses for each soak that runs at a time.
+        number = os.getpid()
+        self._net = f'127.{10 + number % 200}.{number // 200 % 250}'
+
+    async def start(self) -> None:
+        popen = self._launch('store', 'standins.table_store')
+        self.store = members.Address.parse(self._hello(popen))
+        await self.configure(swapped=False)
+        for number in range(KEYED + PLAIN):
+            pool = KEYED_POOL if number < KEYED else PLAIN_POOL
+            upstream = Upstream(
+                name=f'u{number}',
+                pool=pool,
+                zone=ZONES[number % len(ZONES)],
+                relay=relay.Relay(host=f'{self._net}.100', target=None),
+            )
+            await upstream.relay.start()
+            self.upstreams.append(upstream)
+            self.start_upstream(upstream)
+        for number in range(GATEWAYS):
+            gateway = Gateway(
+                name=f'g{number}',
+                host=f'{self._net}.{number + 1}',
+                zone=ZONES[number % len(ZONES)],
+                store=relay.Relay(host=f'{self._net}.100', target=self.store),
+            )
+            await gateway.store.start()
+            self.gateways.append(gateway)
+            self.start_gateway(gateway)
+
+    async def configure(self, *, swapped: bool) -> None:
+        """Write the next configuration.
+
+        ``swapped`` sends the urgent route to the keyed pool.
+        """
+        self.config_version += self._rng.randint(1, 9)
+        urgent = KEYED_POOL if swapped else PLAIN_POOL
+        routes = {
+            'read': _route('read', KEYED_POOL, 'safe'),
+            'book': _route('book', KEYED_POOL, 'unsafe'),
+            'pay': _route('pay', urgent, 'unsafe'),
+        }
+        document = {
+            'version': f'{self.config_version:08x}',
+            'routes': routes,
+            'services': {
+                KEYED_POOL: {'sharded': True, 'max-conns': 200},
+                PLAIN_POOL: {'max-conns': 200},
+            },
+            'limits': {'idle-timeout-s': 5},
+        }
+        await http_client.post_json(
+            self.store,
+            '/own',
+            {'put': [table_store.own_row('op', 'config', document)]},
+        )
+
+    def start_upstream(self, upstream: Upstream) -> None:
+        """Start the next life of an upstream behind its relay."""
+        settings = {
+            'name': upstream.name,
+            'service': upstream.pool,
+            'zone': upstream.zone,
+            'host': f'{self._net}.100',
+            'port': 0,
+            'advertised': str(upstream.relay.address),
+            'store': str(self.store),
+            'born': int(time.time() * 1000),
+            'clock_rate': self._rng.choice(CLOCK_RATES),
+            'sharded': upstream.pool == KEYED_POOL,
+        }
+        proc = self._launch(
+            upstream.name, 'standins.key_endpoint', json.dumps(settings)
+        )
+        upstream.lives.append(proc)
+        upstream.relay.target = members.Address.parse(self._hello(proc))
+
+    def start_gateway(self, gateway: Gateway) -> None:
+        file = self._folder / f'{gateway.name}.toml'
+        file.write_text(
+            f'node = "{gateway.name}"\nzone = "{gateway.zone}"\n'
+            f'ip = "{gateway.host}"\ninternal-ports = [{PEER_PORT}]\n'
+            f'bounds = ["grace-s={GRACE_S}", "hold-max-s={HOLD_MAX_S}"]\n'
+            f'[listen]\nfront = "{gateway.address}"\n'
+            f'ready = "{gateway.host}:{READY_PORT}"\n'
+            '[limits]\ncpu-share = 1.0\ncores = 1\nlink-mbps = 700.0\n'
+            f'[platform-api]\naddr = "{gateway.store.address}"\n'
+        )
+        gateway.lives.append(
+            self._launch(
+                gateway.name,
+                'goldcresthaven.gateway_process',
+                env={'GOLDCRESTHAVEN_SETTINGS': str(file)},
+            )
+        )
+
+    def end(self) -> None:
+        """Kill all processes that this fleet started."""
+        for proc in self.all:
+            if proc.popen.poll() is None:
+                proc.popen.kill()
+            proc.popen.wait()
+
+    def _launch(
+        self, name: str, module: str, *args: str, env: Mapping[str, str] = {}
+    ) -> Proc:
+        self._count += 1
+        stem = self._folder / f'{self._count:03d}-{name}'
+        log, problems = stem.with_suffix('.log'), stem.with_suffix('.err')
+        with log.open('wb') as out, problems.open('wb') as err:
+            popen = subprocess.Popen(
+                [sys.executable, '-m', module, *args],
+                cwd=processes.ROOT,
+                env={**os.environ, **env},
+                stdout=out,
+                stderr=err,
+                start_new_session=True,
+            )
+        proc = Proc(name=name, popen=popen, log=log, errors=problems)
+        self.all.append(proc)
+        return proc
+
+    def _hello(self, proc: Proc) -> str:
+        """Return the address in the first line of a stand-in's output."""
+        end = time.monotonic() + processes.START_SECONDS
+        while time.monotonic() < end:
+            text = proc.log.read_text()
+            if '\n' in text:
+                return str(json.loads(text.partition('\n')[0])['listen'])
+            time.sleep(0.01)
+        raise processes.StartError(f'{proc.name} printed nothing')
+
+
+def _route(name: str, pool: str, kind: str) -> dict[str, Any]:
+    return {
+        'host': HOST_NAME,
+        'prefix': f'/{name}/',
+        'service': pool,
+        'route-kind': kind,
+        'timeout-s': 1.2,
+        'target-latency-s': 0.5,
+        'priority': 0 if name == 'pay' else 1,
+        'max-attempts': 2,
+    }
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -186,11 +186,23 @@
         address: members.Address,
         grant: key_grants.Grant,
         *,
-        renewal: bool,
+        renewal: key_grants.Connections | None,
         hold: timedelta,
         limit: timedelta,
+    ) -> key_grants.GrantReply:
+        result = await self._granted(address, grant, renewal, hold)
+        return key_grants.GrantReply(
+            result=result, connections=key_grants.Connections(1)
+        )
+
+    async def _granted(
+        self,
+        address: members.Address,
+        grant: key_grants.Grant,
+        renewal: key_grants.Connections | None,
+        hold: timedelta,
     ) -> key_grants.GrantResult:
-        if renewal and address.host in self.disconnected:
+        if renewal is not None and address.host in self.disconnected:
             self.disconnected.discard(address.host)
             return key_grants.GrantResult.DISCONNECTED
         self.log.append(('grant', address.host, grant))
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -19,7 +19,6 @@
 from goldcresthaven import registry
 from goldcresthaven import routes
 from goldcresthaven import selection
-from goldcresthaven import state_store
 from goldcresthaven import upstream_pool
 from goldcresthaven.platform import headers as platform_headers
 from tests import fake_platform
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -362,6 +362,22 @@
 
 
 class LeasesTest(unittest.TestCase):
+    async def grant(
+        self,
+        calls: leases.PlatformLeases,
+        address: members.Address,
+        renewal: key_grants.Connections | None,
+        fence: int = 4,
+    ) -> key_grants.GrantReply:
+        return await calls.grant(
+            ids.UpstreamId('i-1'),
+            address,
+            key_grants.Grant(first=0, last=9, fence=fence),
+            renewal=renewal,
+            hold=timedelta(seconds=3),
+            limit=timedelta(seconds=1),
+        )
+
     def test_renewal_needs_the_connection_of_the_grant(self) -> None:
         """Guards against an old fence given to a restarted upstream."""
         scripted = Scripted(reply(200), reply(200), reply(409), reply(421))
@@ -369,32 +385,43 @@
         async def main() -> None:
             calls = leases.PlatformLeases()
             address = await scripted.start()
-            results = [
-                await calls.grant(
-                    ids.UpstreamId('i-1'),
-                    address,
-                    key_grants.Grant(first=0, last=9, fence=4),
-                    renewal=renewal,
-                    hold=timedelta(seconds=3),
-                    limit=timedelta(seconds=1),
-                )
-                for renewal in (True, False, True, True, True)
-            ]
-            self.assertEqual(
-                [result.name for result in results],
-                [
-                    'DISCONNECTED',
-                    'GRANTED',
-                    'GRANTED',
-                    'FENCED_OFF',
-                    'ELSEWHERE',
-                ],
-            )
+            none = key_grants.NO_CONNECTIONS
+            gone = await self.grant(calls, address, none)
+            self.assertEqual(gone.result.name, 'DISCONNECTED')
+            first = await self.grant(calls, address, None)
+            self.assertEqual(first.result.name, 'GRANTED')
+            for name in ('GRANTED', 'FENCED_OFF', 'ELSEWHERE'):
+                again = await self.grant(calls, address, first.connections)
+                self.assertEqual(again.result.name, name)
 
         run(main)
         for sent in scripted.requests:
             self.assertIn('expect-instance: i-1', sent.lower())
 
+    def test_renewal_is_not_sent_over_a_later_connection(self) -> None:
+        """Guards against a second fence that vouches for the first.
+
+        The connection of a grant under a new fence proves nothing about
+        the life that got the old one (soak, seed 1).
+        """
+        closing = reply(200).replace(
+            b'\r\n\r\n', b'\r\nConnection: close\r\n\r\n'
+        )
+        scripted = Scripted(closing, reply(200), reply(200))
+
+        async def main() -> None:
+            calls = leases.PlatformLeases()
+            address = await scripted.start()
+            first = await self.grant(calls, address, None, fence=4)
+            second = await self.grant(calls, address, None, fence=5)
+            old = await self.grant(calls, address, first.connections, fence=4)
+            self.assertEqual(old.result.name, 'DISCONNECTED')
+            new = await self.grant(calls, address, second.connections, fence=5)
+            self.assertEqual(new.result.name, 'GRANTED')
+
+        run(main)
+        self.assertEqual(len(scripted.requests), 3)
+
 
 class DatagramTest(unittest.TestCase):
     def test_messages_read_back(self) -> None:
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,116 @@
+"""Tests of the soak's checks, and short runs of seeds."""
+
+import unittest
+
+from soak import __main__ as soak_main
+from soak import callers
+from soak import checks
+
+# Long enough for some faults to overlap.
+SECONDS = 5.0
+
+
+def sent(route: str = 'pay', status: int | None = 200) -> callers.Sent:
+    request = 'ab12'
+    return callers.Sent(
+        request=request,
+        route=route,
+        gateway='g0',
+        at=1.0,
+        key=7,
+        status=status,
+        stamped=status == 200,
+        echoed=request,
+        body=f'{request} by u1 '.encode() * 20,
+        retry_after='0.3',
+    )
+
+
+def run(holder: str = 'u1/0', at: float = 2.0) -> checks.Run:
+    return checks.Run(holder=holder, request='ab12', key=7, at=at)
+
+
+def held(holder: str, fence: int, start: float, until: float) -> checks.Held:
+    return checks.Held(
+        holder=holder, first=0, last=9, fence=fence, start=start, until=until
+    )
+
+
+def events(
+    *runs: checks.Run, holds: tuple[checks.Held, ...] = ()
+) -> checks.Events:
+    return checks.Events(held=list(holds), runs=list(runs))
+
+
+class ChecksTest(unittest.TestCase):
+    """Each kind of violation has to be found."""
+
+    def test_sound_request(self) -> None:
+        """Guards against a check that is never content."""
+        self.assertEqual(checks.check_requests([sent()], events(run())), [])
+
+    def test_bad_answers(self) -> None:
+        """Guards against a violation that nobody notices."""
+        cut, foreign, unsigned, forged = sent(), sent(), sent(), sent()
+        cut.body = cut.body[:-1]
+        foreign.body = b'cd34 by u1 ' * 20
+        unsigned.stamped = False
+        forged.status, forged.stamped = 502, True
+        cases: tuple[tuple[list[callers.Sent], checks.Events], ...] = (
+            ([sent()], events(run(), run())),
+            ([sent(status=503)], events(run())),
+            ([], events(run())),
+            ([cut], events(run())),
+            ([foreign], events(run())),
+            ([unsigned], events(run())),
+            ([forged], events(run())),
+            ([sent()], events()),
+        )
+        for number, (requests, seen) in enumerate(cases):
+            with self.subTest(number=number):
+                found = checks.check_requests(requests, seen)
+                self.assertEqual(len(found), 1)
+
+    def test_two_owners(self) -> None:
+        """Guards against two owners that nobody notices."""
+        holds = held('u1/0', 3, 1.0, 4.0), held('u2/0', 4, 2.0, 5.0)
+        both = run('u1/0', 2.5), run('u2/0', 3.0)
+        found = checks.check_owners(events(*both, holds=holds))
+        self.assertEqual(len(found), 1)
+        apart = run('u1/0', 1.5), run('u2/0', 4.5)
+        found = checks.check_owners(events(*apart, holds=holds))
+        self.assertEqual(found, [])
+
+    def test_fence_that_does_not_rise(self) -> None:
+        """Guards against a fence that two lives of an upstream got."""
+        holds = held('u1/0', 3, 1.0, 2.0), held('u1/1', 3, 4.0, 5.0)
+        found = checks.check_owners(events(run('u1/1', 4.5), holds=holds))
+        self.assertEqual(len(found), 1)
+
+    def test_nobody_served_at_the_end(self) -> None:
+        """Guards against a fleet that does not recover."""
+        requests = [sent(status=503) for _ in range(5)]
+        for one in requests:
+            one.ended = 2.0
+        self.assertEqual(len(checks.check_calm(requests, 0.5)), 1)
+        self.assertEqual(len(checks.check_calm([], 0.5)), 1)
+
+
+class SoakTest(unittest.TestCase):
+    """Runs of the real programs; each seed has failed once.
+
+    1: a renewal under an old fence reached the next life of an upstream,
+    over the connection of a grant under a newer fence.
+    """
+
+    def test_seeds(self) -> None:
+        """Guards against what random faults have shown before."""
+        for seed in (1,):
+            with self.subTest(seed=seed):
+                verdict = soak_main.soak_one(seed, SECONDS)
+                self.assertEqual(verdict.problems, [])
+                self.assertGreater(verdict.served, 0)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tools/http_client.py
+++ b/tools/http_client.py
@@ -59,7 +59,7 @@
         head = http_head.RequestHead(
             method=method,
             target=target,
-            headers=(('host', str(self._address)), *headers),
+            headers=self._with_host(headers),
         )
         try:
             async with aio.timeout(limit):
@@ -75,6 +75,11 @@
             status=response.status, headers=response.headers, body=data
         )
 
+    def _with_host(self, headers: http_head.Headers) -> http_head.Headers:
+        if http_head.find(headers, 'host') is not None:
+            return headers
+        return (('host', str(self._address)), *headers)
+
     async def close(self) -> None:
         if self._conn is not None:
             await self._conn.close()
