Let few processes look at a claim, and wait for a coordinator at the start

Cause: of the 1,668 calls of the first 25 s at 110 VMs, most came from processes that each looked at the claim twice a second and polled the tables until they first heard a coordinator. Ruled out: the whole reads at the start, three a process (330).

A claim that was read alive is looked at again only when it may be stale, by about eight processes of the fleet at a time; the coordinator tells how many there are. A new process gives a coordinator 0.9 s to answer its first report before it polls.

--- a/goldcresthaven/fleet_link.py
+++ b/goldcresthaven/fleet_link.py
@@ -174,6 +174,7 @@
             map_version=version,
             loads=self._loads(now) if due else (),
             tables=[state for state in states if state is not None],
+            processes=len(self._reporters) + 1,
         )
         data = fleet_messages.encode(merged)
         if due:
@@ -225,6 +226,7 @@
                 self._beliefs.hear_coordinator(
                     message.pool, message.map_version, now
                 )
+                self._beliefs.fleet_size = message.processes
                 tables.hear(message.tables, now)
             case fleet_messages.PassedOn():
                 tables.take(message.changes, now)
--- a/goldcresthaven/fleet_messages.py
+++ b/goldcresthaven/fleet_messages.py
@@ -70,13 +70,15 @@
     """Sent by a coordinator whose claim is fresh, a few times a second.
 
     ``map_version`` is the version of the key map that it holds, ``tables``
-    how far it has followed the tables of others.
+    how far it has followed the tables of others, and ``processes`` how many
+    have reported to it lately.
     """
 
     pool: ids.PoolName
     map_version: int
     loads: Sequence[UpstreamLoad]
     tables: Sequence[table_relay.TableState] = ()
+    processes: int = 1
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -161,6 +163,7 @@
                 message.map_version,
                 _plain_loads(message.loads),
                 [_plain_table(state) for state in message.tables],
+                message.processes,
             ]
         case PassedOn():
             changes = message.changes
@@ -230,12 +233,13 @@
                 loads=[_load(load) for load in loads],
             )
         case Kind.MERGED:
-            version, loads, tables = fields
+            version, loads, tables, processes = fields
             return Merged(
                 pool=pool,
                 map_version=int(version),
                 loads=[_load(load) for load in loads],
                 tables=[_table(state) for state in tables],
+                processes=int(processes),
             )
         case Kind.ROWS:
             table, base, reached, rows = fields
--- a/goldcresthaven/follower.py
+++ b/goldcresthaven/follower.py
@@ -47,6 +47,8 @@
 RELAY_CHECK = timedelta(milliseconds=50)
 # Spread of the calls of processes that have missed the same change.
 RELAY_SPREAD = timedelta(milliseconds=150)
+# A coordinator answers the first report of a process within this time.
+FIRST_REPORT = timedelta(milliseconds=900)
 MAP_CHECK = timedelta(milliseconds=50)
 # Least time between two reads of the key maps by one process.
 MAP_READ_PAUSE = timedelta(milliseconds=250)
@@ -96,6 +98,8 @@
             table: table_relay.Position() for table in WATCH_WAIT
         }
         self.maps_read = False
+        # As the last coordinator told; one until then.
+        self.fleet_size = 1
         self._coordinator_heard: dict[ids.PoolName, timedelta] = {}
         self._moving: list[_MovingKeys] = []
         self.maps_doubted = False
@@ -267,12 +271,13 @@
         pause = FIRST_RETRY
         failed_since: timedelta | None = None
         position = self._beliefs.positions[table]
+        process_started = self._clock.elapsed()
         while True:
             # A long poll that a store in trouble swallows is noticed late,
             # so it is asked briefly until it answers.
             whole = position.reached is None or failed_since is not None
             if not whole:
-                await self._wait_while_told(position)
+                await self._wait_while_told(position, process_started)
             started = self._clock.elapsed()
             base = position.reached
             try:
@@ -312,11 +317,16 @@
             relay = self._is_relay()
             await aio.sleep(RELAY_SETTLE if relay else SETTLE[table])
 
-    async def _wait_while_told(self, position: table_relay.Position) -> None:
+    async def _wait_while_told(
+        self, position: table_relay.Position, started: timedelta
+    ) -> None:
         """Return when the store has to be asked."""
         patience = RELAY_SPREAD * self._rng.random()
         while not self._is_relay():
-            if position.must_ask(self._clock.elapsed(), patience):
+            now = self._clock.elapsed()
+            if now - started > FIRST_REPORT and position.must_ask(
+                now, patience
+            ):
                 return
             await aio.sleep(RELAY_CHECK)
 
--- a/goldcresthaven/gateway_process.py
+++ b/goldcresthaven/gateway_process.py
@@ -169,10 +169,11 @@
             address=str(self._cfg.peers),
             capacity=self._selector.capacity,
             silence=self._beliefs.coordinator_silence,
+            fleet_size=lambda: self._beliefs.fleet_size,
             announce=self._link.announce,
             ask_to_stand_down=self._link.ask_to_stand_down,
             longest_hold=self._cfg.longest_hold,
-            reluctance=key_coordinator.reluctance(self._cfg.processor),
+            processor=self._cfg.processor,
             clock=self._clock,
             rng=self._rng,
         )
--- a/goldcresthaven/key_coordinator.py
+++ b/goldcresthaven/key_coordinator.py
@@ -18,6 +18,7 @@
 import random
 
 from goldcresthaven import aio
+from goldcresthaven import claim_watch
 from goldcresthaven import clock as clock_module
 from goldcresthaven import decision_log
 from goldcresthaven import errors
@@ -33,13 +34,6 @@
 from goldcresthaven import registry as registry_module
 from goldcresthaven import state_store
 
-# The claim is read by every process that hears nothing of its holder.
-POLL_EVERY = timedelta(milliseconds=800)
-SILENCE = timedelta(seconds=1)
-# Coordinating a hundred owners takes about this much of a core. A smaller
-# VM lets larger ones take a claim first.
-WANTED_PROCESSOR = 0.5
-RELUCTANCE = timedelta(milliseconds=800)
 # An eighth of the time between two renewals of an owner.
 TICK = timedelta(milliseconds=100)
 # As often as processes report what they see.
@@ -67,9 +61,10 @@
 
     ``capacity`` tells an upstream's relative capacity. ``address`` is
     where other processes report what they see of the load. ``silence``
-    tells how long nothing was heard of a pool's coordinator. ``announce``
-    and ``ask_to_stand_down`` send datagrams. ``reluctance`` is how much
-    longer than others this process waits before it takes a claim.
+    tells how long nothing was heard of a pool's coordinator, and
+    ``fleet_size`` how many processes there are. ``announce`` and
+    ``ask_to_stand_down`` send datagrams. ``processor`` is what the VM has
+    in cores.
     """
 
     def __init__(
@@ -83,12 +78,13 @@
         address: str,
         capacity: Callable[[registry_module.Upstream], float],
         silence: Callable[[ids.PoolName, timedelta], timedelta],
+        fleet_size: Callable[[], int],
         announce: Callable[
             [fleet_messages.MapChange | fleet_messages.Moving], None
         ],
         ask_to_stand_down: Callable[[str, fleet_messages.StandDown], None],
         longest_hold: timedelta,
-        reluctance: timedelta = timedelta(),
+        processor: float,
         clock: clock_module.Clock,
         rng: random.Random,
     ) -> None:
@@ -102,16 +98,17 @@
         self._announce = announce
         self._ask_to_stand_down = ask_to_stand_down
         self._longest_hold = longest_hold
-        self._reluctance = reluctance
+        self._fleet_size = fleet_size
         self._clock = clock
-        self._rng = rng
+        self._watch = claim_watch.ClaimWatch(
+            processor=processor, started=clock.elapsed(), rng=rng
+        )
         self._claim_key = state_store.Key(
             table=state_store.Table.CLAIMS, key=pool
         )
         self._map_key = state_store.Key(
             table=state_store.Table.ASSIGNMENTS, key=pool
         )
-        self._abstain_until = timedelta()
         self._owners = key_tenure.OwnerView(upstreams)
         self._mover = key_release.Releaser(
             pool=pool,
@@ -146,12 +143,11 @@
 
     async def run(self) -> None:
         """Follow and hold the claim until ``stop``."""
-        eager_from = self._clock.elapsed() + self._reluctance
         while not self._stopped:
-            await aio.sleep(POLL_EVERY * self._rng.uniform(0.2, 1.0))
+            await aio.sleep(self._watch.pause())
             now = self._clock.elapsed()
-            heard = self._silence(self._pool, now) < SILENCE + self._reluctance
-            if heard or now < max(self._abstain_until, eager_from):
+            silence = self._silence(self._pool, now)
+            if not self._watch.is_due(now, silence, self._fleet_size()):
                 continue
             try:
                 tenure = await self._try_take()
@@ -222,6 +218,7 @@
         row = _find(reading, self._pool)
         claim = key_claims.decode(row)
         if not key_claims.is_stale(claim, self._identity, reading.clock):
+            self._watch.saw(claim, reading.clock, self._clock.elapsed())
             return None
         sent = self._clock.elapsed()
         result = await self._store.write(
@@ -421,7 +418,7 @@
         owners = tenure.owners()
         reachable = len(owners - lost)
         if len(owners) > 1 and reachable < REACHABLE_SHARE * len(owners):
-            self._abstain_until = now + ABSTAIN
+            self._watch.abstain(now + ABSTAIN)
             await self._hand_over(tenure, 'most owners are unreachable')
             return
         candidates = self._candidates(tenure, now, owners, lost)
@@ -492,11 +489,6 @@
         ]
 
 
-def reluctance(processor: float) -> timedelta:
-    """Return how much longer a VM with this many cores leaves a claim."""
-    return timedelta() if processor >= WANTED_PROCESSOR else RELUCTANCE
-
-
 def _find(reading: state_store.Reading, key: str) -> state_store.Row | None:
     return next((row for row in reading.rows if row.key == key), None)
 
--- a/tests/test_key_coordinator.py
+++ b/tests/test_key_coordinator.py
@@ -59,6 +59,8 @@
             address=f'{name}:7200',
             capacity=lambda upstream: float(upstream.slots),
             silence=lambda pool, now: timedelta(seconds=60),
+            fleet_size=lambda: 2,
+            processor=1.0,
             announce=self.announced.append,
             ask_to_stand_down=lambda to, ask: self.asked.append((to, ask)),
             longest_hold=LONGEST,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -453,6 +453,7 @@
                         age=timedelta(milliseconds=700),
                     )
                 ],
+                processes=12,
             ),
             fleet_messages.PassedOn(
                 pool=pool,
