Count a departure from when it may have been

A process that had relied on a lost coordinator learned of it up to 1.6 s late and counted the 1.2 s from then. Ruled out: requests to unkeyed upstreams, which stop at once when the change is read.

A change that is read after a gap counts from the end of what was known before. Coordinators poll every 0.7 s, and are believed for 1.3 s after the store's last answer (1 s and 1.6 s before).

--- a/goldcresthaven/follower.py
+++ b/goldcresthaven/follower.py
@@ -35,7 +35,7 @@
 }
 # A coordinator polls more often: what it passes on is believed only while
 # the store's last answer is recent.
-RELAY_WAIT = timedelta(seconds=1)
+RELAY_WAIT = timedelta(milliseconds=700)
 # Pause after a change, so that a series of changes costs few calls. An
 # upstream that leaves may get work for 2 s after it said so.
 SETTLE = {
@@ -45,6 +45,9 @@
 # The same for a coordinator, whose calls serve all processes.
 RELAY_SETTLE = timedelta(milliseconds=150)
 RELAY_CHECK = timedelta(milliseconds=50)
+# Time between an answer and the next poll within which a change counts as
+# new when it is read.
+GAP = timedelta(milliseconds=400)
 # Spread of the calls of processes that have missed the same change.
 RELAY_SPREAD = timedelta(milliseconds=150)
 # A coordinator answers the first report of a process within this time.
@@ -279,7 +282,7 @@
             if not whole:
                 await self._wait_while_told(position, process_started)
             started = self._clock.elapsed()
-            base = position.reached
+            base, heard = position.reached, position.heard
             try:
                 reading = await self._ask(table, None if whole else base)
             except state_store.HistoryLost:
@@ -302,7 +305,10 @@
             pause = FIRST_RETRY
             rows = position.answered(reading, now, whole=whole)
             if rows or (whole and rows is not None):
-                self._apply(table, rows, reading.version, whole, now)
+                # A change while nobody waited for it may be that old.
+                waited = heard is None or started - heard < GAP
+                since = now if waited or heard is None else heard
+                self._apply(table, rows, reading.version, whole, since)
             if not rows:
                 continue
             if not whole and base is not None:
@@ -355,13 +361,13 @@
         rows: tuple[state_store.Row, ...],
         version: int,
         whole: bool,
-        now: timedelta,
+        since: timedelta,
     ) -> None:
         match table:
             case state_store.Table.CONFIG:
                 self._apply_config(rows)
             case state_store.Table.REGISTRY:
-                self._apply_registry(rows, version, whole, now)
+                self._apply_registry(rows, version, whole, since)
 
     def _apply_config(self, rows: tuple[state_store.Row, ...]) -> None:
         for row in rows:
@@ -387,7 +393,7 @@
         rows: tuple[state_store.Row, ...],
         version: int,
         whole: bool,
-        now: timedelta,
+        since: timedelta,
     ) -> None:
         changes: dict[ids.UpstreamId, registry_module.Upstream | None] = {}
         for row in rows:
@@ -397,7 +403,11 @@
             changes[ids.UpstreamId(row.key)] = upstream
         registry = self._beliefs.registry
         touched = registry.apply(
-            changes, whole=whole, version=version, now=now
+            changes,
+            whole=whole,
+            version=version,
+            now=self._clock.elapsed(),
+            since=since,
         )
         present = []
         for upstream_id in touched:
--- a/goldcresthaven/registry.py
+++ b/goldcresthaven/registry.py
@@ -40,7 +40,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Departure:
-    """When this process learned that an upstream leaves or has left."""
+    """Since when an upstream may have been leaving, or be gone."""
 
     seen: timedelta
     suspected: bool = False
@@ -73,12 +73,15 @@
         whole: bool,
         version: int,
         now: timedelta,
+        since: timedelta | None = None,
     ) -> list[ids.UpstreamId]:
         """Apply changed entries, or all of them if ``whole``.
 
-        None stands for a removed entry. Returns the upstreams that were
+        None stands for a removed entry. ``since`` is from when on the
+        changes may be, if that is not now. Returns the upstreams that were
         added, removed or changed.
         """
+        since = now if since is None else min(since, now)
         merged = dict(changes)
         if whole:
             for known in self._upstreams:
@@ -86,7 +89,7 @@
         touched = [
             upstream_id
             for upstream_id, upstream in merged.items()
-            if self._apply_one(upstream_id, upstream, now)
+            if self._apply_one(upstream_id, upstream, now, since)
         ]
         self.version = max(self.version, version)
         self._forget(now)
@@ -132,13 +135,14 @@
         upstream_id: ids.UpstreamId,
         upstream: Upstream | None,
         now: timedelta,
+        since: timedelta,
     ) -> bool:
         known = self._upstreams.get(upstream_id)
         if upstream is None:
             if known is None or upstream_id in self._departures:
                 return False
             suspected = now < self._grace_until
-            seen = max(now, self._grace_until) if suspected else now
+            seen = self._grace_until if suspected else since
             self._departures[upstream_id] = Departure(
                 seen=seen, suspected=suspected
             )
@@ -146,7 +150,7 @@
         self._upstreams[upstream_id] = upstream
         if upstream.draining:
             if upstream_id not in self._departures:
-                self._departures[upstream_id] = Departure(seen=now)
+                self._departures[upstream_id] = Departure(seen=since)
         else:
             self._departures.pop(upstream_id, None)
         return upstream != known
--- a/goldcresthaven/table_relay.py
+++ b/goldcresthaven/table_relay.py
@@ -13,10 +13,10 @@
 from goldcresthaven import state_store
 
 # The store's last answer to a coordinator may be this old. A change has to
-# be in force 2 s after the store has accepted it.
-LONGEST_AGE = timedelta(seconds=1.6)
-# A coordinator reports three times a second; three reports may be lost.
-LONGEST_SILENCE = timedelta(seconds=1.2)
+# be in force 2 s after the store has accepted it, and asking takes a while.
+LONGEST_AGE = timedelta(seconds=1.3)
+# A coordinator reports three times a second; two reports may be lost.
+LONGEST_SILENCE = timedelta(seconds=1)
 # A changed row travels beside the report that mentions it.
 ROWS_GRACE = timedelta(milliseconds=150)
 _NEVER = timedelta(days=-1)
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -22,6 +22,7 @@
 REGISTRY = state_store.Table.REGISTRY
 LIMIT = timedelta(seconds=3)
 STALE = timedelta(seconds=5)
+MOMENT = timedelta(milliseconds=100)
 
 
 class Decoder:
@@ -226,6 +227,34 @@
 
         aio.run(main)
 
+    def test_departure_is_as_old_as_the_last_word(self) -> None:
+        """Guards against work for an upstream that left unnoticed.
+
+        The owner of a key may be used for 1.2 s after it began to leave. A
+        process that heard nothing for 1.6 s counted from when it learned
+        of it (Kleepsuke, coordinator-losses, seed 615468501647).
+        """
+
+        async def main() -> None:
+            self.store.put(CONFIG, 'newest', b'1')
+            await self.start()
+            await until(lambda: self.version() == 1)
+            await self.told_for(0.1)
+            heard = self.beliefs.positions[REGISTRY].heard
+            assert heard is not None
+            self.store.remove(REGISTRY, 'new')
+            await until(lambda: departure() is not None)
+            left = departure()
+            assert left is not None
+            self.assertLessEqual(left, heard + MOMENT)
+
+        def departure() -> timedelta | None:
+            return self.beliefs.registry.departure(
+                ids.UpstreamId('new'), self.clock.elapsed()
+            )
+
+        aio.run(main)
+
     def test_relay_passes_its_changes_on(self) -> None:
         """Guards against a coordinator that keeps a change to itself."""
 
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -36,6 +36,15 @@
         self.assertEqual(self.usable(NOW), [])
         self.assertEqual(self.registry.departure(U1, NOW), NOW)
 
+    def test_departure_counts_from_when_it_may_have_been(self) -> None:
+        """Guards against requests for a key's owner that left long ago."""
+        since = NOW - timedelta(seconds=1)
+        leaving = fake_platform.upstream('u1', draining=True)
+        self.registry.apply(
+            {U1: leaving}, whole=False, version=1, now=NOW, since=since
+        )
+        self.assertEqual(self.registry.departure(U1, NOW), since)
+
     def test_removed_upstream_gets_nothing_new(self) -> None:
         """Guards against work for an upstream that has gone."""
         self.apply(None)
