--- a/goldcresthaven/selection.py
+++ b/goldcresthaven/selection.py
@@ -39,6 +39,9 @@
 COLD_FACTOR = 2.0
 # Candidates drawn; the best of all would attract every process at once.
 DRAWN = 3
+# Drawn besides from the own zone for large responses. For all requests, it
+# would send too many of a zone to its few upstreams.
+DRAWN_NEAR = 2
 # Older loads say little and are not passed on.
 SHARE_AGE = timedelta(milliseconds=900)
 # A load that another process passed on has to be newer by this much, or
@@ -176,11 +179,21 @@
         able = able or list(candidates)
         if not able:
             return None
-        if len(able) > DRAWN:
-            able = self._rng.sample(able, DRAWN)
+        able = self._draw(able, large=away_penalty > ZONE_PENALTY)
         choices = [self.estimate(upstream, now) for upstream in able]
         return min(choices, key=lambda c: self._score(c, away_penalty))
 
+    def _draw(
+        self, able: list[registry.Upstream], *, large: bool
+    ) -> list[registry.Upstream]:
+        if len(able) <= DRAWN:
+            return able
+        drawn = self._rng.sample(able, DRAWN)
+        if large:
+            near = [u for u in able if u.zone == self._zone]
+            drawn += self._rng.sample(near, min(DRAWN_NEAR, len(near)))
+        return drawn
+
     def is_paused(self, upstream: registry.Upstream, now: timedelta) -> bool:
         state = self.state(upstream)
         return now < max(state.open_until, state.shed_until)
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -102,6 +102,23 @@
         self.assertTrue(self.selector.is_paused(self.one, NOW))
         self.assertEqual(self.chosen(), 'u2')
 
+    def test_own_zone_is_always_among_the_candidates(self) -> None:
+        """Guards against downloads that cross zones for nothing.
+
+        Of 27 upstreams in five zones, three drawn at random were all in
+        other zones for half of the downloads (Kleepsuke, grown).
+        """
+        away = [
+            fake_platform.upstream(f'away{number}', zone='b')
+            for number in range(20)
+        ]
+        for _ in range(50):
+            choice = self.selector.choose(
+                [*away, self.one], NOW, away_penalty=60 * MS
+            )
+            assert choice is not None
+            self.assertEqual(choice.upstream.upstream_id, 'u1')
+
     def test_all_paused_still_gives_a_choice(self) -> None:
         """Guards against refusals because of refusals."""
         self.end('u1', SHED)
