Tell a map's version only after its announcement

Cause: a coordinator reports its map's version three times a second. Ruled out: polls of the tables, which the relay has ended.

--- a/goldcresthaven/key_coordinator.py
+++ b/goldcresthaven/key_coordinator.py
@@ -161,12 +161,16 @@
                 await self._hold(tenure)
 
     def fresh_map_version(self) -> int | None:
-        """Return the map's version; None while the claim is in doubt."""
+        """Return the announced map's version; None while in doubt.
+
+        A version that is not announced yet would make every process read
+        the map.
+        """
         tenure = self._tenure
         if tenure is None:
             return None
         since = self._clock.elapsed() - tenure.renewed
-        return None if since > key_renewal.STORE_DOUBT else tenure.keys.version
+        return None if since > key_renewal.STORE_DOUBT else tenure.announced
 
     def stand_down(
         self, request: fleet_messages.StandDown
@@ -365,6 +369,7 @@
                     ],
                 )
             )
+            tenure.announced = result.version
 
     async def _reread(self, tenure: key_tenure.Tenure) -> None:
         """Learn what became of an unanswered write, or who took over."""
@@ -381,6 +386,7 @@
         tenure.claim_version = row.version
         tenure.doubtful = False
         self._adopt(tenure, _map_of(maps, self._pool))
+        tenure.announced = tenure.keys.version
 
     def _adopt(self, tenure: key_tenure.Tenure, keys: key_map.KeyMap) -> None:
         for transfer in tenure.adopt(keys):
--- a/goldcresthaven/key_tenure.py
+++ b/goldcresthaven/key_tenure.py
@@ -34,8 +34,10 @@
 
     ``store_clock`` is the store's clock less this process's. ``reserved``
     says that the stored map names this process and leaves fences above
-    ``fence``; nothing is granted before. ``doubtful`` is set while the fate
-    of a write is not known, ``lost`` with the reason when the tenure ends.
+    ``fence``; nothing is granted before. ``announced`` is the version of
+    the map that the other processes have been told. ``doubtful`` is set
+    while the fate of a write is not known, ``lost`` with the reason when
+    the tenure ends.
     """
 
     address: str
@@ -55,6 +57,7 @@
     granted: dict[tuple[key_map.Owner, int], key_grants.Connections] = field(
         default_factory=dict
     )
+    announced: int = 0
     reserved: bool = False
     doubtful: bool = False
     lost: str | None = None
--- a/tests/test_key_coordinator.py
+++ b/tests/test_key_coordinator.py
@@ -97,6 +97,34 @@
 
 
 class CoordinatorTest(unittest.TestCase):
+    def test_version_is_told_after_its_change_was_announced(self) -> None:
+        """Guards against a map that every process reads from the store.
+
+        A report between the write of a map and its announcement made all
+        of 167 processes ask for it (Kleepsuke, grown).
+        """
+
+        async def main(fleet: Fleet) -> None:
+            fleet.register('u1', 'u2')
+            one = fleet.coordinator('n1')
+            early: list[int] = []
+
+            def announce(message: fleet_messages.Message) -> None:
+                told = one.fresh_map_version()
+                if isinstance(message, fleet_messages.MapChange):
+                    if told is not None and told >= message.version:
+                        early.append(message.version)
+
+            one._announce = announce
+            await aio.spawn(one.run())
+            await fleet.until(lambda: len(fleet.leases.held) == 2)
+            await fleet.until(
+                lambda: one.fresh_map_version() == fleet.keys().version
+            )
+            self.assertEqual(early, [])
+
+        run(main)
+
     def test_every_key_is_granted_at_the_first_start(self) -> None:
         """Guards against upstreams that serve no one."""
 
