Log when a coordinator's word on a table counts

One line when a process begins to rely on a coordinator for a table and one when it asks the store again, with the version reached and the age of the store's last answer.

--- a/goldcresthaven/follower.py
+++ b/goldcresthaven/follower.py
@@ -280,7 +280,7 @@
             # so it is asked briefly until it answers.
             whole = position.reached is None or failed_since is not None
             if not whole:
-                await self._wait_while_told(position, process_started)
+                await self._wait_while_told(table, process_started)
             started = self._clock.elapsed()
             base, heard = position.reached, position.heard
             try:
@@ -303,11 +303,11 @@
                 self._note_return(table, now - failed_since, now)
                 failed_since = None
             pause = FIRST_RETRY
+            # A change while nobody waited for it may be that old.
+            gap = heard is not None and started - heard > GAP
+            since = heard if gap and heard is not None else now
             rows = position.answered(reading, now, whole=whole)
             if rows or (whole and rows is not None):
-                # A change while nobody waited for it may be that old.
-                waited = heard is None or started - heard < GAP
-                since = now if waited or heard is None else heard
                 self._apply(table, rows, reading.version, whole, since)
             if not rows:
                 continue
@@ -324,17 +324,39 @@
             await aio.sleep(RELAY_SETTLE if relay else SETTLE[table])
 
     async def _wait_while_told(
-        self, position: table_relay.Position, started: timedelta
+        self, table: state_store.Table, started: timedelta
     ) -> None:
-        """Return when the store has to be asked."""
+        """Return when the store has to be asked about a table."""
+        position = self._beliefs.positions[table]
         patience = RELAY_SPREAD * self._rng.random()
+        told = False
         while not self._is_relay():
             now = self._clock.elapsed()
-            if now - started > FIRST_REPORT and position.must_ask(
-                now, patience
-            ):
-                return
+            if position.must_ask(now, patience):
+                if now - started > FIRST_REPORT:
+                    break
+            elif not told:
+                told = True
+                self._note_relay('relay-found', table, position)
             await aio.sleep(RELAY_CHECK)
+        if told:
+            self._note_relay('relay-lost', table, position)
+
+    def _note_relay(
+        self,
+        kind: str,
+        table: state_store.Table,
+        position: table_relay.Position,
+    ) -> None:
+        """Log that a coordinator's word on a table counts, or no longer."""
+        heard = position.heard or timedelta()
+        age = self._clock.elapsed() - heard
+        decision_log.note(
+            kind,
+            state=table.value,
+            map_version=position.reached,
+            elapsed_ms=round(age.total_seconds() * 1000),
+        )
 
     async def _ask(
         self, table: state_store.Table, after: int | None
