--- a/goldcresthaven/fleet_link.py
+++ b/goldcresthaven/fleet_link.py
@@ -12,11 +12,11 @@
 from typing import Protocol
 
 from goldcresthaven import aio
+from goldcresthaven import beliefs as beliefs_module
 from goldcresthaven import clock as clock_module
 from goldcresthaven import decision_log
 from goldcresthaven import errors
 from goldcresthaven import fleet_messages
-from goldcresthaven import follower
 from goldcresthaven import ids
 from goldcresthaven import key_coordinator
 from goldcresthaven import members
@@ -53,7 +53,7 @@
         self,
         *,
         socket: aio.Datagrams,
-        beliefs: follower.Beliefs,
+        beliefs: beliefs_module.Beliefs,
         selector: selection.Selector,
         take_keys: Callable[[ids.PoolName], list[int]],
         coordinators: Coordinators,
--- a/goldcresthaven/follower.py
+++ b/goldcresthaven/follower.py
@@ -9,16 +9,15 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-from dataclasses import dataclass
 from datetime import timedelta
 import random
 from typing import Protocol
 
 from goldcresthaven import aio
+from goldcresthaven import beliefs as beliefs_module
 from goldcresthaven import clock as clock_module
 from goldcresthaven import decision_log
 from goldcresthaven import errors
-from goldcresthaven import fleet_messages
 from goldcresthaven import ids
 from goldcresthaven import key_map
 from goldcresthaven import registry as registry_module
@@ -55,9 +54,6 @@
 MAP_CHECK = timedelta(milliseconds=50)
 # Least time between two reads of the key maps by one process.
 MAP_READ_PAUSE = timedelta(milliseconds=250)
-# Longest wait for a release and the write of its move; an announcement
-# that is not followed by a new map is forgotten then.
-MOVE_TIME = timedelta(seconds=1)
 # A coordinator sends three datagrams a second.
 SILENCE = timedelta(seconds=1.2)
 SILENT_READ = timedelta(seconds=1.5)
@@ -81,106 +77,6 @@
     ) -> registry_module.Upstream | None: ...
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class _MovingKeys:
-    moving: fleet_messages.Moving
-    until: timedelta
-
-
-class Beliefs:
-    """What this process believes of its surroundings.
-
-    ``positions`` tells how far each table of others was followed.
-    """
-
-    def __init__(self) -> None:
-        self.config: routes.RouteConfig | None = None
-        self.registry = registry_module.Registry()
-        self.maps: dict[ids.PoolName, key_map.KeyMap] = {}
-        self.positions = {
-            table: table_relay.Position() for table in WATCH_WAIT
-        }
-        self.maps_read = False
-        # As the last coordinator told; one until then.
-        self.fleet_size = 1
-        self._coordinator_heard: dict[ids.PoolName, timedelta] = {}
-        self._moving: list[_MovingKeys] = []
-        self.maps_doubted = False
-
-    def is_complete(self) -> bool:
-        """Return whether requests can be routed."""
-        registry_known = self.positions[state_store.Table.REGISTRY].heard
-        return (
-            self.config is not None
-            and registry_known is not None
-            and self.maps_read
-        )
-
-    def hear_coordinator(
-        self, pool: ids.PoolName, map_version: int, now: timedelta
-    ) -> None:
-        """Note that a pool's coordinator is alive and which map it has."""
-        known = self.maps.get(pool)
-        self._coordinator_heard[pool] = now
-        if known is None or known.version < map_version:
-            self.maps_doubted = True
-
-    def note_moving(
-        self, moving: fleet_messages.Moving, now: timedelta
-    ) -> None:
-        """Note that keys are about to change hands."""
-        self._moving = [m for m in self._moving if now < m.until]
-        self._moving.append(_MovingKeys(moving=moving, until=now + MOVE_TIME))
-
-    def is_moving(self, pool: ids.PoolName, key: int, now: timedelta) -> bool:
-        """Return whether a key is about to change hands."""
-        return any(
-            m.moving.pool == pool
-            and m.moving.first <= key <= m.moving.last
-            and now < m.until
-            for m in self._moving
-        )
-
-    def _has_moved(self, change: fleet_messages.MapChange) -> None:
-        self._moving = [
-            m
-            for m in self._moving
-            if m.moving.pool != change.pool
-            or not any(
-                r.first <= m.moving.first <= r.last for r in change.ranges
-            )
-        ]
-
-    def coordinator_silence(
-        self, pool: ids.PoolName, now: timedelta
-    ) -> timedelta:
-        """Return for how long nothing was heard of a pool's coordinator."""
-        return now - self._coordinator_heard.get(pool, timedelta())
-
-    def apply_map_change(self, change: fleet_messages.MapChange) -> None:
-        """Apply a change that a coordinator announced.
-
-        One that does not fit the known map makes the follower read it.
-        """
-        known = self.maps.get(change.pool)
-        self._has_moved(change)
-        if known is None or known.version < change.base:
-            self.maps_doubted = True
-            return
-        if known.version != change.base:
-            return
-        self.maps[change.pool] = known.replace(
-            change.ranges, next_fence=known.next_fence
-        ).at_version(change.version)
-        decision_log.note(
-            'map-applied',
-            pool=change.pool,
-            map_version=change.version,
-            count=len(change.ranges),
-            detail='announced',
-        )
-
-
 class Follower:
     """Follows the tables of others and the key maps.
 
@@ -193,7 +89,7 @@
         *,
         store: state_store.StateStore,
         decoder: Decoder,
-        beliefs: Beliefs,
+        beliefs: beliefs_module.Beliefs,
         on_registry: Callable[[list[registry_module.Upstream]], None],
         is_relay: Callable[[], bool],
         pass_on: Callable[[table_relay.RowChanges], None],
--- a/goldcresthaven/gateway.py
+++ b/goldcresthaven/gateway.py
@@ -10,11 +10,11 @@
 import random
 
 from goldcresthaven import aio
+from goldcresthaven import beliefs as beliefs_module
 from goldcresthaven import clock as clock_module
 from goldcresthaven import decision_log
 from goldcresthaven import errors
 from goldcresthaven import exchange
-from goldcresthaven import follower
 from goldcresthaven import gateway_metrics
 from goldcresthaven import http_head
 from goldcresthaven import http_io
@@ -45,7 +45,7 @@
     def __init__(
         self,
         *,
-        beliefs: follower.Beliefs,
+        beliefs: beliefs_module.Beliefs,
         exchanger: exchange.Exchanger,
         headers: request_meta.Headers,
         selector: selection.Selector,
--- a/goldcresthaven/gateway_process.py
+++ b/goldcresthaven/gateway_process.py
@@ -12,6 +12,7 @@
 import sys
 
 from goldcresthaven import aio
+from goldcresthaven import beliefs as beliefs_module
 from goldcresthaven import clock as clock_module
 from goldcresthaven import decision_log
 from goldcresthaven import errors
@@ -57,7 +58,7 @@
         self._identity = f'{cfg.vm}/{secrets.token_hex(4)}'
         self._store = platform_store.PlatformStore(address=cfg.store)
         self._calls = leases.PlatformLeases()
-        self._beliefs = follower.Beliefs()
+        self._beliefs = beliefs_module.Beliefs()
         self._selector = selection.Selector(zone=cfg.zone, rng=self._rng)
         self._metrics = gateway_metrics.GatewayMetrics()
         headers = platform_headers.PlatformHeaders()
--- a/goldcresthaven/upstream_choice.py
+++ b/goldcresthaven/upstream_choice.py
@@ -10,9 +10,9 @@
 from datetime import timedelta
 
 from goldcresthaven import aio
+from goldcresthaven import beliefs as beliefs_module
 from goldcresthaven import clock as clock_module
 from goldcresthaven import exchange
-from goldcresthaven import follower
 from goldcresthaven import ids
 from goldcresthaven import outcomes
 from goldcresthaven import registry
@@ -66,7 +66,7 @@
     def __init__(
         self,
         *,
-        beliefs: follower.Beliefs,
+        beliefs: beliefs_module.Beliefs,
         selector: selection.Selector,
         clock: clock_module.Clock,
     ) -> None:
--- a/tests/test_fleet_link.py
+++ b/tests/test_fleet_link.py
@@ -8,9 +8,9 @@
 import unittest
 
 from goldcresthaven import aio
+from goldcresthaven import beliefs as beliefs_module
 from goldcresthaven import clock
 from goldcresthaven import fleet_link
-from goldcresthaven import follower
 from goldcresthaven import ids
 from goldcresthaven import key_map
 from goldcresthaven import selection
@@ -64,7 +64,7 @@
         self, *coordinators: Coordinator, link: float = FAST_LINK
     ) -> None:
         self.clock = clock.SystemClock()
-        self.beliefs = follower.Beliefs()
+        self.beliefs = beliefs_module.Beliefs()
         self.tables = Tables()
         self.selector = selection.Selector(
             zone=ids.ZoneId('a'), rng=random.Random(1)
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -6,6 +6,7 @@
 import unittest
 
 from goldcresthaven import aio
+from goldcresthaven import beliefs as beliefs_module
 from goldcresthaven import clock
 from goldcresthaven import errors
 from goldcresthaven import fleet_messages
@@ -53,7 +54,7 @@
 class FollowerTest(unittest.TestCase):
     def setUp(self) -> None:
         self.store = fake_platform.FakeStore()
-        self.beliefs = follower.Beliefs()
+        self.beliefs = beliefs_module.Beliefs()
         self.relay = False
         self.passed_on: list[table_relay.RowChanges] = []
         self.clock = clock.SystemClock()
@@ -274,7 +275,7 @@
 
 class BeliefsTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.beliefs = follower.Beliefs()
+        self.beliefs = beliefs_module.Beliefs()
         self.beliefs.maps[fake_platform.POOL] = key_map.empty().at_version(5)
 
     def change(self, base: int, version: int) -> fleet_messages.MapChange:
@@ -309,7 +310,7 @@
         start = timedelta(seconds=1)
         self.beliefs.note_moving(moving, start)
         self.assertTrue(self.beliefs.is_moving(fake_platform.POOL, 15, start))
-        late = start + follower.MOVE_TIME
+        late = start + beliefs_module.MOVE_TIME
         self.assertFalse(self.beliefs.is_moving(fake_platform.POOL, 15, late))
         self.beliefs.note_moving(moving, start)
         self.beliefs.apply_map_change(self.change(5, 6))
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -11,9 +11,9 @@
 import unittest
 
 from goldcresthaven import aio
+from goldcresthaven import beliefs as beliefs_module
 from goldcresthaven import clock
 from goldcresthaven import exchange
-from goldcresthaven import follower
 from goldcresthaven import gateway
 from goldcresthaven import gateway_metrics
 from goldcresthaven import ids
@@ -105,7 +105,7 @@
         attempts: int = 2,
     ) -> None:
         self.clock = clock.SystemClock()
-        self.beliefs = follower.Beliefs()
+        self.beliefs = beliefs_module.Beliefs()
         route = fake_platform.route(kind=kind, pool=pool, attempts=attempts)
         self.config = routes.RouteConfig(
             version=ids.ConfigVersion(3),
