Do not send a grant that outlived a suspension of the VM

A coordinator that is suspended while it connects sends its grant after it wakes, when the bound on its hold may be over for itself and for a successor that it told.

A call looks at the clock that counts suspensions after it has connected.

--- a/goldcresthaven/gateway_process.py
+++ b/goldcresthaven/gateway_process.py
@@ -57,7 +57,7 @@
         self._rng = random.Random()
         self._identity = f'{cfg.vm}/{secrets.token_hex(4)}'
         self._store = platform_store.PlatformStore(address=cfg.store)
-        self._calls = leases.PlatformLeases()
+        self._calls = leases.PlatformLeases(clock=self._clock)
         self._beliefs = beliefs_module.Beliefs()
         self._selector = selection.Selector(zone=cfg.zone, rng=self._rng)
         self._metrics = gateway_metrics.GatewayMetrics()
--- a/goldcresthaven/platform/leases.py
+++ b/goldcresthaven/platform/leases.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from goldcresthaven import aio
+from goldcresthaven import clock as clock_module
 from goldcresthaven import errors
 from goldcresthaven import http_head
 from goldcresthaven import http_io
@@ -27,7 +28,8 @@
 class PlatformLeases:
     """Implements ``key_grants.LeaseCalls``."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, clock: clock_module.Clock) -> None:
+        self._clock = clock
         # One connection an upstream carries all its grants.
         self._grants = upstream_pool.UpstreamPool()
         self._releases = upstream_pool.UpstreamPool()
@@ -131,9 +133,18 @@
                 (names.EXPECT_INSTANCE, upstream),
             ),
         )
+        started = self._clock.elapsed()
         async with aio.timeout(limit):
             if conn is None:
                 conn = await self._take(conns, address)
+            # A timer does not count a time in which the VM was suspended,
+            # but what the call grants is counted from its beginning.
+            if self._clock.elapsed() - started > limit:
+                await conns.discard(address, conn)
+                raise errors.ConnectionFailed(
+                    f'the call to {address} was held up',
+                    remedy='none, it is repeated',
+                )
             try:
                 response, _ = await http_io.fetch(
                     conn,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -12,6 +12,7 @@
 import unittest
 
 from goldcresthaven import aio
+from goldcresthaven import clock
 from goldcresthaven import errors
 from goldcresthaven import fleet_messages
 from goldcresthaven import http_head
@@ -361,6 +362,18 @@
         run(main)
 
 
+class Suspended(clock.SystemClock):
+    """A clock that jumps ahead between two readings."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._jumps = 0
+
+    def elapsed(self) -> timedelta:
+        self._jumps += 1
+        return super().elapsed() + timedelta(seconds=4 * self._jumps)
+
+
 class LeasesTest(unittest.TestCase):
     async def grant(
         self,
@@ -383,7 +396,7 @@
         scripted = Scripted(reply(200), reply(200), reply(409), reply(421))
 
         async def main() -> None:
-            calls = leases.PlatformLeases()
+            calls = leases.PlatformLeases(clock=clock.SystemClock())
             address = await scripted.start()
             none = key_grants.NO_CONNECTIONS
             gone = await self.grant(calls, address, none)
@@ -398,6 +411,23 @@
         for sent in scripted.requests:
             self.assertIn('expect-instance: i-1', sent.lower())
 
+    def test_call_that_outlived_a_suspension_is_not_sent(self) -> None:
+        """Guards against a grant that arrives after its bound.
+
+        A VM that is suspended while it connects goes on where it was.
+        """
+        scripted = Scripted(reply(200))
+
+        async def main() -> None:
+            suspended = Suspended()
+            calls = leases.PlatformLeases(clock=suspended)
+            address = await scripted.start()
+            found = await self.grant(calls, address, None)
+            self.assertEqual(found.result.name, 'UNREACHABLE')
+
+        run(main)
+        self.assertEqual(scripted.requests, [])
+
     def test_renewal_is_not_sent_over_a_later_connection(self) -> None:
         """Guards against a second fence that vouches for the first.
 
@@ -410,7 +440,7 @@
         scripted = Scripted(closing, reply(200), reply(200))
 
         async def main() -> None:
-            calls = leases.PlatformLeases()
+            calls = leases.PlatformLeases(clock=clock.SystemClock())
             address = await scripted.start()
             first = await self.grant(calls, address, None, fence=4)
             second = await self.grant(calls, address, None, fence=5)
