--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,6 +10,7 @@
 import pathlib
 import random
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -40,29 +41,29 @@
 
 
 async def run_seed(
-    seed: int, seconds: float, folder: pathlib.Path, verdicts: list[Verdict]
+    seed: int,
+    seconds: float,
+    folder: pathlib.Path,
+    world: fleet.Fleet,
+    verdicts: list[Verdict],
 ) -> None:
     """Run one seed and add its verdict."""
-    rng = random.Random(seed)
-    world = fleet.Fleet(folder=folder, rng=rng)
-    trouble = faults.Faults(world=world, rng=rng)
-    try:
-        await world.start()
-        crowd = callers.Callers(
-            gateways=world.gateways, rng=random.Random(seed + 1)
-        )
-        tasks = await crowd.run()
-        await aio.sleep(WARM_UP)
-        await trouble.run(seconds)
-        await aio.sleep(RECOVERY)
-        calm = time.monotonic()
-        await aio.sleep(CALM)
-        crowd.stopped = True
-        for task in tasks:
-            await task.join()
-        problems = checks.check_processes(world.gateways, trouble.stops)
-    finally:
-        world.end()
+    trouble = faults.Faults(world=world, rng=world.rng)
+    await world.start()
+    crowd = callers.Callers(
+        gateways=world.gateways, rng=random.Random(seed + 1)
+    )
+    tasks = await crowd.run()
+    await aio.sleep(WARM_UP)
+    await trouble.run(seconds)
+    await aio.sleep(RECOVERY)
+    calm = time.monotonic()
+    await aio.sleep(CALM)
+    crowd.stopped = True
+    for task in tasks:
+        await task.join()
+    problems = checks.check_processes(world.gateways, trouble.stops)
+    world.end()
     events = checks.read_events(world.upstreams)
     problems += checks.check_requests(crowd.sent, events)
     problems += checks.check_owners(events)
@@ -97,7 +98,11 @@
     """Run one seed; keeps its folder if something was violated."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
     verdicts: list[Verdict] = []
-    aio.run(run_seed, seed, seconds, folder, verdicts)
+    world = fleet.Fleet(folder=folder, rng=random.Random(seed))
+    try:
+        aio.run(run_seed, seed, seconds, folder, world, verdicts)
+    finally:
+        world.end()
     verdict = verdicts[0]
     print(
         f'seed {seed}: {verdict.served} of {verdict.requests} served, '
@@ -120,6 +125,8 @@
     seconds: float = typer.Option(20.0, help='time with faults, each seed'),
 ) -> None:
     """Run seeds one after the other; without a seed, fresh ones."""
+    # The processes of the fleet have to end with this one.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     first = random.SystemRandom().randrange(10**9) if seed is None else seed
     bad = [
         number
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -81,7 +81,7 @@
 
     def __init__(self, *, folder: pathlib.Path, rng: random.Random) -> None:
         self._folder = folder
-        self._rng = rng
+        self.rng = rng
         self._count = 0
         self.config_version = 0
         self.upstreams: list[Upstream] = []
@@ -122,7 +122,7 @@
 
         ``swapped`` sends the urgent route to the keyed pool.
         """
-        self.config_version += self._rng.randint(1, 9)
+        self.config_version += self.rng.randint(1, 9)
         urgent = KEYED_POOL if swapped else PLAIN_POOL
         routes = {
             'read': _route('read', KEYED_POOL, 'safe'),
@@ -155,7 +155,7 @@
             'advertised': str(upstream.relay.address),
             'store': str(self.store),
             'born': int(time.time() * 1000),
-            'clock_rate': self._rng.choice(CLOCK_RATES),
+            'clock_rate': self.rng.choice(CLOCK_RATES),
             'sharded': upstream.pool == KEYED_POOL,
         }
         proc = self._launch(
