Count for a renewal only connections from before its grant was sent

Cause, found on the read before the landing: a grant's reply named all connections that were open when its answer was read. One that opened between the answer and its reading, as after a suspension, may lead to the next life of the upstream, which would get the fence of the one before.

--- a/goldcresthaven/platform/leases.py
+++ b/goldcresthaven/platform/leases.py
@@ -56,13 +56,15 @@
         }
         if grant.handover is not None:
             body['handover'] = grant.handover
+        # What opens from now on may lead to the upstream's next life.
+        before = key_grants.Connections(self._grants.opened)
         conn: http_io.UpstreamConn | None = None
         if renewal is not None:
             conn = self._grants.take_older(address, opened=renewal)
             if conn is None:
                 return _reply(key_grants.GrantResult.DISCONNECTED)
         try:
-            response = await self._call(
+            response, number = await self._call(
                 self._grants,
                 upstream,
                 address,
@@ -75,11 +77,12 @@
             return _reply(key_grants.GrantResult.UNREACHABLE)
         except errors.Error:
             return _reply(key_grants.GrantResult.NO_ANSWER)
+        used = key_grants.Connections(number)
         match response.status:
             case 200:
                 return key_grants.GrantReply(
                     result=key_grants.GrantResult.GRANTED,
-                    connections=key_grants.Connections(self._grants.opened),
+                    connections=max(before, used),
                 )
             case 409:
                 return _reply(key_grants.GrantResult.FENCED_OFF)
@@ -97,7 +100,7 @@
     ) -> key_grants.Released | None:
         body = {'from': grant.first, 'to': grant.last, 'fence': grant.fence}
         try:
-            response = await self._call(
+            response, _ = await self._call(
                 self._releases,
                 upstream,
                 address,
@@ -123,7 +126,8 @@
         limit: timedelta,
         *,
         conn: http_io.UpstreamConn | None = None,
-    ) -> http_head.ResponseHead:
+    ) -> tuple[http_head.ResponseHead, int]:
+        """Return the response and the number of its connection."""
         head = http_head.RequestHead(
             method='POST',
             target=path,
@@ -156,7 +160,7 @@
                 await conns.discard(address, conn)
                 raise
             await conns.give_back(address, conn)
-            return response
+            return response, conn.number
 
     async def _take(
         self, conns: upstream_pool.UpstreamPool, address: members.Address
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -247,7 +247,8 @@
 class Scripted:
     """A listener that gives prepared answers and keeps the requests."""
 
-    def __init__(self, *answers: bytes) -> None:
+    def __init__(self, *answers: bytes, delay: float = 0.0) -> None:
+        self._delay = timedelta(seconds=delay)
         self.requests: list[str] = []
         self._answers = list(answers)
         self._listener = aio.Listener(host=HOST, port=0, handler=self._serve)
@@ -268,6 +269,7 @@
             reply = self._answers.pop(0)
             if not reply:
                 await aio.sleep(timedelta(seconds=5))
+            await aio.sleep(self._delay)
             await sock.sendall(reply)
 
 
@@ -411,6 +413,30 @@
         for sent in scripted.requests:
             self.assertIn('expect-instance: i-1', sent.lower())
 
+    def test_connection_opened_during_a_grant_proves_nothing(self) -> None:
+        """Guards against an answer that is read after a restart.
+
+        The connection that opened meanwhile may lead to the next life.
+        """
+        slow = b'HTTP/1.1 200 x\r\nContent-Length: 0\r\n\r\n'
+        scripted = Scripted(slow, slow, slow, delay=0.2)
+
+        async def main() -> None:
+            calls = leases.PlatformLeases(clock=clock.SystemClock())
+            address = await scripted.start()
+            replies: list[key_grants.GrantReply] = []
+
+            async def first() -> None:
+                replies.append(await self.grant(calls, address, None, fence=4))
+
+            task = await aio.spawn(first())
+            await aio.sleep(timedelta(milliseconds=100))
+            second = await self.grant(calls, address, None, fence=5)
+            await task.join()
+            self.assertLess(replies[0].connections, second.connections)
+
+        run(main)
+
     def test_call_that_outlived_a_suspension_is_not_sent(self) -> None:
         """Guards against a grant that arrives after its bound.
 
