--- a/goldcresthaven/key_grants.py
+++ b/goldcresthaven/key_grants.py
@@ -75,7 +75,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class GrantReply:
-    """What became of a grant, and which connections were open then."""
+    """What became of a grant, and the connections open when it was sent.
+
+    One that opened later may lead to the upstream's next life.
+    """
 
     result: GrantResult
     connections: Connections = NO_CONNECTIONS
@@ -103,9 +106,9 @@
     ) -> GrantReply:
         """Grant or renew keys.
 
-        A ``renewal`` uses only a connection that was open at the last grant
-        of the same fence, whose reply named them. It proves that the same
-        life of the upstream answers.
+        A ``renewal`` uses only a connection that was open when the last
+        grant of the same fence was sent, whose reply named them. It proves
+        that the same life of the upstream answers.
         """
 
     async def release(
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -72,6 +72,11 @@
     async def start(self) -> None:
         await self.follower.start()
 
+    async def start_with_version_1(self) -> None:
+        self.store.put(CONFIG, 'newest', b'1')
+        await self.start()
+        await until(lambda: self.version() == 1)
+
     def tell(self, *, age: float = 0.0, changed: int = 0) -> None:
         """Report as a coordinator that is as far as the store."""
         self.follower.hear(
@@ -169,9 +174,7 @@
         """Guards against calls that grow with the number of processes."""
 
         async def main() -> None:
-            self.store.put(CONFIG, 'newest', b'1')
-            await self.start()
-            await until(lambda: self.version() == 1)
+            await self.start_with_version_1()
             self.assertEqual(await self.told_for(0.8), 0)
             before = self.store.version
             self.store.put(CONFIG, 'newest', b'2')
@@ -192,9 +195,7 @@
         """Guards against an old configuration after a lost datagram."""
 
         async def main() -> None:
-            self.store.put(CONFIG, 'newest', b'1')
-            await self.start()
-            await until(lambda: self.version() == 1)
+            await self.start_with_version_1()
             await self.told_for(0.1)
             self.store.put(CONFIG, 'newest', b'2')
             self.tell(changed=self.store.version)
@@ -208,9 +209,7 @@
         """Guards against trust in a coordinator that is cut off itself."""
 
         async def main() -> None:
-            self.store.put(CONFIG, 'newest', b'1')
-            await self.start()
-            await until(lambda: self.version() == 1)
+            await self.start_with_version_1()
             await self.told_for(0.1)
             self.store.put(CONFIG, 'newest', b'2')
             end = self.clock.elapsed() + table_relay.LONGEST_AGE
@@ -237,9 +236,7 @@
         """
 
         async def main() -> None:
-            self.store.put(CONFIG, 'newest', b'1')
-            await self.start()
-            await until(lambda: self.version() == 1)
+            await self.start_with_version_1()
             await self.told_for(0.1)
             heard = self.beliefs.positions[REGISTRY].heard
             assert heard is not None
@@ -260,9 +257,7 @@
         """Guards against a grace that each table's return prolongs."""
 
         async def main() -> None:
-            self.store.put(CONFIG, 'newest', b'1')
-            await self.start()
-            await until(lambda: self.version() == 1)
+            await self.start_with_version_1()
             opened: list[timedelta] = []
             registry_known = self.beliefs.registry
             registry_known.reconnected = opened.append  # type: ignore
@@ -282,9 +277,7 @@
 
         async def main() -> None:
             self.relay = True
-            self.store.put(CONFIG, 'newest', b'1')
-            await self.start()
-            await until(lambda: self.version() == 1)
+            await self.start_with_version_1()
             base = self.store.version
             self.store.put(CONFIG, 'newest', b'2')
             await until(lambda: bool(self.passed_on))
