--- a/soak/checks.py
+++ b/soak/checks.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 from dataclasses import dataclass
+import itertools
 import json
 from typing import Any
 
@@ -181,22 +182,25 @@
             key=lambda h: h.start,
         )
         problems += _check_fences(key, held)
-        for one in held:
-            for two in held:
-                start, end = (
-                    max(one.start, two.start),
-                    min(one.until, two.until),
-                )
-                if one.holder < two.holder and start < end:
-                    users = {r.holder for r in runs if start <= r.at <= end}
-                    if {one.holder, two.holder} <= users:
-                        problems.append(
-                            f'key {key} is held by {one.holder} and '
-                            f'{two.holder} for {end - start:.3f} s'
-                        )
+        for one, two in itertools.combinations(held, 2):
+            if one.holder != two.holder:
+                problems += _check_overlap(key, one, two, runs)
     return problems
 
 
+def _check_overlap(
+    key: int, one: Held, two: Held, runs: Sequence[Run]
+) -> list[str]:
+    start, end = max(one.start, two.start), min(one.until, two.until)
+    users = {run.holder for run in runs if start <= run.at <= end}
+    if start >= end or not {one.holder, two.holder} <= users:
+        return []
+    return [
+        f'key {key} is held by {one.holder} and {two.holder} for '
+        f'{end - start:.3f} s'
+    ]
+
+
 def _check_fences(key: int, held: Sequence[Held]) -> list[str]:
     problems = []
     highest: dict[str, int] = {}
