--- /dev/null
+++ b/goldcresthaven/hold_bounds.py
@@ -0,0 +1,206 @@
+"""Bounds on how long upstreams may hold the keys that were granted to them.
+
+The time of a hold counts from the arrival of its grant, so each bound rests
+on the latest possible arrival. An answered grant arrived before its answer.
+A grant without an answer may still be on its way after its connection was
+reset: packets wait in the queue of a congested link, and a reset does not
+overtake them. It has arrived, or never will, once a call that was sent after
+the reset over the same link has been answered.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from goldcresthaven import ids
+from goldcresthaven import key_grants
+from goldcresthaven import key_map
+
+# No link keeps a packet for longer than this. It bounds the arrival of a
+# grant until a later call has been answered.
+PACKET_LIFETIME = timedelta(seconds=3)
+_HoldKey = tuple[key_map.Owner, int]
+
+
+@dataclass(kw_only=True, slots=True, eq=False)
+class SentGrant:
+    """One call that grants keys for a duration of ``hold``.
+
+    ``arrived_by`` is the latest time of its arrival, once that is known.
+    ``reset_at`` is the time at which a call without an answer was given up
+    and its connection reset. ``refused`` is set if the grant was certainly
+    not sent or not accepted.
+    """
+
+    sent_at: timedelta
+    hold: timedelta
+    arrived_by: timedelta | None = None
+    reset_at: timedelta | None = None
+    refused: bool = False
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the call has neither been answered nor given up."""
+        return (
+            self.arrived_by is None
+            and self.reset_at is None
+            and not self.refused
+        )
+
+    def end(self) -> timedelta:
+        """Return when the hold has ended for sure."""
+        if self.refused:
+            return timedelta()
+        arrived_by = self.arrived_by
+        if arrived_by is None:
+            given_up = self.reset_at or self.sent_at + key_grants.CALL_TIMEOUT
+            arrived_by = given_up + PACKET_LIFETIME
+        return key_grants.hold_end(arrived_by, self.hold)
+
+
+def inherited_end(stopped: timedelta, longest: timedelta) -> timedelta:
+    """Return when all holds of a holder that stopped granting have ended.
+
+    ``longest`` is the longest hold that it may have granted.
+    """
+    given_up = stopped + key_grants.CALL_TIMEOUT
+    return key_grants.hold_end(given_up + PACKET_LIFETIME, longest)
+
+
+class HoldBounds:
+    """Upper bounds on the holds of one pool, by owner and fence.
+
+    ``inherited`` bounds the holds that earlier holders of the claim may
+    have granted. It applies to a fence until its owner accepts that fence,
+    because the owner rejects all lower ones from then on. It does not apply
+    to the fence of keys that nobody held when they moved.
+    """
+
+    def __init__(self, *, inherited: timedelta) -> None:
+        self._inherited = inherited
+        self._predecessor: dict[ids.UpstreamId, timedelta] | None = None
+        self._uninherited: set[int] = set()
+        self._ranges_by_fence: dict[int, tuple[int, int]] = {}
+        self._grants: dict[_HoldKey, list[SentGrant]] = {}
+        self._unproven: list[SentGrant] = []
+
+    def needs_predecessor(self, now: timedelta) -> bool:
+        """Return whether the predecessor's bounds would shorten a wait."""
+        return self._predecessor is None and now < self._inherited
+
+    def record_sent(
+        self, owner: key_map.Owner, fence: int, at: timedelta, hold: timedelta
+    ) -> SentGrant:
+        """Record a grant that is about to be sent."""
+        grant = SentGrant(sent_at=at, hold=hold)
+        known = self._grants.get((owner, fence), ())
+        kept = [g for g in known if g.is_open or g.end() > at]
+        self._grants[(owner, fence)] = [*kept, grant]
+        return grant
+
+    def record_answered(self, grant: SentGrant, at: timedelta) -> None:
+        """Record that an owner accepted a grant."""
+        grant.arrived_by = at
+
+    def record_refused(self, grant: SentGrant) -> None:
+        """Record a grant that certainly was not sent or not accepted."""
+        grant.refused = True
+
+    def record_unanswered(self, grant: SentGrant, reset_at: timedelta) -> None:
+        """Record that the connection of an unanswered grant was reset."""
+        grant.reset_at = reset_at
+        self._unproven.append(grant)
+
+    def record_round_trip(
+        self, *, sent_at: timedelta, answered_at: timedelta
+    ) -> None:
+        """Record a call that was answered, to any destination.
+
+        Packets leave a link in their order. Those of a connection that was
+        reset before the call have therefore arrived or been dropped.
+        """
+        waiting = []
+        for grant in self._unproven:
+            if grant.reset_at is not None and grant.reset_at <= sent_at:
+                grant.arrived_by = answered_at
+            else:
+                waiting.append(grant)
+        self._unproven = waiting
+
+    def record_range(self, key_range: key_map.KeyRange) -> None:
+        """Record the range of keys that a new fence covers."""
+        self._ranges_by_fence[key_range.fence] = (
+            key_range.first,
+            key_range.last,
+        )
+
+    def record_accepted(self, key_range: key_map.KeyRange) -> None:
+        """Record that the owner of a range accepted its fence.
+
+        It then rejects lower fences, but only for the keys of this grant.
+        Accepting a part of a range that was split therefore changes nothing.
+        """
+        granted_keys = (key_range.first, key_range.last)
+        if self._ranges_by_fence.get(key_range.fence) == granted_keys:
+            self._uninherited.add(key_range.fence)
+
+    def record_unheld(self, fence: int) -> None:
+        """Record the fence of keys that nobody held when they moved."""
+        self._uninherited.add(fence)
+
+    def record_new_fence(
+        self, owner: key_map.Owner, old: int, new: int
+    ) -> None:
+        """Record that an owner's keys get a higher fence.
+
+        The bounds of the old fence also apply to the new one, because the
+        owner may still hold keys that were granted under the old fence.
+        """
+        if (owner, old) in self._grants:
+            self._grants[(owner, new)] = list(self._grants[(owner, old)])
+        if old in self._uninherited:
+            self._uninherited.add(new)
+
+    def free_at(self, owner: key_map.Owner, fence: int) -> timedelta:
+        """Return when an owner certainly holds no more keys under a fence."""
+        return max(
+            self._inherited_for(owner, fence),
+            _latest_end(self._grants.get((owner, fence), ())),
+        )
+
+    def set_predecessor_bounds(
+        self, owner_ends: dict[ids.UpstreamId, timedelta]
+    ) -> None:
+        """Record when the predecessor's last holds end, by upstream."""
+        self._predecessor = owner_ends
+
+    def bounds(self, now: timedelta) -> dict[ids.UpstreamId, timedelta] | None:
+        """Return when the last hold of each upstream ends.
+
+        It covers all incarnations of an upstream, and the bounds that the
+        predecessor reported. Returns None while a grant is being sent, and
+        while holds that an earlier holder granted to unknown upstreams may
+        still last.
+        """
+        grants = [g for known in self._grants.values() for g in known]
+        if any(grant.is_open for grant in grants):
+            return None
+        if self.needs_predecessor(now):
+            return None
+        owner_ends = dict(self._predecessor or {})
+        for (owner, _), known in self._grants.items():
+            end = _latest_end(known)
+            earlier = owner_ends.get(owner.upstream_id, end)
+            owner_ends[owner.upstream_id] = max(earlier, end)
+        return {name: end for name, end in owner_ends.items() if end > now}
+
+    def _inherited_for(self, owner: key_map.Owner, fence: int) -> timedelta:
+        if fence in self._uninherited:
+            return timedelta()
+        if self._predecessor is None:
+            return self._inherited
+        return self._predecessor.get(owner.upstream_id, timedelta())
+
+
+def _latest_end(grants: Iterable[SentGrant]) -> timedelta:
+    return max((grant.end() for grant in grants), default=timedelta())
--- a/goldcresthaven/key_claims.py
+++ b/goldcresthaven/key_claims.py
@@ -15,18 +15,16 @@
 STALE_TIMEOUT = timedelta(seconds=1.6)
 # A holder stops granting when its last renewal was sent this long ago.
 CLAIM_VALIDITY = timedelta(seconds=4)
-# Possible error of the stored renewal time. The holder estimates the store's
-# clock, its estimate lags by the duration of an answer, and the call that
-# renewed the claim may have been slow.
-RENEWAL_TIME_ERROR = timedelta(seconds=1.2)
+# How often a successor repeats its request to step down.
+STEP_DOWN_INTERVAL = timedelta(milliseconds=300)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Claim:
     """The value of a claim's row.
 
-    ``renewed_at`` is the time of the last renewal on the store's clock. A
-    holder that releases its claim writes zero.
+    ``renewed_at`` is the latest possible time of the last renewal on the
+    store's clock. A holder that releases its claim writes zero.
     """
 
     holder: str
@@ -71,4 +69,4 @@
     """
     if claim is None or not claim.renewed_at:
         return timedelta()
-    return max(timedelta(), clock - claim.renewed_at - RENEWAL_TIME_ERROR)
+    return max(timedelta(), clock - claim.renewed_at)
--- a/goldcresthaven/key_coordinator.py
+++ b/goldcresthaven/key_coordinator.py
@@ -24,6 +24,7 @@
 from goldcresthaven import decision_log
 from goldcresthaven import errors
 from goldcresthaven import fleet_messages
+from goldcresthaven import hold_bounds
 from goldcresthaven import ids
 from goldcresthaven import key_claims
 from goldcresthaven import key_coordinator_state
@@ -120,14 +121,12 @@
             calls=calls,
             owners=self._owners,
             announce=announce,
-            may_grant=self._may_grant,
             clock=clock,
         )
         self._renewer = key_renewal.Renewer(
             pool=pool,
             calls=calls,
             owners=self._owners,
-            may_grant=self._may_grant,
             longest_hold=longest_hold,
             clock=clock,
         )
@@ -196,7 +195,8 @@
 
         Returns None if the request is outdated, or if the remaining holds
         are unknown: this process may have restarted since it granted keys,
-        or holds that an earlier holder granted may still last.
+        a grant is being sent, or holds that an earlier holder granted may
+        still last. The successor repeats its request.
         """
         term = self._term or self._last_term
         if term is None or request.claim_version <= term.claim_version:
@@ -238,7 +238,9 @@
             await self._release_claim(term, 'stopping')
 
     async def _try_acquire(self) -> key_coordinator_state.ClaimTerm | None:
+        asked = self._clock.elapsed()
         reading = await self._store.read(state_store.Table.CLAIMS)
+        offset = reading.clock - asked
         row = _find(reading, self._pool)
         claim = key_claims.decode(row)
         if not key_claims.is_stale(claim, self._identity, reading.clock):
@@ -249,7 +251,7 @@
         sent = self._clock.elapsed()
         result = await self._store.write(
             expected={self._claim_key: row.version if row else 0},
-            puts={self._claim_key: self._encode_claim(reading.clock)},
+            puts={self._claim_key: self._encode_claim(sent + offset)},
         )
         if isinstance(result, state_store.Conflict):
             return None
@@ -260,7 +262,7 @@
         # longer valid.
         age = key_claims.renewal_age(claim, reading.clock)
         stopped = taken + key_claims.CLAIM_VALIDITY - age
-        inherited = key_grants.hold_end(stopped, self._longest_hold)
+        inherited = hold_bounds.inherited_end(stopped, self._longest_hold)
         if keys.version == state_store.ABSENT:
             inherited = timedelta()
         term = key_coordinator_state.ClaimTerm(
@@ -268,18 +270,13 @@
             claim_version=result.version,
             acquired_version=result.version,
             renewed_at=sent,
-            store_clock_offset=result.clock - taken,
+            store_clock_offset=result.clock - sent,
             keys=keys,
-            holds=key_grants.HoldBounds(inherited=inherited),
+            holds=hold_bounds.HoldBounds(inherited=inherited),
             fence=keys.next_fence,
         )
-        if keys.coordinator and keys.coordinator != self._address_text:
-            self._request_step_down(
-                keys.coordinator,
-                fleet_messages.StepDown(
-                    pool=self._pool, claim_version=result.version
-                ),
-            )
+        if keys.coordinator != self._address_text:
+            term.predecessor = keys.coordinator
         decision_log.note(
             'claim-taken',
             pool=self._pool,
@@ -297,12 +294,16 @@
         self._term = term
         writer = await aio.spawn(self._write_loop(term))
         planned = rebalanced = decayed = self._clock.elapsed()
+        step_down_due = planned
         try:
             while term.end_reason is None and not self._stopped:
                 now = self._clock.elapsed()
                 if now - term.renewed_at > key_claims.CLAIM_VALIDITY:
                     term.end_reason = 'the claim was not renewed in time'
                     break
+                if now >= step_down_due and term.holds.needs_predecessor(now):
+                    self._ask_predecessor(term)
+                    step_down_due = now + key_claims.STEP_DOWN_INTERVAL
                 if term.fences_reserved:
                     await self._renewer.renew_due(term, now)
                 if term.fences_reserved and now - planned > PLAN_INTERVAL:
@@ -323,13 +324,12 @@
             )
             await writer.cancel()
 
-    def _may_grant(self, term: key_coordinator_state.ClaimTerm) -> bool:
-        # Nothing is granted before the stored map names this process as
-        # coordinator, so that a successor can ask it to step down.
-        valid = (
-            self._clock.elapsed() - term.renewed_at < key_claims.CLAIM_VALIDITY
-        )
-        return term.end_reason is None and term.fences_reserved and valid
+    def _ask_predecessor(self, term: key_coordinator_state.ClaimTerm) -> None:
+        if term.predecessor:
+            request = fleet_messages.StepDown(
+                pool=self._pool, claim_version=term.acquired_version
+            )
+            self._request_step_down(term.predecessor, request)
 
     # Writes to the store
 
@@ -381,13 +381,16 @@
             expected[self._map_key] = keys.version
             puts[self._map_key] = keys.encode()
         result = await self._store.write(expected=expected, puts=puts)
+        term.holds.record_round_trip(
+            sent_at=sent, answered_at=self._clock.elapsed()
+        )
         if isinstance(result, state_store.Conflict):
             await self._resolve_conflict(term)
             return
         term.write_unconfirmed = False
         term.claim_version = result.version
         term.renewed_at = sent
-        term.store_clock_offset = result.clock - self._clock.elapsed()
+        term.store_clock_offset = result.clock - sent
         if changed:
             base = term.keys.version
             self._apply_stored_map(term, keys.at_version(result.version))
@@ -470,7 +473,7 @@
             for o, since in term.failing_since.items()
             if now - since > OWNER_LOST_TIMEOUT
         }
-        owners = term.owners()
+        owners = set(term.owners())
         reachable = len(owners - lost)
         if len(owners) > 1 and reachable < MIN_REACHABLE_SHARE * len(owners):
             self._watch.defer(now + HANDOVER_PAUSE)
--- a/goldcresthaven/key_coordinator_state.py
+++ b/goldcresthaven/key_coordinator_state.py
@@ -5,7 +5,9 @@
 from dataclasses import field
 from datetime import timedelta
 
+from goldcresthaven import hold_bounds
 from goldcresthaven import ids
+from goldcresthaven import key_claims
 from goldcresthaven import key_grants
 from goldcresthaven import key_map
 from goldcresthaven import key_plan
@@ -36,14 +38,16 @@
 
     ``claim_version`` is the current version of the claim's row, and
     ``acquired_version`` the one that began the term. ``store_clock_offset``
-    is the store's clock minus this process's clock. ``handovers`` are keyed
+    is an upper bound on the store's clock minus this process's clock, so
+    that a stored renewal time is never too early. ``handovers`` are keyed
     by fence. ``granted`` holds the connections of the last grant of a fence.
     ``fences_reserved`` is true once the stored map names this process as
     coordinator and has a ``next_fence`` above ``fence``; nothing is granted
-    before. ``announced_version`` is the version of the map that was last
-    announced to the other processes. ``write_unconfirmed`` is true while it
-    is unknown whether a write was applied. ``end_reason`` is set when the
-    term ends.
+    before. ``predecessor`` is the address of the process that may have
+    granted keys before, or empty. ``announced_version`` is the version of
+    the map that was last announced to the other processes.
+    ``write_unconfirmed`` is true while it is unknown whether a write was
+    applied. ``end_reason`` is set when the term ends.
     """
 
     address: str
@@ -52,7 +56,7 @@
     renewed_at: timedelta
     store_clock_offset: timedelta
     keys: key_map.KeyMap
-    holds: key_grants.HoldBounds
+    holds: hold_bounds.HoldBounds
     fence: int
     load: key_plan.KeyLoad = field(default_factory=key_plan.KeyLoad)
     transfers: list[Transfer] = field(default_factory=list)
@@ -63,13 +67,37 @@
     granted: dict[tuple[key_map.Owner, int], key_grants.Connections] = field(
         default_factory=dict
     )
+    predecessor: str = ''
     announced_version: int = 0
     fences_reserved: bool = False
     write_unconfirmed: bool = False
     end_reason: str | None = None
 
-    def owners(self) -> set[key_map.Owner]:
-        return {r.owner for r in self.keys.ranges if r.owner is not None}
+    def may_renew(self, now: timedelta) -> bool:
+        """Return whether grants may be renewed.
+
+        Nothing is granted before the stored map names this process as
+        coordinator, so that a successor can ask it to step down.
+        """
+        valid = now - self.renewed_at < key_claims.CLAIM_VALIDITY
+        return self.end_reason is None and self.fences_reserved and valid
+
+    def may_grant(
+        self, now: timedelta, *, renewal: key_grants.Connections | None
+    ) -> bool:
+        """Return whether a grant may be sent.
+
+        A first grant of a fence, whose ``renewal`` is None, may reach an
+        upstream that has restarted and no longer knows a successor's fence.
+        It may therefore be sent only while there can be no successor.
+        """
+        sole = now - self.renewed_at < key_claims.STALE_TIMEOUT
+        return self.may_renew(now) and (sole or renewal is not None)
+
+    def owners(self) -> list[key_map.Owner]:
+        """Return all owners in the order of their first keys."""
+        found = (r.owner for r in self.keys.ranges if r.owner is not None)
+        return list(dict.fromkeys(found))
 
     def moving_ranges(self) -> list[key_map.KeyRange]:
         return [transfer.move.source for transfer in self.transfers]
@@ -182,17 +210,6 @@
             return True
         return self._upstreams.departure(owner.upstream_id, now) is not None
 
-    def is_registered(self, owner: key_map.Owner, now: timedelta) -> bool:
-        """Return whether an owner's upstream is registered.
-
-        It may be draining, or be another incarnation.
-        """
-        known = self._upstreams.get(owner.upstream_id)
-        if known is None:
-            return False
-        left = self._upstreams.departure(owner.upstream_id, now)
-        return left is None or known.draining
-
     def _same_incarnation(
         self, owner: key_map.Owner
     ) -> registry_module.Upstream | None:
--- a/goldcresthaven/key_grants.py
+++ b/goldcresthaven/key_grants.py
@@ -1,10 +1,8 @@
-"""Grants of keys to upstreams, and bounds on how long the keys are held.
+"""Grants of keys to upstreams.
 
 A hold is the time for which an upstream may serve granted keys. The
 upstream counts it from the arrival of the call, on a clock that may run 2%
-slow. A call that times out is reset and cannot arrive later. Therefore a
-hold ends at most ``CALL_TIMEOUT`` plus its duration, stretched by the drift,
-after the call was sent.
+slow. ``hold_bounds`` derives from this when a hold has ended.
 """
 
 from collections.abc import Callable
@@ -15,7 +13,6 @@
 from typing import Protocol
 
 from goldcresthaven import ids
-from goldcresthaven import key_map
 from goldcresthaven import members
 
 CLOCK_DRIFT = 0.02  # of upstreams' clocks, as documented by the platform
@@ -51,6 +48,7 @@
     DISCONNECTED: nothing was sent. All connections that were open when the
     keys were granted are closed, so the owner may have restarted.
     ADDRESS_REUSED: another upstream has the address now.
+    WITHDRAWN: nothing was sent, because the sender may no longer grant.
     """
 
     GRANTED = 'granted'
@@ -59,6 +57,7 @@
     DISCONNECTED = 'disconnected'
     ADDRESS_REUSED = 'elsewhere'
     NO_RESPONSE = 'no-answer'
+    WITHDRAWN = 'withdrawn'
 
 
 NOT_SENT = frozenset(
@@ -66,9 +65,9 @@
         GrantResult.UNREACHABLE,
         GrantResult.DISCONNECTED,
         GrantResult.ADDRESS_REUSED,
+        GrantResult.WITHDRAWN,
     }
 )
-_HoldKey = tuple[key_map.Owner, int]
 
 
 # Identifies the connections to an upstream that were open at some time.
@@ -107,9 +106,13 @@
         renewal: Connections | None,
         hold: timedelta,
         timeout: timedelta,
+        may_send: Callable[[], bool],
     ) -> GrantReply:
         """Grant or renew keys.
 
+        ``may_send`` is asked when the connection is ready, because opening
+        it may take longer than the sender's permission to grant lasts.
+
         A renewal is sent only over one of the connections in ``renewal``,
         which the reply to the previous grant of the same fence named. This
         proves that the upstream has not restarted since.
@@ -129,134 +132,9 @@
         """
 
 
-def hold_end(sent: timedelta, hold: timedelta) -> timedelta:
-    """Return when the hold of a grant sent at ``sent`` has ended for sure."""
-    return sent + CALL_TIMEOUT + hold * (1 + CLOCK_DRIFT) + EXPIRY_MARGIN
-
-
-class HoldBounds:
-    """Upper bounds on the holds of one pool, by owner and fence.
+def hold_end(arrived_by: timedelta, hold: timedelta) -> timedelta:
+    """Return when the hold of a grant has ended for sure.
 
-    ``inherited`` bounds the holds that earlier holders of the claim may
-    have granted. It applies to a fence until its owner accepts that fence,
-    because the owner rejects all lower ones from then on. It does not apply
-    to the fence of keys that nobody held when they moved.
+    ``arrived_by`` is the latest time at which the grant may have arrived.
     """
-
-    def __init__(self, *, inherited: timedelta) -> None:
-        self._inherited = inherited
-        self._predecessor: dict[ids.UpstreamId, timedelta] | None = None
-        self._uninherited: set[int] = set()
-        self._ranges_by_fence: dict[int, tuple[int, int]] = {}
-        self._bounds: dict[_HoldKey, timedelta] = {}
-        self._unanswered: dict[_HoldKey, timedelta] = {}
-
-    def record_sent(
-        self, owner: key_map.Owner, fence: int, at: timedelta, hold: timedelta
-    ) -> Callable[[], None]:
-        """Record a grant that is about to be sent.
-
-        Returns a function that restores the previous bound. It is called if
-        the grant certainly did not arrive or was refused.
-        """
-        hold_key = (owner, fence)
-        before = self._bounds.get(hold_key, timedelta())
-        self._bounds[hold_key] = max(before, hold_end(at, hold))
-
-        def undo() -> None:
-            self._bounds[hold_key] = before
-
-        return undo
-
-    def record_unanswered(
-        self, owner: key_map.Owner, fence: int, at: timedelta, hold: timedelta
-    ) -> None:
-        """Record a grant that was not answered."""
-        hold_key = (owner, fence)
-        end = hold_end(at, hold)
-        self._unanswered[hold_key] = max(
-            self._unanswered.get(hold_key, end), end
-        )
-
-    def record_range(self, key_range: key_map.KeyRange) -> None:
-        """Record the range of keys that a new fence covers."""
-        self._ranges_by_fence[key_range.fence] = (
-            key_range.first,
-            key_range.last,
-        )
-
-    def record_accepted(
-        self, owner: key_map.Owner, key_range: key_map.KeyRange
-    ) -> None:
-        """Record that an owner accepted a fence and rejects lower ones.
-
-        It rejects them only for the keys of this grant. Accepting a part of
-        a range that was split therefore changes nothing.
-        """
-        granted_keys = (key_range.first, key_range.last)
-        if self._ranges_by_fence.get(key_range.fence) == granted_keys:
-            self._uninherited.add(key_range.fence)
-            self._unanswered.pop((owner, key_range.fence), None)
-
-    def record_unheld(self, fence: int) -> None:
-        """Record the fence of keys that nobody held when they moved."""
-        self._uninherited.add(fence)
-
-    def record_new_fence(
-        self, owner: key_map.Owner, old: int, new: int
-    ) -> None:
-        """Record that an owner's keys get a higher fence.
-
-        The bounds of the old fence also apply to the new one, because the
-        owner may still hold keys that were granted under the old fence.
-        """
-        for end_times in (self._bounds, self._unanswered):
-            if (owner, old) in end_times:
-                end_times[(owner, new)] = end_times[(owner, old)]
-        if old in self._uninherited:
-            self._uninherited.add(new)
-
-    def free_at(self, owner: key_map.Owner, fence: int) -> timedelta:
-        """Return when an owner certainly holds no more keys under a fence."""
-        bound = self._bounds.get((owner, fence), timedelta())
-        return max(self._inherited_for(owner, fence), bound)
-
-    def is_release_final(
-        self, owner: key_map.Owner, fence: int, now: timedelta
-    ) -> bool:
-        """Return whether a release under a fence is final.
-
-        Otherwise a grant that is still in flight may renew the hold after
-        the release.
-        """
-        unanswered = self._unanswered.get((owner, fence), timedelta())
-        return now > max(self._inherited_for(owner, fence), unanswered)
-
-    def set_predecessor_bounds(
-        self, owner_ends: dict[ids.UpstreamId, timedelta]
-    ) -> None:
-        """Record when the predecessor's last holds end, by upstream."""
-        self._predecessor = owner_ends
-
-    def bounds(self, now: timedelta) -> dict[ids.UpstreamId, timedelta] | None:
-        """Return when the last hold of each upstream ends.
-
-        It covers all incarnations of an upstream, and the bounds that the
-        predecessor reported. Returns None while holds that an earlier holder
-        granted to unknown upstreams may still last.
-        """
-        if self._predecessor is None and now < self._inherited:
-            return None
-        owner_ends = dict(self._predecessor or {})
-        for end_times in (self._bounds, self._unanswered):
-            for (owner, _), end in end_times.items():
-                known = owner_ends.get(owner.upstream_id, end)
-                owner_ends[owner.upstream_id] = max(known, end)
-        return {name: end for name, end in owner_ends.items() if end > now}
-
-    def _inherited_for(self, owner: key_map.Owner, fence: int) -> timedelta:
-        if fence in self._uninherited:
-            return timedelta()
-        if self._predecessor is None:
-            return self._inherited
-        return self._predecessor.get(owner.upstream_id, timedelta())
+    return arrived_by + hold / (1 - CLOCK_DRIFT) + EXPIRY_MARGIN
--- a/goldcresthaven/key_release.py
+++ b/goldcresthaven/key_release.py
@@ -1,7 +1,10 @@
 """Releases keys from their owner, so that another upstream can get them.
 
 Keys are free when the owner confirms a release, or when every hold that it
-may have been granted has ended.
+may have been granted has ended. An earlier grant may still be in flight and
+be applied after the release, even if it seems to be answered: an upstream may
+answer an earlier call twice. Therefore the owner first has to accept a higher
+fence, over a new connection; it then rejects whatever arrives later.
 """
 
 from collections.abc import Callable
@@ -10,6 +13,7 @@
 from goldcresthaven import aio
 from goldcresthaven import clock as clock_module
 from goldcresthaven import fleet_messages
+from goldcresthaven import hold_bounds
 from goldcresthaven import ids
 from goldcresthaven import key_coordinator_state
 from goldcresthaven import key_grants
@@ -27,8 +31,7 @@
 class Releaser:
     """Releases the keys of moves while this process holds the claim.
 
-    ``may_grant`` returns whether a term still permits grants. ``announce``
-    informs the other processes of keys that are about to move.
+    ``announce`` informs the other processes of keys that are about to move.
     """
 
     def __init__(
@@ -38,14 +41,12 @@
         calls: key_grants.LeaseCalls,
         owners: key_coordinator_state.OwnerStatus,
         announce: Callable[[fleet_messages.Moving], None],
-        may_grant: Callable[[key_coordinator_state.ClaimTerm], bool],
         clock: clock_module.Clock,
     ) -> None:
         self._pool = pool
         self._calls = calls
         self._owners = owners
         self._announce = announce
-        self._may_grant = may_grant
         self._clock = clock
 
     async def release_source(
@@ -71,27 +72,24 @@
         owner: key_map.Owner,
     ) -> key_grants.Released | None:
         """Return the owner's confirmation, or None when its hold has ended."""
-        while owner in term.renewing:
-            await aio.sleep(RENEWAL_POLL)
-        free_at = term.holds.free_at(owner, source.fence)
+        await self._wait_for_renewals(term, owner)
         fence: int | None = None
         # At most one grant with a raised fence may stay unanswered, because
         # each one extends the wait.
-        may_raise = True
+        raised: hold_bounds.SentGrant | None = None
         while term.end_reason is None:
             now = self._clock.elapsed()
+            free_at = term.holds.free_at(owner, source.fence)
+            if raised is not None:
+                free_at = max(free_at, raised.end())
             if now >= free_at:
                 return None
             address = self._owners.address(owner)
-            if address is not None and self._may_grant(term):
-                if term.holds.is_release_final(owner, source.fence, now):
-                    fence = fence or source.fence
-                elif may_raise and self._owners.is_registered(owner, now):
-                    fence, end = await self._raise_fence(
+            if address is not None and term.may_renew(now):
+                if raised is None:
+                    fence, raised = await self._raise_fence(
                         term, source, owner, address
                     )
-                    free_at = max(free_at, end)
-                    may_raise = end == timedelta()
                 if fence is not None:
                     self._announce(
                         fleet_messages.Moving(
@@ -114,25 +112,37 @@
             await aio.sleep(min(RETRY_PAUSE, left + END_MARGIN))
         return None
 
+    async def _wait_for_renewals(
+        self, term: key_coordinator_state.ClaimTerm, owner: key_map.Owner
+    ) -> None:
+        while owner in term.renewing:
+            await aio.sleep(RENEWAL_POLL)
+
     async def _raise_fence(
         self,
         term: key_coordinator_state.ClaimTerm,
         source: key_map.KeyRange,
         owner: key_map.Owner,
         address: members.Address,
-    ) -> tuple[int | None, timedelta]:
+    ) -> tuple[int | None, hold_bounds.SentGrant | None]:
         """Grant keys for a short time under a new fence.
 
         An owner that accepts the fence rejects all grants with lower fences
         that may still be in flight, so a release is then final. Returns the
-        fence, or None if the owner did not accept it, and the time at which
-        the short hold has ended, or zero if it was certainly not granted.
+        fence, or None if the owner did not accept it, and the grant, or None
+        if it was certainly not accepted.
         """
         if term.keys.next_fence <= term.fence + 1 or term.write_unconfirmed:
-            return None, timedelta()
+            return None, None
+
+        def may_send() -> bool:
+            return term.may_grant(self._clock.elapsed(), renewal=None)
+
+        if not may_send():
+            return None, None
         fence = term.take_fence()
         sent = self._clock.elapsed()
-        undo = term.holds.record_sent(
+        grant = term.holds.record_sent(
             owner, fence, sent, key_grants.RELEASE_TIMEOUT
         )
         reply = await self._calls.grant(
@@ -144,15 +154,15 @@
             renewal=None,
             hold=key_grants.RELEASE_TIMEOUT,
             timeout=key_grants.CALL_TIMEOUT,
+            may_send=may_send,
         )
-        end = key_grants.hold_end(sent, key_grants.RELEASE_TIMEOUT)
+        now = self._clock.elapsed()
         match reply.result:
             case key_grants.GrantResult.GRANTED:
-                return fence, end
+                term.holds.record_answered(grant, now)
+                return fence, grant
             case key_grants.GrantResult.NO_RESPONSE:
-                term.holds.record_unanswered(
-                    owner, fence, sent, key_grants.RELEASE_TIMEOUT
-                )
-                return None, end
-        undo()
-        return None, timedelta()
+                term.holds.record_unanswered(grant, now)
+                return None, grant
+        term.holds.record_refused(grant)
+        return None, None
--- a/goldcresthaven/key_renewal.py
+++ b/goldcresthaven/key_renewal.py
@@ -1,6 +1,5 @@
 """Grants and renews the keys of all owners while a claim is held."""
 
-from collections.abc import Callable
 from datetime import timedelta
 
 from goldcresthaven import aio
@@ -22,11 +21,18 @@
 # an outage of the store would be declared.
 STORE_SUSPECT_TIMEOUT = timedelta(seconds=1.6)
 
+# Results that say nothing about the reachability of the owner.
+_NOT_A_FAILURE = frozenset(
+    {
+        key_grants.GrantResult.DISCONNECTED,
+        key_grants.GrantResult.WITHDRAWN,
+    }
+)
+
 
 class Renewer:
     """Renews the grants of all owners while this process holds the claim.
 
-    ``may_grant`` returns whether a term still permits grants.
     ``longest_hold`` is the longest hold that an upstream accepts; it is
     granted while the store may be unavailable.
     """
@@ -37,14 +43,12 @@
         pool: ids.PoolName,
         calls: key_grants.LeaseCalls,
         owners: key_coordinator_state.OwnerStatus,
-        may_grant: Callable[[key_coordinator_state.ClaimTerm], bool],
         longest_hold: timedelta,
         clock: clock_module.Clock,
     ) -> None:
         self._pool = pool
         self._calls = calls
         self._owners = owners
-        self._may_grant = may_grant
         self._longest_hold = longest_hold
         self._clock = clock
 
@@ -125,12 +129,16 @@
         """Send one grant; return whether the owner accepted it."""
         sent = self._clock.elapsed()
         hold = self._hold_time(term, sent)
-        stale = term.keys.find(key_range.first).fence != key_range.fence
-        if stale or not self._may_grant(term):
-            return False
-        undo = term.holds.record_sent(owner, key_range.fence, sent, hold)
         hold_key = (owner, key_range.fence)
         renewal = term.granted.get(hold_key)
+
+        def may_send() -> bool:
+            return term.may_grant(self._clock.elapsed(), renewal=renewal)
+
+        stale = term.keys.find(key_range.first).fence != key_range.fence
+        if stale or not may_send():
+            return False
+        grant = term.holds.record_sent(owner, key_range.fence, sent, hold)
         # Until this grant is answered, no connection proves that the owner
         # has not restarted.
         term.granted[hold_key] = key_grants.NO_CONNECTIONS
@@ -146,25 +154,28 @@
             renewal=renewal,
             hold=hold,
             timeout=key_grants.CALL_TIMEOUT,
+            may_send=may_send,
         )
         now = self._clock.elapsed()
         result = reply.result
         if result is key_grants.GrantResult.GRANTED:
+            term.holds.record_answered(grant, now)
+            term.holds.record_round_trip(sent_at=sent, answered_at=now)
             term.granted[hold_key] = reply.connections
             term.handovers.pop(key_range.fence, None)
             term.failing_since.pop(owner, None)
-            term.holds.record_accepted(owner, key_range)
+            term.holds.record_accepted(key_range)
             return True
         if result is key_grants.GrantResult.NO_RESPONSE:
-            term.holds.record_unanswered(owner, key_range.fence, sent, hold)
+            term.holds.record_unanswered(grant, now)
         else:
-            undo()
+            term.holds.record_refused(grant)
         if result in key_grants.NOT_SENT and renewal is None:
             del term.granted[hold_key]
         else:
             # The owner may have restarted or accepted a higher fence.
             self._schedule_new_fence(term, key_range)
-        if result is not key_grants.GrantResult.DISCONNECTED:
+        if result not in _NOT_A_FAILURE:
             term.failing_since.setdefault(owner, now)
         term.renewal_due[owner] = now + key_grants.RENEW_INTERVAL / 3
         decision_log.note(
--- a/goldcresthaven/platform/leases.py
+++ b/goldcresthaven/platform/leases.py
@@ -4,6 +4,7 @@
 delays are then dropped, so that the call cannot arrive after its timeout.
 """
 
+from collections.abc import Callable
 from datetime import timedelta
 import json
 from typing import Any
@@ -26,12 +27,16 @@
 CONNECT_TIMEOUT = timedelta(milliseconds=400)
 
 
+class _Withdrawn(errors.Error):
+    """A call was not sent, because its sender may no longer send it."""
+
+
 class PlatformLeases:
     """Implements ``key_grants.LeaseCalls``."""
 
     def __init__(self, *, clock: clock_module.Clock) -> None:
         self._clock = clock
-        # One connection to each upstream carries all grants to it.
+        # The oldest connection to an upstream carries most renewals.
         self._grants = upstream_pool.UpstreamPool()
         self._releases = upstream_pool.UpstreamPool()
 
@@ -48,6 +53,7 @@
         renewal: key_grants.Connections | None,
         hold: timedelta,
         timeout: timedelta,
+        may_send: Callable[[], bool],
     ) -> key_grants.GrantReply:
         body: dict[str, Any] = {
             'from': grant.first,
@@ -62,7 +68,11 @@
         # lead to the upstream's next incarnation.
         opened_before_call = key_grants.Connections(self._grants.opened)
         conn: http_io.UpstreamConn | None = None
-        if renewal is not None:
+        if renewal is None:
+            # A second response to an earlier call must not be taken for the
+            # acceptance of a new fence.
+            await self._grants.make_room(address, limit=MAX_CONNECTIONS)
+        else:
             conn = self._grants.take_opened_before(address, opened=renewal)
             if conn is None:
                 return _reply(key_grants.GrantResult.DISCONNECTED)
@@ -75,7 +85,10 @@
                 body,
                 timeout,
                 conn=conn,
+                may_send=may_send,
             )
+        except _Withdrawn:
+            return _reply(key_grants.GrantResult.WITHDRAWN)
         except errors.ConnectionFailed:
             return _reply(key_grants.GrantResult.UNREACHABLE)
         except errors.Error:
@@ -110,6 +123,7 @@
                 names.RELEASE_PATH,
                 body,
                 timeout,
+                reuse=False,
             )
         except errors.Error:
             return None
@@ -129,8 +143,14 @@
         timeout: timedelta,
         *,
         conn: http_io.UpstreamConn | None = None,
+        may_send: Callable[[], bool] = lambda: True,
+        reuse: bool = True,
     ) -> tuple[http_head.ResponseHead, int]:
-        """Return the response and the number of the connection used."""
+        """Return the response and the number of the connection used.
+
+        Without ``conn``, a new connection is opened, on which no late second
+        response to another call can arrive.
+        """
         head = http_head.RequestHead(
             method='POST',
             target=path,
@@ -143,15 +163,21 @@
         started = self._clock.elapsed()
         async with aio.timeout(timeout):
             if conn is None:
-                conn = await self._take(conns, address)
+                conn = await self._open(conns, address)
             # Timers do not run while the VM is suspended, but the hold time
             # of a grant counts from the start of the call.
-            if self._clock.elapsed() - started > timeout:
+            if self._is_late(started, timeout):
                 await conns.discard(address, conn)
                 raise errors.ConnectionFailed(
                     f'the call to {address} was delayed beyond its timeout',
                     remedy='none; the call is repeated',
                 )
+            if not may_send():
+                await conns.discard(address, conn)
+                raise _Withdrawn(
+                    'the permission to send the call has ended',
+                    remedy='none; another process grants the keys now',
+                )
             try:
                 response, _ = await http_io.fetch(
                     conn,
@@ -162,15 +188,21 @@
             except BaseException:
                 await conns.discard(address, conn)
                 raise
-            await conns.give_back(address, conn)
+            if reuse:
+                await conns.give_back(address, conn)
+            else:
+                await conns.discard(address, conn)
             return response, conn.number
 
-    async def _take(
+    def _is_late(self, started: timedelta, timeout: timedelta) -> bool:
+        return self._clock.elapsed() - started > timeout
+
+    async def _open(
         self, conns: upstream_pool.UpstreamPool, address: members.Address
     ) -> http_io.UpstreamConn:
         try:
             async with aio.timeout(CONNECT_TIMEOUT):
-                return await conns.take(address, limit=MAX_CONNECTIONS)
+                return await conns.take_new(address, limit=MAX_CONNECTIONS)
         except errors.DeadlineExceeded as exc:
             raise errors.ConnectionFailed(
                 f'connecting to {address} timed out',
--- a/goldcresthaven/upstream_pool.py
+++ b/goldcresthaven/upstream_pool.py
@@ -61,6 +61,13 @@
                 conn.begin()
                 return conn
             await self._close(endpoint, conn)
+        return await self.take_new(address, limit=limit)
+
+    async def take_new(
+        self, address: members.Address, *, limit: int
+    ) -> http_io.UpstreamConn:
+        """Return a new connection; raises the same errors as ``take``."""
+        endpoint = self._endpoints.setdefault(address, _Endpoint())
         if endpoint.open_count >= limit:
             raise errors.ConnectionFailed(
                 f'all {limit} connections to {address} are in use',
@@ -68,6 +75,14 @@
             )
         return await self._open(endpoint, address)
 
+    async def make_room(self, address: members.Address, *, limit: int) -> None:
+        """Close the newest idle connection if no other can be opened."""
+        endpoint = self._endpoints.setdefault(address, _Endpoint())
+        if endpoint.open_count >= limit and endpoint.idle:
+            newest = max(endpoint.idle, key=lambda conn: conn.number)
+            endpoint.idle.remove(newest)
+            await self._close(endpoint, newest)
+
     def take_opened_before(
         self, address: members.Address, *, opened: int
     ) -> http_io.UpstreamConn | None:
--- /dev/null
+++ b/proofs/coordinator_sim.py
@@ -0,0 +1,411 @@
+"""Simulates the key coordinators of a pool under delays and failures.
+
+The real ``key_coordinator`` with its renewals, releases and grants, and the
+real client for grants, run on a virtual clock. A run delays awaits, timers
+and sends by 0.05 to 3 s, cuts and chokes links, loses and delays answers,
+slows the store, and ends and starts processes and upstreams. All random
+choices derive from the seed.
+"""
+
+from collections.abc import Iterator
+import contextlib
+from dataclasses import dataclass
+from dataclasses import field
+from datetime import timedelta
+import random
+from typing import Any
+from unittest import mock
+
+from goldcresthaven import aio
+from goldcresthaven import decision_log
+from goldcresthaven import fleet_messages
+from goldcresthaven import http_io
+from goldcresthaven import ids
+from goldcresthaven import key_coordinator
+from goldcresthaven import key_grants
+from goldcresthaven import key_map
+from goldcresthaven import members
+from goldcresthaven import registry
+from goldcresthaven import upstream_pool
+from goldcresthaven.platform import leases
+from proofs import coordinator_store
+from proofs import coordinator_world
+from proofs import virtual_loop
+
+POOL = ids.PoolName('catalogue')
+LAST_KEY = 255
+LONGEST_HOLD = timedelta(seconds=10)
+DURATION = 16.0  # seconds
+# A split may outlast the holds that a predecessor can have granted.
+SPLIT_DURATION = 40.0  # seconds
+SPLIT_SHARE = 0.15  # of all runs
+STALLS = (0.05, 0.2, 0.6, 1.2, 3.0)  # seconds
+
+
+@dataclass(kw_only=True)
+class Outcome:
+    """The result of one run; ``log`` is filled only on request."""
+
+    violations: list[str] = field(default_factory=list)
+    grants: int = 0
+    log: list[str] = field(default_factory=list)
+
+
+class _Member:
+    """One process of the fleet, which may be ended and started again."""
+
+    def __init__(self, world: 'World', name: str) -> None:
+        self.world = world
+        self.name = name
+        self.starts = 0
+        self.start()
+
+    def start(self) -> None:
+        world = self.world
+        loop = world.loop
+        self.starts += 1
+        rate = loop.rng.uniform(0.9999, 1.0001)
+        self.process = virtual_loop.Process(loop, self.name, rate=rate)
+        world.processes.append(self.process)
+        self.registry = registry.Registry()
+        for upstream in world.network.by_address.values():
+            self.learn(upstream)
+        pools = (
+            coordinator_world.Pool(world.network, self.name),
+            coordinator_world.Pool(world.network, self.name),
+        )
+        with mock.patch.object(
+            upstream_pool, 'UpstreamPool', side_effect=pools
+        ):
+            calls = leases.PlatformLeases(clock=self.process.clock)
+        self.coordinator = key_coordinator.KeyCoordinator(
+            pool=POOL,
+            identity=f'{self.name}/{self.starts}',
+            store=world.store.client(self.name),
+            calls=_StallingCalls(calls, world),
+            upstreams=self.registry,
+            address=f'{self.name}:7200',
+            capacity=lambda upstream: float(upstream.slots),
+            report_age=lambda pool, now: timedelta(seconds=60),
+            fleet_size=lambda: 2,
+            announce=lambda message: None,
+            request_step_down=self._request_step_down,
+            longest_hold=LONGEST_HOLD,
+            cpu_cores=1.0,
+            clock=self.process.clock,
+            rng=random.Random(loop.rng.random()),
+        )
+        self.process.start(self.coordinator.run())
+        self.process.start(self._count())
+
+    def learn(
+        self, upstream: coordinator_world.Upstream, *, draining: bool = False
+    ) -> None:
+        """Learn of an upstream, as the table followers would."""
+        name = ids.UpstreamId(upstream.name)
+        now = self.process.clock.elapsed()
+        entry = registry.Upstream(
+            upstream_id=name,
+            pool=POOL,
+            address=members.Address(host=upstream.name, port=80),
+            zone=ids.ZoneId('a'),
+            slots=4,
+            draining=draining,
+            incarnation=registry.Incarnation(upstream.incarnation),
+        )
+        self.registry.apply({name: entry}, full=False, version=1, now=now)
+
+    def forget(self, name: str) -> None:
+        """Learn that an upstream's entry is gone."""
+        now = self.process.clock.elapsed()
+        self.registry.apply(
+            {ids.UpstreamId(name): None}, full=False, version=1, now=now
+        )
+
+    async def _count(self) -> None:
+        rng = self.world.loop.rng
+        while True:
+            await self.process.sleep(0.3)
+            keys = [_random_key(rng) for _ in range(30)]
+            self.coordinator.count(keys, 1.0)
+
+    def _request_step_down(
+        self, to: str, request: fleet_messages.StepDown
+    ) -> None:
+        name = to.split(':')[0]
+        self.world.send(
+            self.name, name, lambda m: m.answer_step_down(self.name, request)
+        )
+
+    def answer_step_down(
+        self, sender: str, request: fleet_messages.StepDown
+    ) -> None:
+        answer = self.coordinator.step_down(request)
+        if answer is not None:
+            self.world.send(
+                self.name,
+                sender,
+                lambda m: m.coordinator.predecessor_stepped_down(answer),
+            )
+
+
+class _StallingCalls:
+    """Stalls a process between its decision to grant and the call."""
+
+    def __init__(self, calls: leases.PlatformLeases, world: 'World') -> None:
+        self._calls = calls
+        self._world = world
+
+    async def grant(self, *args: Any, **kwargs: Any) -> key_grants.GrantReply:
+        await self._world.stall_current()
+        return await self._calls.grant(*args, **kwargs)
+
+    async def release(
+        self, *args: Any, **kwargs: Any
+    ) -> key_grants.Released | None:
+        await self._world.stall_current()
+        return await self._calls.release(*args, **kwargs)
+
+
+class World:
+    """The processes, upstreams, links and faults of one run."""
+
+    def __init__(self, seed: int) -> None:
+        rng = random.Random(seed)
+        self.loop = virtual_loop.Loop(rng)
+        self.faults = coordinator_world.Faults()
+        self.checker = coordinator_world.Checker(self.loop)
+        self.network = coordinator_world.Network(
+            self.loop, self.faults, self.checker
+        )
+        self.store = coordinator_store.Store(
+            self.loop, self.faults, self.network.uplinks
+        )
+        self.processes: list[virtual_loop.Process] = []
+        self.call_stall = 0.0
+        self.duration = DURATION
+        self.isolated = ''
+        for i in range(rng.randint(2, 4)):
+            self.network.start_upstream(f'u{i}')
+        self.members = [_Member(self, f'n{i}') for i in range(3)]
+        self._plan_faults()
+
+    def send(self, sender: str, receiver: str, deliver: Any) -> None:
+        """Deliver a datagram to a process, unless it is lost."""
+        rng = self.loop.rng
+        target = next((m for m in self.members if m.name == receiver), None)
+        if target is None or rng.random() < 0.1:
+            return
+        if self.isolated in (sender, receiver):
+            return
+        process = target.process
+        delay = self.network.uplinks.delay(sender)
+        delay += rng.choice((0.0, 0.0, 0.3, 1.0))
+        self.loop.after(delay, lambda: process.run(lambda: deliver(target)))
+
+    async def stall_current(self) -> None:
+        if self.loop.rng.random() >= self.call_stall:
+            return
+        task = self.loop.current
+        assert task is not None
+        duration = self.loop.rng.choice(STALLS)
+        task.process.stall(duration)
+        await task.process.sleep(duration)
+
+    def _plan_faults(self) -> None:
+        """Choose what goes wrong in this run, and when."""
+        rng = self.loop.rng
+        faults = self.faults
+        for name, most in (
+            ('late_grant', 0.2),
+            ('lost_response', 0.2),
+            ('store_slow', 0.3),
+            ('store_lost', 0.3),
+            ('slow_release', 0.5),
+            ('late_send', 0.2),
+            ('second_response', 0.2),
+        ):
+            if rng.random() < 0.3:
+                setattr(faults, name, rng.uniform(0.0, most))
+        if rng.random() < 0.3:
+            self.call_stall = rng.uniform(0.0, 0.1)
+        if rng.random() < 0.5:
+            share = rng.uniform(0.0, 0.01)
+            self.loop.before_step = lambda process: self._maybe_stall(
+                process, share
+            )
+        events = (
+            self._freeze,
+            self._cut_store,
+            self._cut_upstream,
+            self._choke,
+            self._end_process,
+            self._restart_upstream,
+            self._drain_upstream,
+            self._remove_upstream,
+            self._add_upstream,
+        )
+        if rng.random() < SPLIT_SHARE:
+            self.duration = SPLIT_DURATION
+            self.loop.at(rng.uniform(2.0, 6.0), self._split)
+        for _ in range(rng.randint(1, 6)):
+            event = rng.choice(events)
+            self.loop.at(rng.uniform(1.0, self.duration - 3.0), event)
+
+    def _maybe_stall(
+        self, process: virtual_loop.Process, share: float
+    ) -> None:
+        if self.loop.rng.random() < share:
+            process.stall(self.loop.rng.choice(STALLS))
+
+    def _freeze(self) -> None:
+        member = self._some_member()
+        member.process.stall(self.loop.rng.uniform(0.2, 8.0))
+
+    def _cut_store(self) -> None:
+        self._cut_links([(self._some_member().name, 'store')])
+
+    def _cut_upstream(self) -> None:
+        name = self.loop.rng.choice(list(self.network.by_address))
+        some = [m for m in self.members if self.loop.rng.random() < 0.6]
+        self._cut_links([(m.name, name) for m in some])
+
+    def _split(self) -> None:
+        """Cut a process and some upstreams off from all others."""
+        rng = self.loop.rng
+        name = self._some_member().name
+        self.isolated = name
+        links = [(name, 'store')]
+        for host in list(self.network.by_address):
+            if rng.random() < 0.6:
+                others = [m.name for m in self.members if m.name != name]
+                links += [(other, host) for other in others]
+        self.faults.cut |= set(links)
+
+        def heal() -> None:
+            self.isolated = ''
+            self.faults.cut.difference_update(links)
+
+        self.loop.after(rng.uniform(1.0, 30.0), heal)
+
+    def _cut_links(self, links: list[tuple[str, str]]) -> None:
+        self.faults.cut |= set(links)
+        self.loop.after(
+            self.loop.rng.uniform(0.3, 8.0),
+            lambda: self.faults.cut.difference_update(links),
+        )
+
+    def _choke(self) -> None:
+        name = self._some_member().name
+        self.faults.choked[name] = self.loop.rng.uniform(0.05, 3.0)
+
+        def end() -> None:
+            self.faults.choked.pop(name, None)
+
+        self.loop.after(self.loop.rng.uniform(0.3, 4.0), end)
+
+    def _end_process(self) -> None:
+        member = self._some_member()
+        member.process.end()
+        self.loop.after(self.loop.rng.uniform(0.1, 2.0), member.start)
+
+    def _restart_upstream(self) -> None:
+        name = self.loop.rng.choice(list(self.network.by_address))
+        self._tell_all(self.network.start_upstream(name))
+
+    def _add_upstream(self) -> None:
+        name = f'u{len(self.network.by_address)}'
+        self._tell_all(self.network.start_upstream(name))
+
+    def _drain_upstream(self) -> None:
+        name = self.loop.rng.choice(list(self.network.by_address))
+        self._tell_all(self.network.by_address[name], draining=True)
+
+    def _remove_upstream(self) -> None:
+        name = self.loop.rng.choice(list(self.network.by_address))
+        for member in self.members:
+            self._later(member, lambda m: m.forget(name))
+
+    def _tell_all(
+        self, upstream: coordinator_world.Upstream, *, draining: bool = False
+    ) -> None:
+        for member in self.members:
+            self._later(member, lambda m: m.learn(upstream, draining=draining))
+
+    def _later(self, member: _Member, action: Any) -> None:
+        delay = self.loop.rng.choice((0.02, 0.3, 2.0))
+        self.loop.after(
+            delay, lambda: member.process.run(lambda: action(member))
+        )
+
+    def _some_member(self) -> _Member:
+        """Return a process, more often one that holds the claim."""
+        rng = self.loop.rng
+        holders = [m for m in self.members if m.coordinator.holds_claim]
+        if holders and rng.random() < 0.7:
+            return rng.choice(holders)
+        return rng.choice(self.members)
+
+
+@contextlib.contextmanager
+def _simulated(world_loop: list[virtual_loop.Loop]) -> Iterator[None]:
+    """Replace what would touch real sockets and clocks."""
+
+    async def sleep(duration: timedelta) -> None:
+        await world_loop[0].sleep(duration)
+
+    async def spawn(coro: Any) -> virtual_loop.Task:
+        return await world_loop[0].spawn(coro)
+
+    async def fetch(
+        conn: coordinator_world.Conn, head: Any, body: bytes, *, limit: int
+    ) -> Any:
+        return await conn.pool.fetch(conn, head, body, limit=limit)
+
+    patches = (
+        (aio, 'sleep', sleep),
+        (aio, 'spawn', spawn),
+        (aio, 'timeout', lambda d: world_loop[0].timeout(d)),
+        (http_io, 'fetch', fetch),
+        (key_map, 'LAST_KEY', LAST_KEY),
+        (key_map, 'KEY_COUNT', LAST_KEY + 1),
+    )
+    with contextlib.ExitStack() as stack:
+        for target, name, value in patches:
+            stack.enter_context(mock.patch.object(target, name, value))
+        yield
+
+
+def run(seed: int, *, log: bool = False) -> Outcome:
+    """Run one schedule and return its violations."""
+    outcome = Outcome()
+    loops: list[virtual_loop.Loop] = []
+
+    def note(kind: str, **fields: Any) -> None:
+        if log:
+            now = loops[0].now if loops else 0.0
+            name = ''
+            if loops and loops[0].current is not None:
+                name = loops[0].current.process.name
+            outcome.log.append(f'{now:.3f} {name} {kind} {fields}')
+
+    with (
+        _simulated(loops),
+        mock.patch.object(decision_log, 'note', note),
+    ):
+        world = World(seed)
+        loops.append(world.loop)
+        world.loop.run(world.duration)
+        world.loop.closing = True
+        for process in world.processes:
+            process.close()
+    outcome.violations = world.checker.violations
+    outcome.grants = world.checker.grants
+    return outcome
+
+
+def _random_key(rng: random.Random) -> int:
+    """Return a key; some are far busier than others."""
+    if rng.random() < 0.5:
+        return rng.randrange(LAST_KEY // 8 + 1)
+    return rng.randrange(LAST_KEY + 1)
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -1,5 +1,6 @@
 """Fakes of the store and of upstreams, and builders of test objects."""
 
+from collections.abc import Callable
 from collections.abc import Mapping
 from datetime import timedelta
 
@@ -170,14 +171,16 @@
 
     ``held`` maps a host to its ranges and their fences, and ``log`` lists
     the calls in order. Hosts in ``unresponsive`` do not answer, those in
-    ``unreachable`` cannot be connected to, and those in ``disconnected``
-    have lost the connections of their last grants.
+    ``late_grants`` answer releases but no grants, those in ``unreachable``
+    cannot be connected to, and those in ``disconnected`` have lost the
+    connections of their last grants.
     """
 
     def __init__(self) -> None:
         self.held: dict[str, dict[tuple[int, int], int]] = {}
         self.fences: dict[str, int] = {}
         self.unresponsive: set[str] = set()
+        self.late_grants: set[str] = set()
         self.unreachable: set[str] = set()
         self.disconnected: set[str] = set()
         self.log: list[tuple[str, str, key_grants.Grant]] = []
@@ -192,6 +195,7 @@
         renewal: key_grants.Connections | None,
         hold: timedelta,
         timeout: timedelta,
+        may_send: Callable[[], bool],
     ) -> key_grants.GrantReply:
         result = await self._grant_result(address, grant, renewal, hold)
         return key_grants.GrantReply(
@@ -212,7 +216,7 @@
         self.holds.append(hold)
         if address.host in self.unreachable:
             return key_grants.GrantResult.UNREACHABLE
-        if address.host in self.unresponsive:
+        if address.host in self.unresponsive | self.late_grants:
             await aio.sleep(timedelta(milliseconds=20))
             return key_grants.GrantResult.NO_RESPONSE
         if grant.fence < self.fences.get(address.host, 0):
--- a/tests/test_key_coordinator.py
+++ b/tests/test_key_coordinator.py
@@ -10,8 +10,11 @@
 from goldcresthaven import aio
 from goldcresthaven import clock
 from goldcresthaven import fleet_messages
+from goldcresthaven import hold_bounds
 from goldcresthaven import ids
+from goldcresthaven import key_claims
 from goldcresthaven import key_coordinator
+from goldcresthaven import key_coordinator_state
 from goldcresthaven import key_grants
 from goldcresthaven import key_map
 from goldcresthaven import registry
@@ -197,6 +200,47 @@
 
         run(main)
 
+    def test_owner_whose_raised_fence_is_unanswered_is_not_released(
+        self,
+    ) -> None:
+        """Guards against a raised fence that is applied after a release.
+
+        The owner answered the release of the older fence while the grant of
+        the raised one was still in flight (coordinator simulation, seed
+        3319; a grant of fence 10098 arrived while 10116 held the keys).
+        """
+
+        async def main(fleet: Fleet) -> None:
+            fleet.register('u1', 'u2')
+            await aio.spawn(fleet.coordinator('n1').run())
+            await fleet.until(lambda: len(fleet.leases.held) == 2)
+            fleet.leases.late_grants.add('u1')
+            fleet.register('u1', draining=True)
+            left = fleet.clock.elapsed()
+            await fleet.until(lambda: fleet.owners() == {'u2'})
+            self.assertEqual(fleet.leases.calls('release', 'u1'), [])
+            waited = fleet.clock.elapsed() - left
+            self.assertGreater(waited, key_grants.RELEASE_TIMEOUT)
+
+        run(main)
+
+    def test_release_follows_an_accepted_higher_fence(self) -> None:
+        """Guards against an earlier grant that is applied after a release."""
+
+        async def main(fleet: Fleet) -> None:
+            fleet.register('u1', 'u2')
+            await aio.spawn(fleet.coordinator('n1').run())
+            await fleet.until(lambda: len(fleet.leases.held) == 2)
+            held = max(g.fence for g in fleet.leases.calls('grant', 'u1'))
+            fleet.register('u1', draining=True)
+            await fleet.until(lambda: fleet.owners() == {'u2'})
+            (release,) = fleet.leases.calls('release', 'u1')
+            self.assertGreater(release.fence, held)
+            accepted = [g.fence for g in fleet.leases.calls('grant', 'u1')]
+            self.assertIn(release.fence, accepted)
+
+        run(main)
+
     def test_unreachable_owner_is_replaced_within_4_s(self) -> None:
         """Guards against keys that no upstream serves for over 4 s."""
 
@@ -237,6 +281,55 @@
 
         run(main)
 
+    def test_successor_repeats_its_request_to_step_down(self) -> None:
+        """Guards against a lost datagram that costs 14 s at each move."""
+
+        async def main(fleet: Fleet) -> None:
+            fleet.register('u1', 'u2')
+            first = await aio.spawn(fleet.coordinator('n1').run())
+            await fleet.until(lambda: len(fleet.leases.held) == 2)
+            await first.cancel()
+            fleet.advance_store_clock(5.0)
+            successor = fleet.coordinator('n2')
+            await aio.spawn(successor.run())
+            await fleet.until(lambda: len(fleet.step_down_requests) >= 3)
+            request = fleet.step_down_requests[0][1]
+            successor.predecessor_stepped_down(
+                fleet_messages.SteppedDown(
+                    pool=POOL, claim_version=request.claim_version, bounds=[]
+                )
+            )
+            sent = len(fleet.step_down_requests)
+            await aio.sleep(timedelta(seconds=1))
+            self.assertEqual(len(fleet.step_down_requests), sent)
+
+        run(main)
+
+    def test_first_grant_of_a_fence_needs_a_fresh_claim(self) -> None:
+        """Guards against a stale holder's fence at a restarted upstream.
+
+        The upstream no longer knows the fence of a successor.
+        """
+        term = key_coordinator_state.ClaimTerm(
+            address='n1:7200',
+            claim_version=1,
+            acquired_version=1,
+            renewed_at=timedelta(seconds=50),
+            store_clock_offset=timedelta(),
+            keys=key_map.empty(),
+            holds=hold_bounds.HoldBounds(inherited=timedelta()),
+            fence=1,
+            fences_reserved=True,
+        )
+        connections = key_grants.Connections(3)
+        stale = timedelta(seconds=50) + key_claims.STALE_TIMEOUT
+        fresh = stale - timedelta(milliseconds=1)
+        self.assertTrue(term.may_grant(fresh, renewal=None))
+        self.assertFalse(term.may_grant(stale, renewal=None))
+        self.assertTrue(term.may_grant(stale, renewal=connections))
+        invalid = timedelta(seconds=50) + key_claims.CLAIM_VALIDITY
+        self.assertFalse(term.may_grant(invalid, renewal=connections))
+
     def test_new_connection_gets_a_new_fence(self) -> None:
         """Guards against a restarted upstream that gets its old fence.
 
@@ -346,8 +439,16 @@
             request = fleet_messages.StepDown(pool=POOL, claim_version=10**6)
             claim = {'holder': 'other', 'beat': fleet.store.clock + 60}
             fleet.store.put(CLAIMS, POOL, json.dumps(claim).encode())
-            answer = coordinator.step_down(request)
-            assert answer is not None
+            answers: list[fleet_messages.SteppedDown] = []
+
+            def answered() -> bool:
+                # There is no answer while a grant is being sent.
+                answer = coordinator.step_down(request)
+                answers.extend([answer] if answer else [])
+                return bool(answers)
+
+            await fleet.until(answered)
+            (answer,) = answers
             named = {bound.upstream_id for bound in answer.bounds}
             self.assertEqual(named, {'u1', 'u2'})
             before = len(fleet.leases.log)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -66,7 +66,8 @@
 zone = "a"
 ip = "10.1.0.18"
 internal-ports = [7200, 7215]
-bounds = ["grace-s=6", "hold-max-s=10", "drain-whole=true"]
+bounds = ["grace-s=6", "hold-max-s=10", "drain-whole=true",
+    "retry-budget-ratio=0.2", "budget-slack=126"]
 [listen]
 front = "10.1.0.18:8381"
 ready = "10.1.0.18:8388"
@@ -252,6 +253,7 @@
     def __init__(self, *responses: bytes, delay: float = 0.0) -> None:
         self._delay = timedelta(seconds=delay)
         self.requests: list[str] = []
+        self.accepted = 0
         self._responses = list(responses)
         self._listener = aio.Listener(host=HOST, port=0, handler=self._serve)
 
@@ -260,6 +262,7 @@
         return members.Address(host=HOST, port=self._listener.port)
 
     async def _serve(self, sock: aio.Socket) -> None:
+        self.accepted += 1
         while True:
             text = ''
             while not _is_complete(text):
@@ -388,6 +391,7 @@
         address: members.Address,
         renewal: key_grants.Connections | None,
         fence: int = 4,
+        permitted: bool = True,
     ) -> key_grants.GrantReply:
         return await calls.grant(
             ids.UpstreamId('i-1'),
@@ -396,6 +400,7 @@
             renewal=renewal,
             hold=timedelta(seconds=3),
             timeout=timedelta(seconds=1),
+            may_send=lambda: permitted,
         )
 
     def test_renewal_needs_the_connection_of_the_grant(self) -> None:
@@ -463,6 +468,52 @@
         run(main)
         self.assertEqual(scripted.requests, [])
 
+    def test_grant_is_withdrawn_when_the_permission_has_ended(self) -> None:
+        """Guards against a grant that outlives its sender's term.
+
+        A predecessor had stepped down while its grant still connected, and
+        a restarted upstream accepted the old fence (coordinator simulation,
+        seed 1304).
+        """
+        scripted = ScriptedServer(reply(200))
+
+        async def main() -> None:
+            calls = leases.PlatformLeases(clock=clock.SystemClock())
+            address = await scripted.start()
+            found = await self.grant(calls, address, None, permitted=False)
+            self.assertEqual(found.result.name, 'WITHDRAWN')
+
+        run(main)
+        self.assertEqual(scripted.requests, [])
+
+    def test_new_fence_and_release_use_new_connections(self) -> None:
+        """Guards against a second response to an earlier call.
+
+        Grants and releases carry no id that their responses echo, so a late
+        second response would be taken for the response to the next call.
+        """
+        twice = reply(200) + reply(200)
+        scripted = ScriptedServer(*[twice] * 4)
+        connections: list[int] = []
+
+        async def main() -> None:
+            calls = leases.PlatformLeases(clock=clock.SystemClock())
+            address = await scripted.start()
+            for fence in (4, 5):
+                found = await self.grant(calls, address, None, fence=fence)
+                connections.append(found.connections)
+            for _ in range(2):
+                await calls.release(
+                    ids.UpstreamId('i-1'),
+                    address,
+                    key_grants.Grant(first=0, last=9, fence=5),
+                    timeout=timedelta(seconds=1),
+                )
+
+        run(main)
+        self.assertEqual(len(set(connections)), 2)
+        self.assertEqual(scripted.accepted, 4)
+
     def test_renewal_is_not_sent_over_a_later_connection(self) -> None:
         """Guards against renewing an old fence over a newer connection.
 
