Limit retries by pool and by the size of the fleet

Change: a budget for each pool; the stored retries of a process are its share of half the deployment's slack, between 1 and 3. Ratio and slack come from the platform's settings instead of constants.

--- a/goldcresthaven/gateway.py
+++ b/goldcresthaven/gateway.py
@@ -33,9 +33,6 @@
 # wait for at most a third of it.
 RETRY_AFTER_SHARE = 0.3
 MIN_RETRY_AFTER = timedelta(milliseconds=30)
-# Retries per request; half of what the deployment allows for all retries.
-RETRY_RATIO = 0.1
-RETRY_BURST = 3.0
 # Limit of the keys that are collected per pool between two load reports.
 MAX_REQUESTED_KEYS = 2000
 SEND_TIMEOUT = timedelta(seconds=5)
@@ -52,6 +49,7 @@
         headers: request_meta.Headers,
         selector: selection.Selector,
         metrics: gateway_metrics.GatewayMetrics,
+        retry_budget: retries.FleetBudget,
         clock: clock_module.Clock,
         rng: random.Random,
     ) -> None:
@@ -65,7 +63,9 @@
         self._chooser = upstream_choice.UpstreamChooser(
             known_state=known_state, selector=selector, clock=clock
         )
-        self._budget = retries.RetryBudget(tokens=RETRY_BURST)
+        self._budgets = retries.PoolBudgets(
+            allowed=retry_budget, fleet_size=lambda: known_state.fleet_size
+        )
         self._draining = False
         self._closing_when_idle = False
         self.in_flight = 0
@@ -246,7 +246,7 @@
     async def _run(
         self, routed: upstream_choice.RoutedRequest
     ) -> outcomes.Outcome:
-        self._budget.earn(RETRY_RATIO)
+        budget = self._budgets.request_arrived(routed.pool.name)
         if routed.call.meta.key is not None and routed.keyed:
             requested = self._requested_keys.setdefault(routed.pool.name, [])
             if len(requested) < MAX_REQUESTED_KEYS:
@@ -268,7 +268,7 @@
             )
             if self._is_last_attempt(routed, attempt):
                 return self._with_retry_after(outcome)
-            if not retries.may_retry(attempt, context, self._budget):
+            if not retries.may_retry(attempt, context, budget):
                 return self._with_retry_after(outcome)
             self._metrics.retried()
             if attempt.status == 421:
--- a/goldcresthaven/gateway_process.py
+++ b/goldcresthaven/gateway_process.py
@@ -75,6 +75,7 @@
             headers=headers,
             selector=self._selector,
             metrics=self._metrics,
+            retry_budget=cfg.retry_budget,
             clock=self._clock,
             rng=self._rng,
         )
--- a/goldcresthaven/gateway_settings.py
+++ b/goldcresthaven/gateway_settings.py
@@ -5,6 +5,7 @@
 
 from goldcresthaven import ids
 from goldcresthaven import members
+from goldcresthaven import retries
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -14,7 +15,8 @@
     ``grace`` is the time from the stop signal until the process is killed.
     ``longest_hold`` is the longest grant of keys that an upstream accepts.
     ``cpu_cores`` is the VM's CPU capacity in standard cores, and
-    ``link_bytes_per_s`` the bandwidth of its network link.
+    ``link_bytes_per_s`` the bandwidth of its network link. ``retry_budget``
+    limits the retries of all processes together.
     """
 
     vm: ids.VmId
@@ -27,3 +29,4 @@
     longest_hold: timedelta
     cpu_cores: float
     link_bytes_per_s: float
+    retry_budget: retries.FleetBudget
--- a/goldcresthaven/platform/settings.py
+++ b/goldcresthaven/platform/settings.py
@@ -11,6 +11,7 @@
 from goldcresthaven import gateway_settings
 from goldcresthaven import ids
 from goldcresthaven import members
+from goldcresthaven import retries
 from goldcresthaven.platform import names
 
 # Also set in deploy/system.toml; the platform assigns no port for metrics.
@@ -54,6 +55,10 @@
         # as a standard core.
         cpu_cores=_limit(fields, 'cpu-share') * _limit(fields, 'cores'),
         link_bytes_per_s=_limit(fields, 'link-mbps') * _BYTES_PER_MEGABIT,
+        retry_budget=retries.FleetBudget(
+            ratio=_number(bounds, 'retry-budget-ratio'),
+            slack=_number(bounds, 'budget-slack'),
+        ),
     )
 
 
@@ -66,13 +71,20 @@
 
 
 def _bound(bounds: Mapping[str, str], name: str) -> timedelta:
+    value = _number(bounds, name)
+    if not 0 < value < 3600:
+        raise _problem(f'bounds: {name}', 'is out of range')
+    return timedelta(seconds=value)
+
+
+def _number(bounds: Mapping[str, str], name: str) -> float:
     try:
         value = float(bounds[name])
     except (KeyError, ValueError) as exc:
         raise _problem(f'bounds: {name}', 'is not a number') from exc
-    if not 0 < value < 3600:
+    if not 0 <= value < 1e9:
         raise _problem(f'bounds: {name}', 'is out of range')
-    return timedelta(seconds=value)
+    return value
 
 
 def _limit(fields: Mapping[str, Any], name: str) -> float:
--- a/goldcresthaven/retries.py
+++ b/goldcresthaven/retries.py
@@ -5,6 +5,7 @@
 was not executed.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
@@ -15,6 +16,12 @@
 MAX_ATTEMPTS = 3
 # Capacity of the retry budget's token bucket, which is full at the start.
 BUDGET_TOKENS = 10.0
+# Part of what the deployment allows that is used. The rest covers requests
+# that were counted in another window than their retries.
+BUDGET_SHARE = 0.5
+# Limits of one process's stored retries. A token is needed for one retry.
+MIN_BURST = 1.0
+MAX_BURST = 3.0
 
 RETRY_AFTER = timedelta(seconds=1)
 
@@ -156,7 +163,7 @@
     """
 
     def __init__(self, *, tokens: float = BUDGET_TOKENS) -> None:
-        self._limit = tokens
+        self.limit = tokens
         self._tokens = tokens
 
     def earn(self, ratio: float) -> None:
@@ -164,7 +171,7 @@
 
         ``ratio`` is the allowed number of retries per request.
         """
-        self._tokens = min(self._limit, self._tokens + ratio)
+        self._tokens = min(self.limit, self._tokens + ratio)
 
     def spend(self) -> bool:
         """Take a token for a retry; return whether there was one."""
@@ -174,6 +181,49 @@
         return True
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FleetBudget:
+    """The retries that a deployment allows for all processes together.
+
+    In any window, the retries at a pool may exceed ``ratio`` times the
+    requests for it by ``slack``.
+    """
+
+    ratio: float
+    slack: float
+
+
+class PoolBudgets:
+    """This process's share of the fleet's retries, for each pool.
+
+    A pool that fails gets no retries for the requests of other pools. The
+    share of the slack shrinks with the fleet, so that the limit holds for
+    any number of processes. ``fleet_size`` returns that number.
+    """
+
+    def __init__(
+        self, *, allowed: FleetBudget, fleet_size: Callable[[], int]
+    ) -> None:
+        self._allowed = allowed
+        self._fleet_size = fleet_size
+        self._budgets: dict[ids.PoolName, RetryBudget] = {}
+
+    def request_arrived(self, pool: ids.PoolName) -> RetryBudget:
+        """Return the budget of a pool, to which a request has been added."""
+        limit = self._burst()
+        budget = self._budgets.get(pool)
+        if budget is None:
+            budget = RetryBudget(tokens=limit)
+            self._budgets[pool] = budget
+        budget.limit = limit
+        budget.earn(self._allowed.ratio * BUDGET_SHARE)
+        return budget
+
+    def _burst(self) -> float:
+        share = self._allowed.slack * BUDGET_SHARE / self._fleet_size()
+        return min(MAX_BURST, max(MIN_BURST, share))
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RetryContext:
     """What a retry depends on besides the last attempt.
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -179,7 +179,8 @@
         file.write_text(
             f'node = "{gateway.name}"\nzone = "{gateway.zone}"\n'
             f'ip = "{gateway.host}"\ninternal-ports = [{PEER_PORT}]\n'
-            f'bounds = ["grace-s={GRACE_S}", "hold-max-s={HOLD_MAX_S}"]\n'
+            f'bounds = ["grace-s={GRACE_S}", "hold-max-s={HOLD_MAX_S}", '
+            f'"retry-budget-ratio=0.2", "budget-slack=100"]\n'
             f'[listen]\nfront = "{gateway.address}"\n'
             f'ready = "{gateway.host}:{READY_PORT}"\n'
             '[limits]\ncpu-share = 1.0\ncores = 1\nlink-mbps = 700.0\n'
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -19,6 +19,7 @@
 from goldcresthaven import known_state as known_state_module
 from goldcresthaven import members
 from goldcresthaven import registry
+from goldcresthaven import retries
 from goldcresthaven import routes
 from goldcresthaven import selection
 from goldcresthaven import upstream_exchange
@@ -133,6 +134,7 @@
             headers=headers,
             selector=selection.Selector(zone=ids.ZoneId('a'), rng=rng),
             metrics=gateway_metrics.GatewayMetrics(),
+            retry_budget=retries.FleetBudget(ratio=0.2, slack=100),
             clock=self.clock,
             rng=rng,
         )
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -142,6 +142,47 @@
         lost = retries.may_retry(make(F.LOST, 0), retry_context(True), spent)
         self.assertFalse(lost)
 
+    def test_failing_pool_gets_no_retries_of_other_pools(self) -> None:
+        """Guards against more retries at a pool than its requests allow.
+
+        The pool with a sixth of the requests failed, and the retries that
+        all pools had earned went there (Toits Solides, grown, scale-1:
+        BUDGET).
+        """
+        allowed = retries.FleetBudget(ratio=0.2, slack=247)
+        budgets = retries.PoolBudgets(allowed=allowed, fleet_size=lambda: 92)
+        sent = 0
+        for number in range(600):
+            failing = number % 6 == 0
+            pool = ids.PoolName('failing' if failing else 'healthy')
+            budget = budgets.request_arrived(pool)
+            while failing and budget.spend():
+                sent += 1
+        self.assertLessEqual(sent, 100 * 0.2 + 247 / 92)
+
+    def test_limit_of_retries_holds_for_any_size_of_the_fleet(self) -> None:
+        """Guards against a burst that grows with the number of processes.
+
+        With 3 stored retries each, 195 processes could send 585, where the
+        deployment allows 430.
+        """
+        deployments = ((20, 129), (92, 247), (195, 430))
+        for processes, slack in deployments:
+            allowed = retries.FleetBudget(ratio=0.2, slack=slack)
+            sent = requests = 0
+            for _ in range(processes):
+                budgets = retries.PoolBudgets(
+                    allowed=allowed, fleet_size=iter([processes] * 10).__next__
+                )
+                for _ in range(10):
+                    requests += 1
+                    budget = budgets.request_arrived(ids.PoolName('failing'))
+                    while budget.spend():
+                        sent += 1
+            with self.subTest(processes=processes):
+                self.assertLessEqual(sent, requests * 0.2 + slack)
+                self.assertGreater(sent, 0)
+
     @given(st.integers(min_value=0, max_value=2000))
     def test_budget_limits_the_share_of_retries(self, requests: int) -> None:
         """Guards against retries that increase an overload."""
