Notice a caller that leaves with requests sent ahead

Cause: the check for a closed connection peeked at one byte. Requests that the caller had sent ahead hid its close, so that upstreams worked on for a caller that had left.

Change: the check receives what was sent ahead, up to 64 KiB, and then sees the close. Requests of one connection are still served one after another.

--- a/goldcresthaven/aio.py
+++ b/goldcresthaven/aio.py
@@ -191,6 +191,23 @@
         return b''
 
 
+def receive_nowait(sock: Socket, size: int) -> bytes | None:
+    """Return received data without blocking, or None if there is none.
+
+    Returns empty bytes when the other side has closed the connection or the
+    connection has failed.
+    """
+    raw = cast(Any, sock)._socket
+    if raw is None:
+        return b''
+    try:
+        return bytes(raw.recv(size))
+    except BlockingIOError:
+        return None
+    except OSError:
+        return b''
+
+
 def limit_unacknowledged(sock: Socket, duration: timedelta) -> None:
     """Limit how long sent bytes may stay unacknowledged (TCP_USER_TIMEOUT).
 
--- a/goldcresthaven/http_io.py
+++ b/goldcresthaven/http_io.py
@@ -21,6 +21,8 @@
 PIECE_BYTES = 64 << 10
 HEAD_LIMIT_BYTES = 32 << 10
 MAX_INFORMATIONAL = 8
+# Requests that a caller sends ahead are buffered up to this size.
+READ_AHEAD_BYTES = 64 << 10
 
 HEAD_TIMEOUT = timedelta(seconds=5)
 BODY_PIECE_TIMEOUT = timedelta(seconds=10)
@@ -221,6 +223,21 @@
             http_version=event.http_version.decode('latin-1'),
         )
 
+    def peer_closed(self) -> bool:
+        """Return whether the caller is known to have closed.
+
+        A close is behind the requests that the caller has sent ahead, so
+        these are received first, up to ``READ_AHEAD_BYTES``.
+        """
+        while not self.closed and len(self._buf) < READ_AHEAD_BYTES:
+            data = aio.receive_nowait(self._sock, PIECE_BYTES)
+            if data is None:
+                return False
+            if not data:
+                return True
+            self._buf += data
+        return self.closed
+
     def _protocol_error(
         self, problem: str, status: int
     ) -> errors.ProtocolError:
