Assume the pool's mean service time for an upstream without responses

Cause: an upstream that had not responded yet counted as taking 150 ms. Where work takes 180 to 560 ms (the grown and large sites), it looked faster than all others and drew requests while it was cold.

Change: the mean of the pool, from responses and shared loads; 150 ms only until any upstream of the pool has responded.

Two tests, which fail before.

--- a/goldcresthaven/selection.py
+++ b/goldcresthaven/selection.py
@@ -19,8 +19,7 @@
 from goldcresthaven import registry
 from goldcresthaven import request_meta
 
-# Used until an upstream has responded; in the middle of the pools' service
-# times.
+# Used until any upstream of a pool has responded.
 INITIAL_SERVICE_TIME = timedelta(milliseconds=150)
 # Each gain is the weight of a new sample in an exponential moving average.
 SERVICE_GAIN = 0.15
@@ -80,12 +79,13 @@
 class UpstreamEstimate:
     """Observed and reported state of one upstream.
 
+    ``service_time`` is None until a response or a shared load has shown it.
     ``own_requests`` counts this process's requests in flight. ``last_load``
     is the load in the latest report, and ``smoothed_load`` its moving average.
     """
 
     slots: int
-    service_time: timedelta = INITIAL_SERVICE_TIME
+    service_time: timedelta | None = None
     own_requests: int = 0
     last_load: float = 0.0
     reported_at: timedelta | None = None
@@ -148,6 +148,7 @@
             tuple[ids.UpstreamId, registry.Incarnation], UpstreamEstimate
         ] = {}
         self._mean_per_slot: dict[ids.PoolName, float] = {}
+        self._mean_service_time: dict[ids.PoolName, timedelta] = {}
 
     def state(self, upstream: registry.Upstream) -> UpstreamEstimate:
         incarnation_key = (upstream.upstream_id, upstream.incarnation)
@@ -175,18 +176,26 @@
 
     def capacity(self, upstream: registry.Upstream) -> float:
         """Return the number of slots, weighted by the upstream's speed."""
-        state = self.state(upstream)
-        return upstream.slots * (INITIAL_SERVICE_TIME / state.service_time)
+        service_time = self.service_time(upstream)
+        return upstream.slots * (INITIAL_SERVICE_TIME / service_time)
 
     def service_time(self, upstream: registry.Upstream) -> timedelta:
-        """Return the observed service time, without queueing."""
-        return self.state(upstream).service_time
+        """Return the observed service time, without queueing.
+
+        An upstream that has not responded yet counts as fast as its pool's
+        mean.
+        """
+        return self.state(
+            upstream
+        ).service_time or self._mean_service_time.get(
+            upstream.pool, INITIAL_SERVICE_TIME
+        )
 
     def estimate(self, upstream: registry.Upstream, now: timedelta) -> Choice:
         """Return an upstream with its expected time for one more request."""
         state = self.state(upstream)
         load = state.load(now, self._mean_per_slot.get(upstream.pool, 0.0))
-        service_time = state.service_time
+        service_time = self.service_time(upstream)
         if now < state.cold_until:
             service_time = service_time * COLD_FACTOR
         queued_requests = max(0.0, load + 1 - state.slots)
@@ -252,7 +261,7 @@
                     requests=round(state.last_load),
                     slots=state.slots,
                     age=now - reported_at,
-                    service=state.service_time,
+                    service=self.service_time(upstream),
                 )
             )
         return found
@@ -270,7 +279,7 @@
         if known is not None and reported_at <= known + MIN_AGE_DIFFERENCE:
             return
         state.report(load.requests, load.slots, reported_at)
-        state.service_time += SHARED_GAIN * (load.service - state.service_time)
+        self._record_service_time(upstream, load.service, SHARED_GAIN)
         self._update_mean(upstream.pool, load.requests / load.slots)
 
     def attempt_started(self, upstream: registry.Upstream) -> None:
@@ -298,7 +307,7 @@
             case AttemptOutcome.ANSWERED:
                 state.consecutive_failures = 0
                 state.answered += 1
-                self._update_service(state, now, elapsed, load)
+                self._update_service(upstream, now, elapsed, load)
             case AttemptOutcome.SHED:
                 state.shed_until = now + SHED_PAUSE
             case AttemptOutcome.UNREACHABLE:
@@ -324,16 +333,27 @@
 
     def _update_service(
         self,
-        state: UpstreamEstimate,
+        upstream: registry.Upstream,
         now: timedelta,
         elapsed: timedelta,
         load: request_meta.Load | None,
     ) -> None:
-        if now < state.cold_until:
+        if now < self.state(upstream).cold_until:
             return
         queued = load.waiting / load.slots if load else 0.0
         sample = elapsed / (1 + queued)
-        state.service_time += SERVICE_GAIN * (sample - state.service_time)
+        self._record_service_time(upstream, sample, SERVICE_GAIN)
+
+    def _record_service_time(
+        self, upstream: registry.Upstream, sample: timedelta, gain: float
+    ) -> None:
+        state = self.state(upstream)
+        before = self.service_time(upstream)
+        state.service_time = before + gain * (sample - before)
+        mean = self._mean_service_time.get(upstream.pool, sample)
+        self._mean_service_time[upstream.pool] = mean + SERVICE_GAIN * (
+            state.service_time - mean
+        )
 
     def _score(
         self, choice: Choice, other_zone_penalty: timedelta
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -120,6 +120,42 @@
             assert choice is not None
             self.assertEqual(choice.upstream.upstream_id, 'u1')
 
+    def test_joined_upstream_counts_as_fast_as_its_pool(self) -> None:
+        """Guards against upstreams that join and get no requests.
+
+        Work took 24 to 78 ms, but an upstream without responses counted as
+        taking 150 ms and was never the best choice (Toits Solides, scale-1:
+        upstreams that joined and got nothing).
+        """
+        for number in range(40):
+            self.end(
+                ('u1', 'u2')[number % 2], ANSWERED, waiting=0, elapsed=24 * MS
+            )
+        joined = fake_platform.upstream('u3')
+        expected = self.selector.estimate(joined, NOW).expected
+        self.assertLess(expected, selection.INITIAL_SERVICE_TIME)
+        chosen = set()
+        for number in range(60):
+            choice = self.selector.choose([self.one, self.two, joined], NOW)
+            assert choice is not None
+            chosen.add(choice.upstream.upstream_id)
+            self.selector.attempt_started(choice.upstream)
+        self.assertIn('u3', chosen)
+
+    def test_joined_upstream_does_not_count_as_faster(self) -> None:
+        """Guards against a burst of requests to a slow pool's new upstream."""
+        for _ in range(40):
+            self.end('u1', ANSWERED, waiting=0, elapsed=500 * MS)
+        joined = fake_platform.upstream('u3')
+        expected = self.selector.estimate(joined, NOW).expected
+        known = self.selector.estimate(self.one, NOW).expected
+        self.assertGreater(expected, 0.9 * known)
+        self.assertAlmostEqual(
+            self.selector.capacity(joined),
+            self.selector.capacity(self.one),
+            delta=1.0,
+        )
+
     def test_all_paused_still_gives_a_choice(self) -> None:
         """Guards against refusing requests while all upstreams are paused."""
         self.end('u1', SHED)
