Call an unavailable store less often, and estimate the fleet at a start

Cause: while the store is down for the coordinator too, each process reads both tables about once a second and the key maps once in 1.5 s. By these intervals, 195 processes make about 500 calls a second, each of them priced. After a start of the whole fleet every process reads the claims in each round, because it takes the fleet for one process until the first report.

Change: pauses between failed reads grow to 2 s instead of 1 s, and reads of the maps are half as frequent while they fail; a machine counts as calm 3 s after an outage. Before the first report the size of the fleet is estimated from the number of upstreams.

Two new tests, which fail before.

--- a/goldcresthaven/fleet_link.py
+++ b/goldcresthaven/fleet_link.py
@@ -261,7 +261,7 @@
                 self._known_state.record_coordinator_report(
                     message.pool, message.map_version, now
                 )
-                self._known_state.fleet_size = message.processes
+                self._known_state.record_fleet_size(message.processes)
                 for peer in message.peers:
                     self._peers[members.Address.parse(peer)] = now
                 tables.apply_report(message.tables, now)
--- a/goldcresthaven/known_state.py
+++ b/goldcresthaven/known_state.py
@@ -14,6 +14,8 @@
 
 # Tables that operators and upstreams write.
 FOLLOWED_TABLES = (state_store.Table.CONFIG, state_store.Table.REGISTRY)
+# Deployments have one to two upstreams for each process.
+UPSTREAMS_PER_PROCESS = 2.0
 # Longest time for a release and the write of its move. An announcement that
 # no new map has followed by then is discarded.
 MOVE_TIMEOUT = timedelta(seconds=1)
@@ -40,12 +42,25 @@
             table: table_relay.Position() for table in FOLLOWED_TABLES
         }
         self.maps_read = False
-        # As last reported by a coordinator; 1 before the first report.
-        self.fleet_size = 1
+        self._reported_fleet_size: int | None = None
         self._coordinator_reported_at: dict[ids.PoolName, timedelta] = {}
         self._moving: list[_MovingKeys] = []
         self.maps_outdated = False
 
+    @property
+    def fleet_size(self) -> int:
+        """The number of processes that a coordinator last reported.
+
+        Before the first report it is estimated from the number of upstreams.
+        """
+        if self._reported_fleet_size is not None:
+            return self._reported_fleet_size
+        upstreams = len(self.registry.all_upstreams())
+        return max(1, round(upstreams / UPSTREAMS_PER_PROCESS))
+
+    def record_fleet_size(self, processes: int) -> None:
+        self._reported_fleet_size = max(1, processes)
+
     def is_complete(self) -> bool:
         """Return whether requests can be routed."""
         registry_known = self.positions[state_store.Table.REGISTRY].answered_at
--- a/goldcresthaven/store_follower.py
+++ b/goldcresthaven/store_follower.py
@@ -58,11 +58,15 @@
 # A coordinator sends three reports a second.
 COORDINATOR_TIMEOUT = timedelta(seconds=1.2)
 READ_INTERVAL_WITHOUT_REPORTS = timedelta(seconds=1.5)
+# While the store does not answer, reads of the maps are this much rarer.
+FAILING_READ_FACTOR = 2.0
 # Interval of reads while all known coordinators report. It finds the maps of
 # coordinators that this process does not know yet.
 READ_INTERVAL_WITH_REPORTS = timedelta(seconds=30)
 FIRST_RETRY_PAUSE = timedelta(milliseconds=100)
-MAX_RETRY_PAUSE = timedelta(seconds=1)
+# All processes call the store while it is unavailable to a coordinator too. A
+# machine counts as calm again 3 s after an outage.
+MAX_RETRY_PAUSE = timedelta(seconds=2)
 # Entries of the registry may expire during an outage of this length.
 LAPSING_OUTAGE = timedelta(seconds=1.5)
 # How long a new process waits for a coordinator's first report before it
@@ -134,10 +138,14 @@
                 if not failing:
                     decision_log.note('maps-unread', detail=str(exc))
                 failing = True
-            await self._wait_until_read_needed(started)
+            await self._wait_until_read_needed(started, failing=failing)
 
-    async def _wait_until_read_needed(self, read_at: timedelta) -> None:
+    async def _wait_until_read_needed(
+        self, read_at: timedelta, *, failing: bool
+    ) -> None:
         jitter = self._rng.uniform(0.7, 1.3)
+        if failing:
+            jitter *= FAILING_READ_FACTOR
         while True:
             await aio.sleep(MAP_CHECK_INTERVAL)
             now = self._clock.elapsed()
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -225,6 +225,24 @@
 
         aio.run(main)
 
+    def test_calls_during_an_outage_are_rare(self) -> None:
+        """Guards against a load of calls that the whole fleet repeats.
+
+        By the intervals, 195 processes made about 500 calls a second to a
+        store that was down.
+        """
+
+        async def main() -> None:
+            await self.start_with_version_1()
+            self.store.down = True
+            await aio.sleep(timedelta(seconds=4))
+            reads = self.store.reads
+            await aio.sleep(timedelta(seconds=6))
+            # Two tables and the key maps, each at most every 1.5 s.
+            self.assertLessEqual(self.store.reads - reads, 12)
+
+        aio.run(main)
+
     def test_new_process_waits_for_the_first_report(self) -> None:
         """Guards against polls by all processes at the start of a fleet."""
 
@@ -373,6 +391,22 @@
         self.assertIsNone(keys.find(100).owner)
         self.assertFalse(self.known_state.maps_outdated)
 
+    def test_fleet_size_is_estimated_before_the_first_report(self) -> None:
+        """Guards against claim reads by every process of a new fleet."""
+        self.assertEqual(self.known_state.fleet_size, 1)
+        self.known_state.registry.apply(
+            {
+                ids.UpstreamId(f'u{n}'): fake_platform.upstream(f'u{n}')
+                for n in range(480)
+            },
+            full=True,
+            version=1,
+            now=timedelta(),
+        )
+        self.assertGreater(self.known_state.fleet_size, 100)
+        self.known_state.record_fleet_size(195)
+        self.assertEqual(self.known_state.fleet_size, 195)
+
     def test_coordinator_change_applies_to_its_base_only(self) -> None:
         """Guards against a map that lacks a move before the takeover."""
         pool = fake_platform.POOL
