Relay what a full read shows after the store lost its history

Cause: when the store forgets its history, the coordinator's poll fails and it reads the whole table. It relayed nothing then, so every other process lacked the changes in between, polled, got the same answer and read the table as well.

Change: a coordinator compares the full read with the rows it knew and relays changed and removed rows.

A new test, which fails before.

--- a/goldcresthaven/store_follower.py
+++ b/goldcresthaven/store_follower.py
@@ -113,6 +113,8 @@
         self._relay_rows = relay_rows
         self._clock = clock
         self._rng = rng
+        # Keys of the rows that each table contains, to find removed ones.
+        self._present: dict[state_store.Table, set[str]] = {}
 
     async def start(self) -> None:
         await aio.spawn(self._follow(state_store.Table.CONFIG))
@@ -185,6 +187,7 @@
     async def _follow(self, table: state_store.Table) -> None:
         pause = FIRST_RETRY_PAUSE
         failed_since: timedelta | None = None
+        lost_at: int | None = None
         position = self._known_state.positions[table]
         process_started = self._clock.elapsed()
         while True:
@@ -205,6 +208,7 @@
                 )
             except state_store.HistoryLost:
                 decision_log.note('history-lost', detail=table.value)
+                lost_at = position.reached
                 position.require_full_read()
                 continue
             except errors.StoreUnavailable as exc:
@@ -230,6 +234,11 @@
             changed_since = (
                 answered_at if gap and answered_at is not None else now
             )
+            if full and lost_at is not None:
+                changes = self._changes_since(table, lost_at, reading)
+                lost_at = None
+                if changes.rows:
+                    self._relay_rows(changes)
             rows = position.accept_reading(reading, now, full=full)
             if rows or (full and rows is not None):
                 self._apply(table, rows, reading.version, full, changed_since)
@@ -249,6 +258,30 @@
                 RELAY_CHANGE_PAUSE if relay else CHANGE_PAUSE[table]
             )
 
+    def _changes_since(
+        self,
+        table: state_store.Table,
+        base: int,
+        reading: state_store.Reading,
+    ) -> table_relay.RowChanges:
+        """Return what a full read shows to have changed after a version."""
+        found = {row.key for row in reading.rows}
+        removed = self._present.get(table, set()) - found
+        return table_relay.RowChanges(
+            table=table,
+            base=base,
+            reached=reading.version,
+            rows=(
+                *(row for row in reading.rows if row.version > base),
+                *(
+                    state_store.Row(
+                        key=key, version=reading.version, value=None
+                    )
+                    for key in sorted(removed)
+                ),
+            ),
+        )
+
     async def _wait_while_relayed(
         self, table: state_store.Table, process_started: timedelta
     ) -> bool:
@@ -322,6 +355,13 @@
         full: bool,
         changed_since: timedelta,
     ) -> None:
+        present = set() if full else self._present.get(table, set())
+        for row in rows:
+            if row.value is None:
+                present.discard(row.key)
+            else:
+                present.add(row.key)
+        self._present[table] = present
         match table:
             case state_store.Table.CONFIG:
                 self._apply_config(rows)
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -71,7 +71,8 @@
 
     ``down`` makes calls fail; ``hanging`` makes them hang and then fail.
     ``clock`` is the store's own clock in seconds. The next ``lost_answers``
-    writes are applied, but their answers are lost.
+    writes are applied, but their answers are lost. With ``history_lost``, it
+    answers polls as if it no longer kept the changes.
     """
 
     def __init__(self) -> None:
@@ -81,6 +82,7 @@
         self.down = False
         self.hanging = False
         self.lost_answers = 0
+        self.history_lost = False
         self.reads = 0
         self.watches = 0
 
@@ -108,6 +110,8 @@
         if self.hanging:
             await aio.sleep(wait)
         await self._fail_if_set()
+        if self.history_lost:
+            raise state_store.HistoryLost('history lost', remedy='read all')
         waited = 0.0
         while waited < wait.total_seconds():
             reading = self._reading(table, after, removed=True)
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -345,6 +345,35 @@
 
         aio.run(main)
 
+    def test_relay_sends_what_changed_while_history_was_lost(self) -> None:
+        """Guards against reads of all tables by every process.
+
+        The store had forgotten its history. The coordinator read the tables,
+        but the other processes lacked the changes in between, so that each
+        of them read the tables too (Toits Solides, grown, scale-1).
+        """
+
+        async def main() -> None:
+            self.relay = True
+            self.store.put(REGISTRY, 'stays', b'fine')
+            self.store.put(REGISTRY, 'leaves', b'fine')
+            await self.start_with_version_1()
+            await until(
+                lambda: len(self.known_state.registry.all_upstreams()) == 2
+            )
+            base = self.known_state.positions[REGISTRY].reached
+            self.store.history_lost = True
+            self.store.remove(REGISTRY, 'leaves')
+            self.store.put(REGISTRY, 'joins', b'fine')
+            await until(lambda: any(c.table is REGISTRY for c in self.relayed))
+            change = next(c for c in self.relayed if c.table is REGISTRY)
+            self.assertEqual(change.base, base)
+            self.assertEqual(change.reached, self.store.version)
+            found = {row.key: row.value for row in change.rows}
+            self.assertEqual(found, {'joins': b'fine', 'leaves': None})
+
+        aio.run(main)
+
     def test_relay_sends_its_changes(self) -> None:
         """Guards against a coordinator that does not relay a change."""
 
