--- a/goldcresthaven/fleet_link.py
+++ b/goldcresthaven/fleet_link.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
+import dataclasses
 from datetime import timedelta
 from typing import Protocol
 
@@ -82,7 +83,8 @@
         self._reporters: dict[members.Address, timedelta] = {}
         self._peers: dict[members.Address, timedelta] = {}
         self._next_peer = 0
-        self._loads_due: dict[ids.PoolName, timedelta] = {}
+        self._loads_credit = 0.0  # bytes
+        self._next_loads = 0
 
     async def start(self, tables: TableFollower) -> None:
         """Start to send and receive; pass reports on tables to ``tables``."""
@@ -191,23 +193,51 @@
             # A holder that cannot renew its claim sends no reports, so that
             # the other processes check the claim in the store.
             return
-        due = self._loads_due.get(pool, now) <= now
         positions = self._known_state.positions.items()
         states = [position.state(table, now) for table, position in positions]
         report = fleet_messages.CoordinatorReport(
             pool=pool,
             map_version=version,
-            loads=self._loads(now) if due else (),
+            loads=(),
             tables=[state for state in states if state is not None],
             processes=len(self._reporters) + 1,
             peers=self._peers_to_name(),
         )
+        with_loads = self._reporters_of_loads(report, now)
         data = fleet_messages.encode(report)
-        if due:
-            size = len(data) * len(self._reporters)
-            pause = timedelta(seconds=size / self._loads_rate)
-            self._loads_due[pool] = now + pause
-        self._send_all(data)
+        for address in self._reporters:
+            if address not in with_loads:
+                self._send_data(data, address)
+
+    def _reporters_of_loads(
+        self, report: fleet_messages.CoordinatorReport, now: timedelta
+    ) -> set[members.Address]:
+        """Send the report with all loads to some processes; return these.
+
+        All processes get it in turn. If it went to all at once, the burst
+        would fill the queue of a small VM's link, which then drops reports
+        and announcements.
+        """
+        addresses = list(self._reporters)
+        interval = REPORT_INTERVAL.total_seconds()
+        self._loads_credit += self._loads_rate * interval
+        data = fleet_messages.encode(
+            dataclasses.replace(report, loads=self._loads(now))
+        )
+        count = min(len(addresses), int(self._loads_credit / len(data)))
+        if count == len(addresses):
+            self._loads_credit = 0.0
+        else:
+            self._loads_credit -= count * len(data)
+        first = self._next_loads
+        chosen = {
+            addresses[number % len(addresses)]
+            for number in range(first, first + count)
+        }
+        self._next_loads = first + count
+        for address in chosen:
+            self._send_data(data, address)
+        return chosen
 
     def _peers_to_name(self) -> list[str]:
         addresses = list(self._reporters)
--- a/tests/test_fleet_link.py
+++ b/tests/test_fleet_link.py
@@ -18,6 +18,7 @@
 from goldcresthaven import ids
 from goldcresthaven import key_map
 from goldcresthaven import known_state as known_state_module
+from goldcresthaven import members
 from goldcresthaven import selection
 from goldcresthaven import state_store
 from goldcresthaven import table_relay
@@ -272,6 +273,46 @@
 
         aio.run(main)
 
+    def test_loads_go_to_the_processes_in_turn(self) -> None:
+        """Guards against bursts that fill the queue of a coordinator's link.
+
+        All loads went to 91 processes at once, 7 KB each. The reports after
+        them were lost, and all processes polled the store for 4 s (Toits
+        Solides, grown, quiet-1).
+        """
+        rate = 625_000.0  # 5 Mbit/s
+
+        async def main() -> None:
+            process = Process(self.coordinator, link_bytes_per_s=rate)
+            now = process.clock.elapsed()
+            for number in range(91):
+                address = members.Address(host='10.0.0.1', port=7000 + number)
+                process.link._reporters[address] = now
+            for number in range(252):
+                process.register_with_load(f'u{number}')
+            sent: list[tuple[int, int]] = []
+            link = cast(Any, process.link)
+            link._send_data = lambda data, address: sent.append(
+                (address.port, len(data))
+            )
+            interval = fleet_link.REPORT_INTERVAL.total_seconds()
+            allowed = fleet_link.LOADS_LINK_SHARE * rate * interval
+            received = set()
+            largest = 0
+            for _ in range(40):
+                sent.clear()
+                process.link._send_coordinator_report(
+                    fake_platform.POOL, cast(Any, self.coordinator), now
+                )
+                self.assertEqual(len({port for port, _ in sent}), 91)
+                loads = [(p, size) for p, size in sent if size > 2000]
+                received |= {port for port, _ in loads}
+                largest = max(largest, sum(size for _, size in loads))
+            self.assertLessEqual(largest, allowed + 10_000)
+            self.assertEqual(len(received), 91)
+
+        aio.run(main)
+
     def test_loads_use_little_of_a_slow_link(self) -> None:
         """Guards against reports that use up a small VM's network link."""
 
