Apply announced changes in one place; build the virtual loop on the schedule

Two pieces stood twice: the check of an announced change's base version, and the heap of callbacks of the simulations. No change of behaviour.

--- a/goldcresthaven/known_state.py
+++ b/goldcresthaven/known_state.py
@@ -120,11 +120,8 @@
         self, change: fleet_messages.CoordinatorChange, now: timedelta
     ) -> None:
         """Apply the first map of a new coordinator, which keeps all owners."""
-        known = self.maps.get(change.pool)
-        if known is None or known.version < change.base:
-            self.maps_outdated = True
-            return
-        if known.version != change.base:
+        known = self._map_at(change.pool, change.base)
+        if known is None:
             return
         self.maps[change.pool] = known.replace(
             (), next_fence=known.next_fence, coordinator=change.address
@@ -137,17 +134,22 @@
             detail=f'new coordinator {change.address}',
         )
 
-    def apply_map_change(self, change: fleet_messages.MapChange) -> None:
-        """Apply a map change that a coordinator announced.
+    def _map_at(self, pool: ids.PoolName, base: int) -> key_map.KeyMap | None:
+        """Return the known map if a change of version ``base`` applies to it.
 
         If earlier changes are missing, the follower has to read the map.
         """
-        known = self.maps.get(change.pool)
-        self._remove_moved(change)
-        if known is None or known.version < change.base:
+        known = self.maps.get(pool)
+        if known is None or known.version < base:
             self.maps_outdated = True
-            return
-        if known.version != change.base:
+            return None
+        return known if known.version == base else None
+
+    def apply_map_change(self, change: fleet_messages.MapChange) -> None:
+        """Apply a map change that a coordinator announced."""
+        self._remove_moved(change)
+        known = self._map_at(change.pool, change.base)
+        if known is None:
             return
         self.maps[change.pool] = known.replace(
             change.ranges, next_fence=known.next_fence
--- a/proofs/virtual_loop.py
+++ b/proofs/virtual_loop.py
@@ -12,13 +12,13 @@
 from collections.abc import Generator
 from datetime import datetime
 from datetime import timedelta
-import heapq
 import random
 from types import TracebackType
 from typing import Any
 
 from goldcresthaven import clock
 from goldcresthaven import errors
+from proofs import sim_world
 
 # Tasks and timers that a stall has delayed run in any order within this time.
 WAKE_SPREAD = 0.001  # seconds
@@ -196,33 +196,19 @@
         return timedelta(seconds=self._offset + self._rate * self._loop.now)
 
 
-class Loop:
-    """Runs callbacks in the order of their times; times are in seconds.
+class Loop(sim_world.Schedule):
+    """Runs the tasks of all processes; times are in seconds.
 
     ``before_step`` is called before each step of a process, and may stall
     it.
     """
 
     def __init__(self, rng: random.Random) -> None:
+        super().__init__()
         self.rng = rng
-        self.now = 0.0
         self.closing = False
         self.current: Task | None = None
         self.before_step: Callable[[Process], None] = lambda process: None
-        self._heap: list[tuple[float, int, Callable[[], None]]] = []
-        self._count = 0
-
-    def at(self, when: float, callback: Callable[[], None]) -> None:
-        self._count += 1
-        heapq.heappush(self._heap, (when, self._count, callback))
-
-    def after(self, delay: float, callback: Callable[[], None]) -> None:
-        self.at(self.now + delay, callback)
-
-    def run(self, until: float) -> None:
-        while self._heap and self._heap[0][0] <= until:
-            self.now, _, callback = heapq.heappop(self._heap)
-            callback()
 
     # Replacements for functions of ``aio``
 
