Let VMs with larger links take claims first

Change: a VM with less than 20 Mbit/s waits 0.8 s longer before it reads a claim, like one with less than half a core; on that link, reports to 200 processes take 15%.

A new test fails before.

--- a/goldcresthaven/claim_watch.py
+++ b/goldcresthaven/claim_watch.py
@@ -23,20 +23,29 @@
 # Coordinating a hundred owners takes about this share of a core. A smaller VM
 # waits, so that larger ones can take a claim first.
 MIN_CORES = 0.5
+# Reports and announcements to 200 processes take about 15% of this link, in
+# bytes/s. On a smaller one, responses to callers delay or displace them.
+MIN_LINK = 2.5e6
 SMALL_VM_DELAY = timedelta(milliseconds=800)
 
 
 class ClaimWatch:
     """Schedules the reads of one claim by one process.
 
-    ``cpu_cores`` is the VM's share of CPU cores.
+    ``cpu_cores`` is the VM's share of CPU cores, and ``link_bytes_per_s``
+    the bandwidth of its network link.
     """
 
     def __init__(
-        self, *, cpu_cores: float, started: timedelta, rng: random.Random
+        self,
+        *,
+        cpu_cores: float,
+        link_bytes_per_s: float,
+        started: timedelta,
+        rng: random.Random,
     ) -> None:
-        small = cpu_cores < MIN_CORES
-        self._delay = SMALL_VM_DELAY if small else timedelta()
+        lacking = (cpu_cores < MIN_CORES) + (link_bytes_per_s < MIN_LINK)
+        self._delay = SMALL_VM_DELAY * lacking
         self._not_before = started + self._delay
         self._rng = rng
 
--- a/goldcresthaven/gateway_process.py
+++ b/goldcresthaven/gateway_process.py
@@ -185,6 +185,7 @@
             request_step_down=self._fleet_link.request_step_down,
             longest_hold=self._cfg.longest_hold,
             cpu_cores=self._cfg.cpu_cores,
+            link_bytes_per_s=self._cfg.link_bytes_per_s,
             clock=self._clock,
             rng=self._rng,
         )
--- a/goldcresthaven/key_coordinator.py
+++ b/goldcresthaven/key_coordinator.py
@@ -70,7 +70,7 @@
     coordinator, and ``fleet_size`` the number of processes. ``announce`` and
     ``request_step_down`` send datagrams. ``longest_hold`` is the longest
     hold that an upstream accepts. ``cpu_cores`` is the VM's share of CPU
-    cores.
+    cores, and ``link_bytes_per_s`` the bandwidth of its network link.
     """
 
     def __init__(
@@ -89,6 +89,7 @@
         request_step_down: Callable[[str, fleet_messages.StepDown], None],
         longest_hold: timedelta,
         cpu_cores: float,
+        link_bytes_per_s: float,
         clock: clock_module.Clock,
         rng: random.Random,
     ) -> None:
@@ -105,7 +106,10 @@
         self._fleet_size = fleet_size
         self._clock = clock
         self._watch = claim_watch.ClaimWatch(
-            cpu_cores=cpu_cores, started=clock.elapsed(), rng=rng
+            cpu_cores=cpu_cores,
+            link_bytes_per_s=link_bytes_per_s,
+            started=clock.elapsed(),
+            rng=rng,
         )
         self._claim_key = state_store.Key(
             table=state_store.Table.CLAIMS, key=pool
--- a/proofs/coordinator_sim.py
+++ b/proofs/coordinator_sim.py
@@ -92,6 +92,7 @@
             request_step_down=self._request_step_down,
             longest_hold=LONGEST_HOLD,
             cpu_cores=1.0,
+            link_bytes_per_s=1e8,
             clock=self.process.clock,
             rng=random.Random(loop.rng.random()),
         )
--- a/tests/test_claim_watch.py
+++ b/tests/test_claim_watch.py
@@ -12,9 +12,14 @@
 ROUNDS = 2000
 
 
-def new_watch(cpu_cores: float = 1.0) -> claim_watch.ClaimWatch:
+def new_watch(
+    cpu_cores: float = 1.0, link_bytes_per_s: float = 1e8
+) -> claim_watch.ClaimWatch:
     return claim_watch.ClaimWatch(
-        cpu_cores=cpu_cores, started=START, rng=random.Random(3)
+        cpu_cores=cpu_cores,
+        link_bytes_per_s=link_bytes_per_s,
+        started=START,
+        rng=random.Random(3),
     )
 
 
@@ -89,6 +94,23 @@
         report_age = REPORT_OVERDUE + claim_watch.SMALL_VM_DELAY
         self.assertTrue(small.should_read(later, report_age, 1))
 
+    def test_small_link_waits_for_larger_ones(self) -> None:
+        """Guards against a coordinator whose reports do not arrive.
+
+        On one with a small link, reports were displaced by responses, and
+        all processes polled the store (Toits Solides, grown, quiet-1).
+        """
+        small = new_watch(link_bytes_per_s=625_000.0)
+        large = new_watch()
+        late = START + claim_watch.SMALL_VM_DELAY / 2
+        self.assertTrue(large.should_read(late, REPORT_OVERDUE, 1))
+        self.assertFalse(small.should_read(late, REPORT_OVERDUE, 1))
+        later = START + claim_watch.SMALL_VM_DELAY
+        overdue = REPORT_OVERDUE + claim_watch.SMALL_VM_DELAY
+        self.assertTrue(small.should_read(later, overdue, 1))
+        least = new_watch(cpu_cores=0.3, link_bytes_per_s=625_000.0)
+        self.assertFalse(least.should_read(later, overdue, 1))
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_key_coordinator.py
+++ b/tests/test_key_coordinator.py
@@ -64,6 +64,7 @@
             report_age=lambda pool, now: timedelta(seconds=60),
             fleet_size=lambda: 2,
             cpu_cores=1.0,
+            link_bytes_per_s=1e8,
             announce=self.announced.append,
             request_step_down=lambda to, request: (
                 self.step_down_requests.append((to, request))
