--- a/goldcresthaven/fleet_link.py
+++ b/goldcresthaven/fleet_link.py
@@ -203,13 +203,13 @@
             processes=len(self._reporters) + 1,
             peers=self._peers_to_name(),
         )
-        with_loads = self._reporters_of_loads(report, now)
+        with_loads = self._send_loads_in_turn(report, now)
         data = fleet_messages.encode(report)
         for address in self._reporters:
             if address not in with_loads:
                 self._send_data(data, address)
 
-    def _reporters_of_loads(
+    def _send_loads_in_turn(
         self, report: fleet_messages.CoordinatorReport, now: timedelta
     ) -> set[members.Address]:
         """Send the report with all loads to some processes; return these.
--- a/tests/test_claim_watch.py
+++ b/tests/test_claim_watch.py
@@ -97,8 +97,8 @@
     def test_small_link_waits_for_larger_ones(self) -> None:
         """Guards against a coordinator whose reports do not arrive.
 
-        On one with a small link, reports were displaced by responses, and
-        all processes polled the store (Toits Solides, grown, quiet-1).
+        The number of polls of the store depended on which VM coordinated
+        (Toits Solides, grown, quiet-1); small links are the likely reason.
         """
         small = new_watch(link_bytes_per_s=625_000.0)
         large = new_watch()
--- a/tests/test_fleet_link.py
+++ b/tests/test_fleet_link.py
@@ -198,9 +198,8 @@
     def test_changes_of_a_rolling_release_fit_one_packet(self) -> None:
         """Guards against relays that use up the coordinator's link.
 
-        While 46 upstreams started, every change was relayed in datagrams of
-        several fragments; 92 processes no longer received them and polled
-        the store at each change (Toits Solides, grown, scale-1).
+        While upstreams start, each changes its row at every heartbeat, and
+        the rows of one relay filled several fragments for each process.
         """
         status = (
             '{{"info":{{"service":"zifi79a","addr":"10.1.64.{n}:8704",'
@@ -241,7 +240,7 @@
         """Guards against reads of the map by every process at a takeover.
 
         After each loss of a coordinator, all processes read the key map until
-        it named the successor (Qasr, large: 14,000 calls on trouble-1).
+        it named the successor.
         """
 
         async def main() -> None:
@@ -276,9 +275,7 @@
     def test_loads_go_to_the_processes_in_turn(self) -> None:
         """Guards against bursts that fill the queue of a coordinator's link.
 
-        All loads went to 91 processes at once, 7 KB each. The reports after
-        them were lost, and all processes polled the store for 4 s (Toits
-        Solides, grown, quiet-1).
+        All loads went to all processes at once, several KB to each.
         """
         rate = 625_000.0  # 5 Mbit/s
 
@@ -308,7 +305,8 @@
                 loads = [(p, size) for p, size in sent if size > 2000]
                 received |= {port for port, _ in loads}
                 largest = max(largest, sum(size for _, size in loads))
-            self.assertLessEqual(largest, allowed + 10_000)
+            # Credit that is too small for one more report is carried over.
+            self.assertLessEqual(largest, allowed + fleet_link.MAX_ROWS_BYTES)
             self.assertEqual(len(received), 91)
 
         aio.run(main)
