Let a longer hold outlast the higher fence that its owner accepts

Cause: a process that takes over a claim knows a bound on the holds of its predecessor. It dropped this bound for an owner as soon as the owner had accepted a higher fence, taking the new hold of 3 s for the only one. An upstream keeps the hold that ends last. A predecessor that could not renew its claim grants holds of 10 s, so an owner that did not confirm a release was counted as free up to 7 s too early.

Change: accepting a fence bounds the holds before it by the longest hold from then on, because no lower fence can arrive any more, and never ends them. The stand-in of the upstreams and the check of the soak keep the longer hold, too.

Test replaced: test_part_of_a_range_does_not_clear_the_inherited_bound expected that accepting the whole range clears the bound. It now expects the bound that acceptance gives.

--- a/goldcresthaven/hold_bounds.py
+++ b/goldcresthaven/hold_bounds.py
@@ -6,6 +6,9 @@
 reset: packets wait in the queue of a congested link, and a reset does not
 overtake them. It has arrived, or never will, once a call that was sent after
 the reset over the same link has been answered.
+
+A later grant does not shorten a hold, whatever its fence and its duration. An
+owner that accepts a higher fence keeps the hold that it has until it ends.
 """
 
 from collections.abc import Iterable
@@ -71,15 +74,16 @@
     """Upper bounds on the holds of one pool, by owner and fence.
 
     ``inherited`` bounds the holds that earlier holders of the claim may
-    have granted. It applies to a fence until its owner accepts that fence,
-    because the owner rejects all lower ones from then on. It does not apply
-    to the fence of keys that nobody held when they moved.
+    have granted. After an owner has accepted a fence, the bound given to
+    ``record_accepted`` applies if it is earlier. Neither applies to the
+    fence of keys that nobody held when they moved.
     """
 
     def __init__(self, *, inherited: timedelta) -> None:
         self._inherited = inherited
         self._predecessor: dict[ids.UpstreamId, timedelta] | None = None
-        self._uninherited: set[int] = set()
+        self._unheld: set[int] = set()
+        self._accepted_until: dict[int, timedelta] = {}
         self._ranges_by_fence: dict[int, tuple[int, int]] = {}
         self._grants: dict[_HoldKey, list[SentGrant]] = {}
         self._unproven: list[SentGrant] = []
@@ -134,19 +138,22 @@
             key_range.last,
         )
 
-    def record_accepted(self, key_range: key_map.KeyRange) -> None:
+    def record_accepted(
+        self, key_range: key_map.KeyRange, until: timedelta
+    ) -> None:
         """Record that the owner of a range accepted its fence.
 
-        It then rejects lower fences, but only for the keys of this grant.
-        Accepting a part of a range that was split therefore changes nothing.
+        It then rejects lower fences, so that no earlier hold can end after
+        ``until``, but only for the keys of this grant. Accepting a part of
+        a range that was split therefore changes nothing.
         """
         granted_keys = (key_range.first, key_range.last)
         if self._ranges_by_fence.get(key_range.fence) == granted_keys:
-            self._uninherited.add(key_range.fence)
+            self._accepted_until.setdefault(key_range.fence, until)
 
     def record_unheld(self, fence: int) -> None:
         """Record the fence of keys that nobody held when they moved."""
-        self._uninherited.add(fence)
+        self._unheld.add(fence)
 
     def record_new_fence(
         self, owner: key_map.Owner, old: int, new: int
@@ -158,8 +165,10 @@
         """
         if (owner, old) in self._grants:
             self._grants[(owner, new)] = list(self._grants[(owner, old)])
-        if old in self._uninherited:
-            self._uninherited.add(new)
+        if old in self._unheld:
+            self._unheld.add(new)
+        if old in self._accepted_until:
+            self._accepted_until[new] = self._accepted_until[old]
 
     def free_at(self, owner: key_map.Owner, fence: int) -> timedelta:
         """Return when an owner certainly holds no more keys under a fence."""
@@ -195,11 +204,12 @@
         return {name: end for name, end in owner_ends.items() if end > now}
 
     def _inherited_for(self, owner: key_map.Owner, fence: int) -> timedelta:
-        if fence in self._uninherited:
+        if fence in self._unheld:
             return timedelta()
-        if self._predecessor is None:
-            return self._inherited
-        return self._predecessor.get(owner.upstream_id, timedelta())
+        inherited = self._inherited
+        if self._predecessor is not None:
+            inherited = self._predecessor.get(owner.upstream_id, timedelta())
+        return min(inherited, self._accepted_until.get(fence, inherited))
 
 
 def _latest_end(grants: Iterable[SentGrant]) -> timedelta:
--- a/goldcresthaven/key_renewal.py
+++ b/goldcresthaven/key_renewal.py
@@ -168,7 +168,9 @@
             term.granted[hold_key] = reply.connections
             term.handovers.pop(key_range.fence, None)
             term.failing_since.pop(owner, None)
-            term.holds.record_accepted(key_range)
+            term.holds.record_accepted(
+                key_range, key_grants.hold_end(now, self._longest_hold)
+            )
             return True
         if result is key_grants.GrantResult.NO_RESPONSE:
             term.holds.record_unanswered(grant, now)
--- a/proofs/coordinator_knockouts.py
+++ b/proofs/coordinator_knockouts.py
@@ -101,12 +101,22 @@
     return pool.take_idle(address) or await pool.open(address)
 
 
-def _accept_any_part(holds: Any, key_range: key_map.KeyRange) -> None:
-    holds.record_unheld(key_range.fence)
+def _accept_any_part(
+    holds: Any, key_range: key_map.KeyRange, until: timedelta
+) -> None:
+    holds.record_range(key_range)
+    _RECORD_ACCEPTED(holds, key_range, until)
+
+
+def _forget_earlier_holds(
+    holds: Any, key_range: key_map.KeyRange, until: timedelta
+) -> None:
+    _RECORD_ACCEPTED(holds, key_range, timedelta())
 
 
 _TERM = key_coordinator_state.ClaimTerm
 _BOUNDS = hold_bounds.HoldBounds
+_RECORD_ACCEPTED = _BOUNDS.record_accepted
 _CALLS = leases.PlatformLeases
 _POOL = coordinator_world.Pool
 
@@ -189,6 +199,10 @@
         rule='a part of a range does not clear the inherited bound',
         patches=((_BOUNDS, 'record_accepted', _accept_any_part),),
     ),
+    Knockout(
+        rule='an accepted fence does not end earlier holds',
+        patches=((_BOUNDS, 'record_accepted', _forget_earlier_holds),),
+    ),
     Knockout(
         rule='a release waits for renewals in flight',
         patches=(
--- a/proofs/coordinator_world.py
+++ b/proofs/coordinator_world.py
@@ -122,7 +122,8 @@
             t for t in self.taken if not (first <= t[0] and t[1] <= last)
         ]
         self.taken.append((first, last, fence))
-        self._remove(first, last)
+        # A hold that ends later than the new one is not shortened.
+        self.holds = [h for h in self.holds if h.end > self._loop.now]
         self.holds.append(hold)
         return 200
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -77,18 +77,17 @@
     for line in lines:
         match line.get('event'):
             case 'hold':
-                held = OwnedRange(
-                    holder=holder,
-                    first=line['first'],
-                    last=line['last'],
-                    fence=line['fence'],
-                    start=line['start'],
-                    until=line['until'],
-                )
-                open_ranges = _close_range(
-                    events, open_ranges, held, held.start
+                # A grant does not shorten the holds before it.
+                open_ranges.append(
+                    OwnedRange(
+                        holder=holder,
+                        first=line['first'],
+                        last=line['last'],
+                        fence=line['fence'],
+                        start=line['start'],
+                        until=line['until'],
+                    )
                 )
-                open_ranges.append(held)
             case 'released':
                 part = _released_range(holder, line['first'], line['last'])
                 open_ranges = _close_range(
--- a/standins/key_endpoint.py
+++ b/standins/key_endpoint.py
@@ -135,7 +135,8 @@
         if highest_fence > fence:
             await exchange.reply(409, {})
             return
-        self._remove_range(first, last)
+        # A hold that ends later than the new one is not shortened.
+        self.grants = [grant for grant in self.grants if grant.until > now]
         for key in range(first, last + 1):
             self.fences[key] = fence
         until = now + raw['hold-s'] / self.cfg.clock_rate
--- a/tests/test_coordinator_sim.py
+++ b/tests/test_coordinator_sim.py
@@ -17,6 +17,12 @@
             outcome = coordinator_sim.run(seed)
             self.assertEqual(outcome.violations, [], seed)
 
+    def test_keys_do_not_move_while_a_longer_hold_lasts(self) -> None:
+        """Guards against two owners after a long hold and a takeover."""
+        for seed in (271, 297, 511, 1184, 1374, 1439):
+            outcome = coordinator_sim.run(seed)
+            self.assertEqual(outcome.violations, [], seed)
+
     def test_schedules_grant_keys(self) -> None:
         """Guards against a simulation in which nothing happens."""
         grants = sum(coordinator_sim.run(seed).grants for seed in range(20))
--- a/tests/test_hold_bounds.py
+++ b/tests/test_hold_bounds.py
@@ -85,18 +85,30 @@
         self.holds.record_new_fence(OWNER, OWN_FENCE, 20)
         self.assertEqual(self.holds.free_at(OWNER, 20), end)
         self.holds.record_accepted(
-            key_map.KeyRange(first=0, last=99, owner=OWNER, fence=20)
+            key_map.KeyRange(first=0, last=99, owner=OWNER, fence=20), NOW
         )
         self.assertEqual(self.holds.free_at(OWNER, 20), end)
 
     def test_part_of_a_range_does_not_clear_the_inherited_bound(self) -> None:
         """Guards against a predecessor's grant of the rest of the range."""
         whole = key_map.KeyRange(first=0, last=99, owner=OWNER, fence=20)
+        accepted_until = NOW + timedelta(seconds=11)
         self.holds.record_range(whole)
-        self.holds.record_accepted(whole.subrange(0, 49))
+        self.holds.record_accepted(whole.subrange(0, 49), accepted_until)
         self.assertEqual(self.holds.free_at(OWNER, 20), INHERITED)
-        self.holds.record_accepted(whole)
-        self.assertEqual(self.holds.free_at(OWNER, 20), timedelta())
+        self.holds.record_accepted(whole, accepted_until)
+        self.assertEqual(self.holds.free_at(OWNER, 20), accepted_until)
+
+    def test_accepted_fence_does_not_shorten_a_predecessors_hold(self) -> None:
+        """Guards against two owners after a long hold and a takeover."""
+        key_range = key_map.KeyRange(first=0, last=99, owner=OWNER, fence=20)
+        self.holds.record_range(key_range)
+        end = NOW + timedelta(seconds=9)
+        self.holds.set_predecessor_bounds({OWNER.upstream_id: end})
+        self.holds.record_accepted(key_range, NOW + timedelta(seconds=10))
+        grant = self.holds.record_sent(OWNER, 20, NOW, HOLD)
+        self.holds.record_answered(grant, NOW)
+        self.assertEqual(self.holds.free_at(OWNER, 20), end)
 
     def test_predecessors_answer_replaces_the_inherited_bound(self) -> None:
         """Guards against 14 s without an owner after each takeover."""
