Order grants by the time at which an upstream applies them

Cause: the check. u0 had been paused. The time of a grant that waited in its socket counts from before the pause, and the stand-in also reported this as the time at which the grant was applied, so that it seemed to come before the one at u3.

Change: the hold still ends as before; only its start is now the time at which it is applied, which is also when two holds begin to overlap.

--- a/standins/key_endpoint.py
+++ b/standins/key_endpoint.py
@@ -123,7 +123,7 @@
 
     async def _grant(self, exchange: server.Exchange) -> None:
         raw = json.loads(await exchange.read_body())
-        now = time.monotonic()
+        now = applied = time.monotonic()
         # The call waited in the socket while this process was paused, so
         # the grant has to count from before the pause.
         if now - self.resumed_at < RESUME_WINDOW_S:
@@ -144,7 +144,12 @@
             Grant(first=first, last=last, fence=fence, until=until)
         )
         self.emit(
-            'hold', first=first, last=last, fence=fence, start=now, until=until
+            'hold',
+            first=first,
+            last=last,
+            fence=fence,
+            start=applied,
+            until=until,
         )
         await exchange.reply(200, {})
 
