Accept no refusal without an id on a reused connection

Callers were told 503 "not run" for an order that an upstream was running (REFUSED), or the order ran at a second upstream as well (TWICE), when an upstream wrote an earlier refusal once more without its request id.

Cause: a response without an id counted as the response to the request in progress. A copy that arrives after the check for an idle connection was therefore read as a proof that this request was not executed.

On the first exchange of a connection, a response can only belong to its request. Later, upstreams of the gateway echo the id of each request, so a response without one is malformed: the outcome is unknown, the connection is closed, and only idempotent requests are repeated. Upstreams of the entry process need not echo ids; there the rule covers refusals only.

--- a/goldcresthaven/forwarding.py
+++ b/goldcresthaven/forwarding.py
@@ -206,10 +206,11 @@
         )
         sent_whole = await self._send_body(call, conn)
         head = await self._read_head(call, routed, conn)
-        _check_match(head, call.request_id)
-        progress.head = head
         outcome = http_head.find(head.headers, 'x-outcome')
-        if retries.is_refusal(head.status, outcome):
+        refused = retries.is_refusal(head.status, outcome)
+        _check_match(head, call.request_id, id_needed=refused and conn.reused)
+        progress.head = head
+        if refused:
             await _discard(conn)
             return
         call.close_after = call.close_after or not sent_whole
@@ -327,10 +328,18 @@
 
 
 def _check_match(
-    head: http_head.ResponseHead, request_id: ids.RequestId
+    head: http_head.ResponseHead,
+    request_id: ids.RequestId,
+    *,
+    id_needed: bool,
 ) -> None:
+    """Check that the response belongs to this request.
+
+    ``id_needed`` is set for a refusal on a connection that was used before:
+    without an id, it may be a copy of the refusal of an earlier request.
+    """
     echoed = http_head.find(head.headers, 'x-request-id')
-    if echoed is not None and echoed != request_id:
+    if echoed != request_id and (id_needed or echoed is not None):
         raise errors.ProtocolError(
             'the response belongs to another request',
             remedy='check why the upstream answers late or twice',
--- a/goldcresthaven/http_io.py
+++ b/goldcresthaven/http_io.py
@@ -337,16 +337,19 @@
 
         ``accept_unframed`` allows response bodies without a length, which
         end when the upstream closes. ``number`` is the position in the
-        order in which a pool opened its connections.
+        order in which a pool opened its connections. ``reused`` is set from
+        the second exchange on.
         """
         super().__init__(sock)
         self.number = number
+        self.reused = False
         self._accept_unframed = accept_unframed
         self._unframed = False
         self._unacknowledged = timedelta()
 
     def begin(self) -> None:
         """Prepare for the next exchange on this connection."""
+        self.reused = True
         self._next_exchange()
 
     def limit_unacknowledged(self, duration: timedelta) -> None:
--- a/goldcresthaven/upstream_exchange.py
+++ b/goldcresthaven/upstream_exchange.py
@@ -287,13 +287,15 @@
         """Return the head of the response to this request.
 
         Late second responses to earlier requests on the connection are
-        skipped; they carry a different request id. A response without an
-        id is accepted.
+        skipped; they carry a different request id.
         """
         for _ in range(MAX_LATE_RESPONSES + 1):
             head = await self._read_head(call, conn)
-            echoed = self._headers.from_upstream(head).request_id
-            if echoed is None or echoed == call.meta.request_id:
+            meta = self._headers.from_upstream(head)
+            if meta.request_id is None:
+                _check_first_response(conn, meta, call)
+                return head
+            if meta.request_id == call.meta.request_id:
                 return head
             await conn.skip_response(request, limit=MAX_LATE_RESPONSE_BYTES)
         raise errors.ProtocolError(
@@ -354,6 +356,23 @@
         raise CallerGone('the caller stopped reading') from exc
 
 
+def _check_first_response(
+    conn: http_io.UpstreamConn,
+    meta: request_meta.UpstreamMeta,
+    call: Call,
+) -> None:
+    """Check that a response without an id can only belong to this request.
+
+    On a connection that was used before, it may be a second response to an
+    earlier request. Upstreams echo the id of every request that has one.
+    """
+    if conn.reused and (call.meta.request_id or meta.not_run):
+        raise errors.ProtocolError(
+            'a response on a reused connection has no request id',
+            remedy='check why the upstream responds without an id',
+        )
+
+
 def _check_response(
     head: http_head.ResponseHead, meta: request_meta.UpstreamMeta, call: Call
 ) -> None:
