Repeat a refused request on another connection

Callers were told 503 "not run" for an order that its upstream was running (REFUSED): the upstream had refused the first try, wrote this refusal once more while it ran the second try, and the copy was taken as its response.

Cause: both tries bear the id of the caller's attempt, which is forwarded unchanged. In a keyed pool the second try goes to the same owner, and the pool hands out the connection that was used last, which is the one with the refusal. In the entry process it can happen in any pool.

Evidence: the two new tests in tests.test_repeated_refusals failed before: "AssertionError: False is not true : HTTP/1.1 503" for a first try refused with 503, 429 and 421, and "AssertionError: 3 != 2" in the entry process, which sent the order a third time.

A copy arrives on the connection of the refusal. A request therefore remembers the connections on which it was refused, and its next try takes another idle or a new one. For other requests, the id tells the copy apart, so the connection is kept for them. At the connection limit, an idle connection that may not be used is closed to make room.

The pools of two tests that override take() accept the new argument.

--- a/goldcresthaven/forwarding.py
+++ b/goldcresthaven/forwarding.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from dataclasses import field
 from datetime import timedelta
 
 from goldcresthaven import aio
@@ -57,6 +58,9 @@
     ``relayed`` is set when part of a response has been sent to the caller.
     ``close_after`` makes the response ask the caller to close the
     connection; so does ``is_draining``, which can change during the call.
+    ``refused_on`` has the numbers of the connections on which the request
+    was refused. A second copy of such a refusal has the same id as the
+    response to the next attempt, which is made on another connection.
     """
 
     conn: http_io.CallerConn
@@ -70,6 +74,7 @@
     close_after: bool = False
     is_draining: Callable[[], bool] = lambda: False
     body_bytes: int = 0
+    refused_on: set[int] = field(default_factory=set)
 
     def ends_connection(self) -> bool:
         return self.close_after or self.is_draining()
@@ -179,7 +184,9 @@
         progress: _Progress,
     ) -> None:
         conn = await self._conns.take(
-            admitted.address, limit=admitted.connection_limit
+            admitted.address,
+            limit=admitted.connection_limit,
+            excluded=call.refused_on,
         )
         try:
             await self._exchange(call, routed, conn, progress)
@@ -211,6 +218,7 @@
         _check_match(head, call.request_id, id_needed=refused and conn.reused)
         progress.head = head
         if refused:
+            call.refused_on.add(conn.number)
             await _discard(conn)
             return
         call.close_after = call.close_after or not sent_whole
--- a/goldcresthaven/upstream_exchange.py
+++ b/goldcresthaven/upstream_exchange.py
@@ -55,7 +55,10 @@
 
     ``buffered_body`` is the beginning of the body, which is kept for a
     retry. ``body_consumed`` is set once a later part was read; the request
-    can then no longer be sent again.
+    can then no longer be sent again. ``refused_on`` has the numbers of the
+    connections on which the request was refused. A second copy of such a
+    refusal has the same id as the response to the next attempt, so that
+    attempt is made on another connection.
     """
 
     conn: http_io.CallerConn
@@ -69,6 +72,7 @@
     body_consumed: bool = False
     body_bytes: int = 0
     relayed: bool = False
+    refused_on: set[int] = field(default_factory=set)
 
     async def buffer_body(self) -> None:
         """Buffer the first 64 KiB of the body.
@@ -201,7 +205,9 @@
         result: AttemptResult,
     ) -> None:
         async with aio.timeout(deadline - self._clock.elapsed()):
-            conn = await self._conns.take(upstream.address, limit=connections)
+            conn = await self._conns.take(
+                upstream.address, limit=connections, excluded=call.refused_on
+            )
         try:
             await self._exchange(call, upstream, deadline, conn, result)
         except BaseException:
@@ -243,6 +249,7 @@
             result.status = head.status
             result.first_byte = self._clock.elapsed()
             if result.meta.not_run:
+                call.refused_on.add(conn.number)
                 await _discard_body(conn)
                 return
         _check_response(head, result.meta, call)
--- a/goldcresthaven/upstream_pool.py
+++ b/goldcresthaven/upstream_pool.py
@@ -4,6 +4,7 @@
 """
 
 from collections import deque
+from collections.abc import Container
 from dataclasses import dataclass
 from dataclasses import field
 from datetime import timedelta
@@ -47,20 +48,26 @@
         return endpoint.open_count if endpoint else 0
 
     async def take(
-        self, address: members.Address, *, limit: int
+        self,
+        address: members.Address,
+        *,
+        limit: int,
+        excluded: Container[int] = (),
     ) -> http_io.UpstreamConn:
         """Return an idle or a new connection.
 
-        Raises ConnectionFailed if no connection can be opened, or if this
-        process already has ``limit`` connections to the endpoint.
+        Its number is not in ``excluded``. Raises ConnectionFailed if no
+        connection can be opened, or if this process already has ``limit``
+        connections to the endpoint.
         """
         endpoint = self._endpoints.setdefault(address, _Endpoint())
-        while endpoint.idle:
-            conn = endpoint.idle.pop()
+        while (conn := _pop_idle(endpoint, excluded)) is not None:
             if conn.is_idle():
                 conn.begin()
                 return conn
             await self._close(endpoint, conn)
+        if endpoint.idle and endpoint.open_count >= limit:
+            await self._close(endpoint, endpoint.idle.popleft())
         return await self.take_new(address, limit=limit)
 
     async def take_new(
@@ -155,3 +162,15 @@
     ) -> None:
         endpoint.open_count -= 1
         await conn.close()
+
+
+def _pop_idle(
+    endpoint: _Endpoint, excluded: Container[int]
+) -> http_io.UpstreamConn | None:
+    """Remove and return the connection that was used last, if there is one."""
+    for index in reversed(range(len(endpoint.idle))):
+        conn = endpoint.idle[index]
+        if conn.number not in excluded:
+            del endpoint.idle[index]
+            return conn
+    return None
--- a/proofs/whole_answer.py
+++ b/proofs/whole_answer.py
@@ -5,6 +5,7 @@
 the last exchange on it failed.
 """
 
+from collections.abc import Container
 from datetime import timedelta
 import random
 
@@ -30,7 +31,11 @@
     """Reuses a connection whether or not its last exchange succeeded."""
 
     async def take(
-        self, address: members.Address, *, limit: int
+        self,
+        address: members.Address,
+        *,
+        limit: int,
+        excluded: Container[int] = (),
     ) -> http_io.UpstreamConn:
         endpoint = self._endpoints.get(address)
         if endpoint is None or not endpoint.idle:
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -14,6 +14,7 @@
 
 from goldcresthaven import aio
 from goldcresthaven import routes
+from tests import fake_platform
 from tests import test_gateway
 from tools import entry_harness
 
@@ -204,6 +205,74 @@
             with self.subTest(copy=copy):
                 entry_harness.run(functools.partial(main, copy))
 
+    def test_copy_of_the_first_try_is_no_answer_to_the_second(self) -> None:
+        """Guards against a copy that bears the id of the running order.
+
+        Both tries at the owner of a key have the caller's id.
+        """
+        for status in STATUSES[:3]:
+            with self.subTest(status=status):
+                run(functools.partial(self._send_copy_of_first_try, status))
+
+    async def _send_copy_of_first_try(self, status: str) -> None:
+        router = test_gateway.Router(
+            kind=routes.RouteKind.UNSAFE, pool=fake_platform.POOL
+        )
+        refused_on: list[aio.Socket] = []
+
+        async def refuse(sock: aio.Socket, text: str) -> None:
+            refused_on.append(sock)
+            await sock.sendall(refusal(status, 'r2'))
+            # A refused key is tried again with the next version of the map.
+            await aio.sleep(PAUSE)
+            router.assign('u0', 6)
+
+        async def repeat_and_run(sock: aio.Socket, text: str) -> None:
+            await refused_on[0].sendall(refusal(status, 'r2'))
+            await aio.sleep(PAUSE)
+            await sock.sendall(success('r2'))
+
+        upstream = test_gateway.Upstream(refuse, repeat_and_run)
+        await router.start(upstream)
+        router.assign('u0', 5)
+        reply = await ask(router, 'r2', f'{test_gateway.KEY}: 7\r\n')
+        self.assertEqual(len(upstream.requests), 2)
+        self.assertTrue(reply.startswith('HTTP/1.1 200'), reply)
+
+    def test_copy_of_the_first_try_in_the_entry_process(self) -> None:
+        """Guards against the same fault in the entry's request path."""
+
+        async def main() -> None:
+            socks: list[aio.Socket] = []
+            ids: list[bytes] = []
+
+            async def script(
+                upstream: entry_harness.ScriptedUpstream, sock: aio.Socket
+            ) -> None:
+                while head := await entry_harness.read_head(upstream, sock):
+                    socks.append(sock)
+                    ids.append(head.lower().split(b'x-request-id: ')[1][:16])
+                    copy = (
+                        b'HTTP/1.1 503 Busy\r\nX-Outcome: not-run\r\n'
+                        b'X-Request-Id: %b\r\nContent-Length: 0\r\n\r\n'
+                    ) % ids[0]
+                    await socks[0].sendall(copy)
+                    if len(socks) == 2:
+                        await aio.sleep(PAUSE)
+                        ran = entry_harness.ok_response(b'ran')
+                        await sock.sendall(ran)
+
+            upstream = await entry_harness.start_scripted(script)
+            path = await entry_harness.start({'free-a': upstream.address})
+            response = await path.fetch(
+                'POST', '/pay/', headers=(('idempotency-key', 'k'),)
+            )
+            self.assertEqual(len(set(ids)), 1)
+            self.assertEqual(len(socks), 2)
+            self.assertEqual(response.outcome, 'done')
+
+        entry_harness.run(main)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_upstream_failures.py
+++ b/tests/test_upstream_failures.py
@@ -1,5 +1,6 @@
 """Tests of the request path against failing upstreams."""
 
+from collections.abc import Container
 from datetime import timedelta
 import unittest
 from unittest import mock
@@ -91,9 +92,13 @@
         self._paused = paused
 
     async def take(
-        self, address: members.Address, *, limit: int
+        self,
+        address: members.Address,
+        *,
+        limit: int,
+        excluded: Container[int] = (),
     ) -> http_io.UpstreamConn:
-        conn = await super().take(address, limit=limit)
+        conn = await super().take(address, limit=limit, excluded=excluded)
         self._paused.pause = timedelta(minutes=1)
         return conn
 
