Refuse requests that a stopping process cannot finish

Cause: nothing compared the time limit of a request with the time that the process had left.

A request is passed on only if its deadline is before the end of the process. Otherwise it is refused as not run, with a short Retry-After, because other processes can serve it at once. Idempotent requests are still passed on while new connections are accepted: a download may have a limit of more than the grace period, and would never be served. The time that is kept free at the end is now also less than a sixth of the grace period.

--- a/goldcresthaven/gateway.py
+++ b/goldcresthaven/gateway.py
@@ -36,6 +36,12 @@
 # Limit of the keys that are collected per pool between two load reports.
 MAX_REQUESTED_KEYS = 2000
 SEND_TIMEOUT = timedelta(seconds=5)
+# Other processes can serve such a request at once.
+_STOPPING = outcomes.NotRun(
+    reason=outcomes.Reason.DRAINING,
+    detail='the process may stop before the request ends',
+    retry_after=MIN_RETRY_AFTER,
+)
 
 
 class Gateway:
@@ -67,6 +73,7 @@
             allowed=retry_budget, fleet_size=lambda: known_state.fleet_size
         )
         self._draining = False
+        self._stop_at: timedelta | None = None
         self._closing_when_idle = False
         self.in_flight = 0
         self._requested_keys: dict[ids.PoolName, list[int]] = {}
@@ -74,9 +81,14 @@
     def is_ready(self) -> bool:
         return not self._draining and self._known_state.is_complete()
 
-    def drain(self) -> None:
-        """Start to ask callers to close their connections."""
+    def drain(self, *, stop_at: timedelta | None = None) -> None:
+        """Start to ask callers to close their connections.
+
+        ``stop_at`` is when the process stops. Requests that are still in
+        progress then are cut off.
+        """
         self._draining = True
+        self._stop_at = stop_at
 
     def close_when_idle(self) -> None:
         """Start to close connections when they become idle."""
@@ -253,6 +265,8 @@
                 requested.append(routed.call.meta.key)
         while True:
             choice = await self._chooser.choose(routed)
+            if not self._can_finish(routed):
+                choice = _STOPPING
             if isinstance(choice, outcomes.NotRun):
                 return retries.final_outcome(routed.past_attempts, choice)
             attempt = await self._attempt(routed, choice)
@@ -277,6 +291,20 @@
                 )
                 self._known_state.maps_outdated = True
 
+    def _can_finish(self, routed: upstream_choice.RoutedRequest) -> bool:
+        """Return whether a request ends in time if the process is stopping.
+
+        Its upstream may use all of the time until the deadline. At first,
+        idempotent requests are passed on all the same: few of them take so
+        long, and callers repeat those that are cut off.
+        """
+        if self._stop_at is None:
+            return True
+        if routed.route.kind.idempotent and not self._closing_when_idle:
+            return True
+        latest_end = routed.deadline + upstream_exchange.RESPONSE_SLACK
+        return latest_end <= self._stop_at
+
     def _is_last_attempt(
         self, routed: upstream_choice.RoutedRequest, attempt: retries.Attempt
     ) -> bool:
--- a/goldcresthaven/gateway_process.py
+++ b/goldcresthaven/gateway_process.py
@@ -39,7 +39,10 @@
 # The load balancer notices after two failed probes, which are a second apart.
 LISTEN_AFTER_STOP = timedelta(seconds=2.3)
 # Part of the grace period that is kept for all tasks to end on a busy machine.
+# It is shorter than the last sixth of the period, before which the platform
+# expects no request to be cut off.
 STOP_MARGIN = timedelta(seconds=1)
+STOP_MARGIN_SHARE = 0.15
 # Round trips to upstreams take a few milliseconds. An upstream that does not
 # accept within this time is unreachable, and there is time to try another.
 CONNECT_TIMEOUT = timedelta(milliseconds=250)
@@ -135,13 +138,13 @@
     async def _stop(self, callers: aio.Listener) -> None:
         started = self._clock.elapsed()
         decision_log.note('stopping', count=self._gateway.in_flight)
-        self._gateway.drain()
+        end = started + _serving_time(self._cfg.grace)
+        self._gateway.drain(stop_at=end)
         for coordinator in self._coordinators.values():
             await coordinator.stop()
         await aio.sleep(LISTEN_AFTER_STOP)
         await callers.stop()
         self._gateway.close_when_idle()
-        end = started + self._cfg.grace - STOP_MARGIN
         try:
             async with aio.timeout(end - self._clock.elapsed()):
                 await callers.wait_closed()
@@ -208,6 +211,11 @@
             await conn.close()
 
 
+def _serving_time(grace: timedelta) -> timedelta:
+    """Return how long requests are served after the stop signal."""
+    return grace - min(STOP_MARGIN, grace * STOP_MARGIN_SHARE)
+
+
 def _load() -> gateway_settings.GatewaySettings:
     file = platform_settings.path()
     try:
