Deliver a response before closing behind it

In a planned stop, callers that sent the next request ahead got only the beginning of a large response, and then a reset (LOST).

Cause: a response that announces the close was followed by closing the socket. If a request is unread then, Linux resets the connection and drops the part of the response that it has not sent. Any response with "Connection: close" could be hit.

Evidence: two tests, one for the gateway and one for the entry process, drain while an upstream responds with 3 MB and send a second request during the response. They failed before: "AssertionError: 98193 != 3000000" and "98260 != 3000000".

The connection is now closed in the sending direction first, and fully when the caller's machine has acknowledged everything, after one second at most. The request sent ahead is still not read, because callers send a request again if the process closed the connection without having read it.

--- a/goldcresthaven/aio.py
+++ b/goldcresthaven/aio.py
@@ -8,10 +8,13 @@
 from collections.abc import Callable
 from collections.abc import Coroutine
 from datetime import timedelta
+import fcntl
 import logging
 import signal
 import socket
 import struct
+import sys
+import termios
 from types import TracebackType
 from typing import Any
 from typing import cast
@@ -223,6 +226,18 @@
         )
 
 
+def unacknowledged(sock: Socket) -> int:
+    """Return how many sent bytes the other side has not acknowledged yet."""
+    raw = cast(Any, sock)._socket
+    if raw is None:
+        return 0
+    try:
+        found = fcntl.ioctl(raw, termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        return 0
+    return int.from_bytes(found, sys.byteorder)
+
+
 def reset_on_close(sock: Socket) -> None:
     """Make closing the socket reset its connection."""
     raw = cast(Any, sock)._socket
--- a/goldcresthaven/caller_server.py
+++ b/goldcresthaven/caller_server.py
@@ -106,6 +106,7 @@
             finally:
                 self._in_flight -= 1
             if not conn.can_continue():
+                await conn.close_when_delivered()
                 return
             conn.next_exchange()
 
--- a/goldcresthaven/gateway.py
+++ b/goldcresthaven/gateway.py
@@ -84,8 +84,7 @@
     def drain(self, *, stop_at: timedelta | None = None) -> None:
         """Start to ask callers to close their connections.
 
-        ``stop_at`` is when the process stops. Requests that are still in
-        progress then are cut off.
+        Requests still in progress at ``stop_at`` will be cut off.
         """
         self._draining = True
         self._stop_at = stop_at
@@ -105,11 +104,12 @@
                     await self._serve_request(conn)
                 finally:
                     self.in_flight -= 1
-                if not conn.can_continue():
-                    return
-                conn.next_exchange()
-                if self._closing_when_idle:
-                    return
+                if conn.can_continue():
+                    conn.next_exchange()
+                    if not self._closing_when_idle:
+                        continue
+                await conn.close_when_delivered()
+                return
         finally:
             await conn.close()
 
--- a/goldcresthaven/http_io.py
+++ b/goldcresthaven/http_io.py
@@ -28,6 +28,8 @@
 BODY_PIECE_TIMEOUT = timedelta(seconds=10)
 LINGER_TIMEOUT = timedelta(seconds=1)
 LINGER_PIECES = 64
+# About one round trip between zones.
+DELIVERY_CHECK_INTERVAL = timedelta(milliseconds=10)
 # How often a blocked write checks whether the response has already begun.
 WRITE_CHECK_INTERVAL = timedelta(milliseconds=100)
 
@@ -308,6 +310,26 @@
             pass
         await self.close()
 
+    async def close_when_delivered(self) -> None:
+        """Close once the caller's machine has received all responses.
+
+        Closing resets the connection if a request that was sent ahead is
+        unread, and the system then drops what it has not sent. The request
+        is left unread, because callers send unread requests again.
+        """
+        if self.closed:
+            return
+        try:
+            await self._sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            await self.close()
+            return
+        for _ in range(LINGER_TIMEOUT // DELIVERY_CHECK_INTERVAL):
+            if not aio.unacknowledged(self._sock):
+                break
+            await aio.sleep(DELIVERY_CHECK_INTERVAL)
+        await self.close()
+
     def can_continue(self) -> bool:
         """Return whether the connection can carry another request."""
         return (
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -361,3 +361,29 @@
         short = timedelta(milliseconds=30)
         with mock.patch.object(caller_server, 'IDLE_CHECK_INTERVAL', short):
             entry_harness.run(test)
+
+    def test_response_is_whole_when_a_request_crosses_the_close(self) -> None:
+        """Guards against a stop that resets a response on its way."""
+        body = b'x' * 3_000_000
+
+        async def test() -> None:
+            async def script(
+                upstream: entry_harness.ScriptedUpstream, sock: aio.Socket
+            ) -> None:
+                await entry_harness.read_head(upstream, sock)
+                path.server.close_when_idle()
+                await sock.sendall(entry_harness.ok_response(body))
+
+            upstream = await entry_harness.start_scripted(script)
+            path = await entry_harness.start({'free-a': upstream.address})
+            sock = await aio.connect(entry_harness.HOST, path.address.port)
+            await sock.sendall(GET + b'\r\n')
+            received = await sock.recv(65536)
+            await sock.sendall(GET + b'\r\n')
+            # The caller is slower than the process.
+            await aio.sleep(timedelta(milliseconds=100))
+            received += await entry_harness.read_until_closed(sock)
+            relayed = received.partition(b'\r\n\r\n')[2]
+            self.assertEqual(len(relayed), len(body))
+
+        entry_harness.run(test)
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -141,6 +141,35 @@
 
         run(main)
 
+    def test_response_is_whole_when_a_request_crosses_the_close(self) -> None:
+        """Guards against a stop that resets a response on its way."""
+        body = 'x' * 3_000_000
+
+        async def main() -> None:
+            router = test_gateway.Router()
+            upstream = test_gateway.Upstream(slow(0.1, body))
+            await router.start(upstream)
+            sock = await router.connect()
+            await sock.sendall(request(1))
+            await self._until(lambda: len(upstream.requests) == 1, LIMIT)
+            router.gateway.drain()
+            router.gateway.close_when_idle()
+            received = await sock.recv(65536)
+            await sock.sendall(request(2))
+            try:
+                while piece := await sock.recv(65536):
+                    received += piece
+                    # The caller is slower than the gateway.
+                    await aio.sleep(timedelta(milliseconds=1))
+            except ConnectionResetError:
+                pass
+            head, _, relayed = received.partition(b'\r\n\r\n')
+            self.assertIn(b'connection: close', head.lower())
+            self.assertEqual(len(relayed), len(body))
+            self.assertEqual(len(upstream.requests), 1)
+
+        run(main)
+
     def test_unsafe_request_sent_ahead_is_sent_once(self) -> None:
         """Guards against an order that runs twice behind another one."""
 
