Release claims without delaying a planned stop

A process with four keyed pools ended 6.4 s after SIGTERM while the store did not respond, later than the platform kills it (6 s): it kept its listener open until then, so that requests that had just arrived would have been cut off (LOST).

Cause: the claims were released one after another before the first step of the stop, and each call waits for the store for up to a second.

Evidence: the new test in tests.test_planned_stop silences the store and stops a real process. Before: "AssertionError: datetime.timedelta(seconds=6, microseconds=429139) not less than datetime.timedelta(seconds=4)".

The claims are now released in tasks of their own while callers are still served; the process waits for them at the end, within the grace period.

--- a/goldcresthaven/gateway_process.py
+++ b/goldcresthaven/gateway_process.py
@@ -140,14 +140,19 @@
         decision_log.note('stopping', count=self._gateway.in_flight)
         end = started + _serving_time(self._cfg.grace)
         self._gateway.drain(stop_at=end)
-        for coordinator in self._coordinators.values():
-            await coordinator.stop()
+        # The claims are released meanwhile; the store may not respond.
+        releases = [
+            await aio.spawn(coordinator.stop())
+            for coordinator in self._coordinators.values()
+        ]
         await aio.sleep(LISTEN_AFTER_STOP)
         await callers.stop()
         self._gateway.close_when_idle()
         try:
             async with aio.timeout(end - self._clock.elapsed()):
                 await callers.wait_closed()
+                for release in releases:
+                    await release.join()
         except errors.DeadlineExceeded:
             decision_log.note('stop-cut-short', count=self._gateway.in_flight)
         await self._store.close()
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -123,7 +123,7 @@
         self.sent: list[Sent] = []
         self.numbers = itertools.count()
 
-    async def configure(self, upstream: Upstream) -> None:
+    async def configure(self, upstream: Upstream, *keyed_pools: str) -> None:
         route = {
             'host': 'h.example',
             'prefix': '/a/',
@@ -137,7 +137,10 @@
         config = {
             'version': '00000003',
             'routes': {'order': route},
-            'services': {'orders': {'sharded': False, 'max-conns': 500}},
+            'services': {
+                name: {'sharded': name != 'orders', 'max-conns': 500}
+                for name in ('orders', *keyed_pools)
+            },
             'limits': {'idle-timeout-s': 30},
         }
         entry = {
@@ -257,6 +260,31 @@
             with self.subTest(case=case):
                 aio.run(functools.partial(main, *case))
 
+    def test_stop_does_not_wait_for_the_store(self) -> None:
+        """Guards against a listener that stays open while the store hangs."""
+        aio.run(self._stop_without_store)
+
+    async def _stop_without_store(self) -> None:
+        pools = ('k0', 'k1', 'k2', 'k3')
+        await self.configure(Upstream(), *pools)
+        popen = self.start_gateway()
+        await self.until_served()
+        claims = '/rows-get?table=goldcresthaven-claims&part='
+        async with aio.timeout(START_LIMIT):
+            while True:
+                found = await http_client.fetch(self.store, 'GET', claims)
+                if len(found.json()['rows']) == len(pools):
+                    break
+                await aio.sleep(PAUSE)
+        await http_client.post_json(self.store, '/faults', {'silent': True})
+        popen.send_signal(signal.SIGTERM)
+        stopped_at = self.clock.elapsed()
+        async with aio.timeout(TEST_LIMIT):
+            while popen.poll() is None:
+                await aio.sleep(PAUSE)
+        took = self.clock.elapsed() - stopped_at
+        self.assertLess(took, timedelta(seconds=4))
+
     def test_no_request_is_cut_off(self) -> None:
         """Guards against requests that are taken too late to be finished."""
         aio.run(self._stop_under_load)
