--- a/goldcresthaven/forwarding.py
+++ b/goldcresthaven/forwarding.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from dataclasses import field
 from datetime import timedelta
 
 from goldcresthaven import aio
@@ -57,6 +58,9 @@
     ``relayed`` is set when part of a response has been sent to the caller.
     ``close_after`` makes the response ask the caller to close the
     connection; so does ``is_draining``, which can change during the call.
+    ``refused_on`` has the numbers of the connections on which the request
+    was refused. A second copy of such a refusal has the same id as the
+    response to the next attempt, which is made on another connection.
     """
 
     conn: http_io.CallerConn
@@ -70,6 +74,7 @@
     close_after: bool = False
     is_draining: Callable[[], bool] = lambda: False
     body_bytes: int = 0
+    refused_on: set[int] = field(default_factory=set)
 
     def ends_connection(self) -> bool:
         return self.close_after or self.is_draining()
@@ -179,7 +184,9 @@
         progress: _Progress,
     ) -> None:
         conn = await self._conns.take(
-            admitted.address, limit=admitted.connection_limit
+            admitted.address,
+            limit=admitted.connection_limit,
+            excluded=call.refused_on,
         )
         try:
             await self._exchange(call, routed, conn, progress)
@@ -206,10 +213,12 @@
         )
         sent_whole = await self._send_body(call, conn)
         head = await self._read_head(call, routed, conn)
-        _check_match(head, call.request_id)
-        progress.head = head
         outcome = http_head.find(head.headers, 'x-outcome')
-        if retries.is_refusal(head.status, outcome):
+        refused = retries.is_refusal(head.status, outcome)
+        _check_match(head, call.request_id, id_needed=refused and conn.reused)
+        progress.head = head
+        if refused:
+            call.refused_on.add(conn.number)
             await _discard(conn)
             return
         call.close_after = call.close_after or not sent_whole
@@ -327,10 +336,18 @@
 
 
 def _check_match(
-    head: http_head.ResponseHead, request_id: ids.RequestId
+    head: http_head.ResponseHead,
+    request_id: ids.RequestId,
+    *,
+    id_needed: bool,
 ) -> None:
+    """Check that the response belongs to this request.
+
+    ``id_needed`` is set for a refusal on a connection that was used before:
+    without an id, it may be a copy of the refusal of an earlier request.
+    """
     echoed = http_head.find(head.headers, 'x-request-id')
-    if echoed is not None and echoed != request_id:
+    if echoed != request_id and (id_needed or echoed is not None):
         raise errors.ProtocolError(
             'the response belongs to another request',
             remedy='check why the upstream answers late or twice',
--- a/goldcresthaven/http_io.py
+++ b/goldcresthaven/http_io.py
@@ -28,6 +28,8 @@
 BODY_PIECE_TIMEOUT = timedelta(seconds=10)
 LINGER_TIMEOUT = timedelta(seconds=1)
 LINGER_PIECES = 64
+# About one round trip between zones.
+DELIVERY_CHECK_INTERVAL = timedelta(milliseconds=10)
 # How often a blocked write checks whether the response has already begun.
 WRITE_CHECK_INTERVAL = timedelta(milliseconds=100)
 
@@ -308,6 +310,26 @@
             pass
         await self.close()
 
+    async def close_when_delivered(self) -> None:
+        """Close once the caller's machine has received all responses.
+
+        Closing resets the connection if a request that was sent ahead is
+        unread, and the system then drops what it has not sent. The request
+        is left unread, because callers send unread requests again.
+        """
+        if self.closed:
+            return
+        try:
+            await self._sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            await self.close()
+            return
+        for _ in range(LINGER_TIMEOUT // DELIVERY_CHECK_INTERVAL):
+            if not aio.unacknowledged(self._sock):
+                break
+            await aio.sleep(DELIVERY_CHECK_INTERVAL)
+        await self.close()
+
     def can_continue(self) -> bool:
         """Return whether the connection can carry another request."""
         return (
@@ -337,16 +359,19 @@
 
         ``accept_unframed`` allows response bodies without a length, which
         end when the upstream closes. ``number`` is the position in the
-        order in which a pool opened its connections.
+        order in which a pool opened its connections. ``reused`` is set from
+        the second exchange on.
         """
         super().__init__(sock)
         self.number = number
+        self.reused = False
         self._accept_unframed = accept_unframed
         self._unframed = False
         self._unacknowledged = timedelta()
 
     def begin(self) -> None:
         """Prepare for the next exchange on this connection."""
+        self.reused = True
         self._next_exchange()
 
     def limit_unacknowledged(self, duration: timedelta) -> None:
--- a/goldcresthaven/upstream_exchange.py
+++ b/goldcresthaven/upstream_exchange.py
@@ -55,7 +55,10 @@
 
     ``buffered_body`` is the beginning of the body, which is kept for a
     retry. ``body_consumed`` is set once a later part was read; the request
-    can then no longer be sent again.
+    can then no longer be sent again. ``refused_on`` has the numbers of the
+    connections on which the request was refused. A second copy of such a
+    refusal has the same id as the response to the next attempt, so that
+    attempt is made on another connection.
     """
 
     conn: http_io.CallerConn
@@ -69,6 +72,7 @@
     body_consumed: bool = False
     body_bytes: int = 0
     relayed: bool = False
+    refused_on: set[int] = field(default_factory=set)
 
     async def buffer_body(self) -> None:
         """Buffer the first 64 KiB of the body.
@@ -201,7 +205,9 @@
         result: AttemptResult,
     ) -> None:
         async with aio.timeout(deadline - self._clock.elapsed()):
-            conn = await self._conns.take(upstream.address, limit=connections)
+            conn = await self._conns.take(
+                upstream.address, limit=connections, excluded=call.refused_on
+            )
         try:
             await self._exchange(call, upstream, deadline, conn, result)
         except BaseException:
@@ -243,6 +249,7 @@
             result.status = head.status
             result.first_byte = self._clock.elapsed()
             if result.meta.not_run:
+                call.refused_on.add(conn.number)
                 await _discard_body(conn)
                 return
         _check_response(head, result.meta, call)
@@ -287,13 +294,15 @@
         """Return the head of the response to this request.
 
         Late second responses to earlier requests on the connection are
-        skipped; they carry a different request id. A response without an
-        id is accepted.
+        skipped; they carry a different request id.
         """
         for _ in range(MAX_LATE_RESPONSES + 1):
             head = await self._read_head(call, conn)
-            echoed = self._headers.from_upstream(head).request_id
-            if echoed is None or echoed == call.meta.request_id:
+            meta = self._headers.from_upstream(head)
+            if meta.request_id is None:
+                _check_first_response(conn, meta, call)
+                return head
+            if meta.request_id == call.meta.request_id:
                 return head
             await conn.skip_response(request, limit=MAX_LATE_RESPONSE_BYTES)
         raise errors.ProtocolError(
@@ -354,6 +363,23 @@
         raise CallerGone('the caller stopped reading') from exc
 
 
+def _check_first_response(
+    conn: http_io.UpstreamConn,
+    meta: request_meta.UpstreamMeta,
+    call: Call,
+) -> None:
+    """Check that a response without an id can only belong to this request.
+
+    On a connection that was used before, it may be a second response to an
+    earlier request. Upstreams echo the id of every request that has one.
+    """
+    if conn.reused and (call.meta.request_id or meta.not_run):
+        raise errors.ProtocolError(
+            'a response on a reused connection has no request id',
+            remedy='check why the upstream responds without an id',
+        )
+
+
 def _check_response(
     head: http_head.ResponseHead, meta: request_meta.UpstreamMeta, call: Call
 ) -> None:
