Reproduce copies of responses that hide a late grant

Cause: on a connection that was used before, a second copy of an earlier response is taken for the response to the next grant. A copied acceptance bounds the hold too early; a copied rejection counts as proof that the grant was not accepted.

A copied rejection is shown by a scripted upstream.

--- a/proofs/coordinator_sim.py
+++ b/proofs/coordinator_sim.py
@@ -4,7 +4,8 @@
 real client for grants, run on a virtual clock. A run delays awaits, timers
 and sends by 0.05 to 3 s, cuts and chokes links, loses and delays answers,
 slows the store, and ends and starts processes and upstreams. All random
-choices derive from the seed.
+choices derive from the seed. Extended runs add more second copies of
+responses, rejections, short partitions and a slow holder with a full link.
 """
 
 from collections.abc import Iterator
@@ -171,7 +172,7 @@
 class World:
     """The processes, upstreams, links and faults of one run."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, *, extended: bool = False) -> None:
         rng = random.Random(seed)
         self.loop = virtual_loop.Loop(rng)
         self.faults = coordinator_world.Faults()
@@ -190,6 +191,8 @@
             self.network.start_upstream(f'u{i}')
         self.members = [_Member(self, f'n{i}') for i in range(3)]
         self._plan_faults()
+        if extended:
+            self._plan_extra_faults(random.Random(f'extended {seed}'))
 
     def send(self, sender: str, receiver: str, deliver: Any) -> None:
         """Deliver a datagram to a process, unless it is lost."""
@@ -253,6 +256,58 @@
             event = rng.choice(events)
             self.loop.at(rng.uniform(1.0, self.duration - 3.0), event)
 
+    def _plan_extra_faults(self, rng: random.Random) -> None:
+        """Add faults that copy, reject or hold back calls on connections."""
+        faults = self.faults
+        faults.extra = rng
+        faults.longest_copy_delay = rng.uniform(0.3, 3.0)
+        if rng.random() < 0.7:
+            faults.second_response = rng.uniform(0.1, 0.6)
+        if rng.random() < 0.3:
+            faults.error_response = rng.uniform(0.0, 0.2)
+        if rng.random() < 0.2:
+            faults.close_unanswered = rng.uniform(0.0, 0.1)
+        events = (
+            self._cut_briefly,
+            self._cut_briefly,
+            self._refuse_holder,
+            self._overload_holder,
+        )
+        for _ in range(rng.randint(1, 5)):
+            event = rng.choice(events)
+            self.loop.at(rng.uniform(2.0, self.duration - 3.0), event)
+
+    def _cut_briefly(self) -> None:
+        """Cut a process off from an upstream for about one renewal."""
+        name = self.loop.rng.choice(list(self.network.by_address))
+        links = [(self._some_member().name, name)]
+        self.faults.cut |= set(links)
+        self.loop.after(
+            self.loop.rng.uniform(0.3, 2.5),
+            lambda: self.faults.cut.difference_update(links),
+        )
+
+    def _refuse_holder(self) -> None:
+        """Let the store refuse the claim's holder, and be slow for others."""
+        self._cut_store()
+        self.faults.store_slow = max(self.faults.store_slow, 0.2)
+
+    def _overload_holder(self) -> None:
+        """Delay the tasks of one process and fill its link."""
+        member = self._some_member()
+        rng = self.loop.rng
+        self.faults.choked[member.name] = rng.uniform(0.5, 3.0)
+        for _ in range(rng.randint(1, 4)):
+            delay = rng.uniform(0.0, 3.0)
+            self.loop.after(
+                delay, lambda: member.process.stall(rng.choice(STALLS))
+            )
+
+        def end() -> None:
+            self.faults.choked.pop(member.name, None)
+
+        self.loop.after(rng.uniform(1.0, 4.0), end)
+
     def _maybe_stall(
         self, process: virtual_loop.Process, share: float
     ) -> None:
@@ -377,7 +432,7 @@
         yield
 
 
-def run(seed: int, *, log: bool = False) -> Outcome:
+def run(seed: int, *, extended: bool = False, log: bool = False) -> Outcome:
     """Run one schedule and return its violations."""
     outcome = Outcome()
     loops: list[virtual_loop.Loop] = []
@@ -394,7 +449,7 @@
         _simulated(loops),
         mock.patch.object(decision_log, 'note', note),
     ):
-        world = World(seed)
+        world = World(seed, extended=extended)
         loops.append(world.loop)
         world.loop.run(world.duration)
         world.loop.closing = True
--- a/proofs/coordinator_world.py
+++ b/proofs/coordinator_world.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 import json
+import random
 from typing import Any
 
 from goldcresthaven import errors
@@ -30,6 +31,10 @@
     ``choked`` links delay bytes, and a reset does not overtake them. Cut
     links hold bytes back until they heal, unless the sender resets the
     connection. Links are pairs of a process and an upstream or ``store``.
+    ``extra`` draws the faults that extended runs add, so that the seeds of
+    the other runs keep their schedules. With ``error_response`` an upstream
+    answers 500 to a grant that it has applied; with ``close_unanswered`` it
+    applies a grant and closes the connection in order, without a response.
     """
 
     cut: set[tuple[str, str]] = field(default_factory=set)
@@ -41,6 +46,10 @@
     store_lost: float = 0.0
     slow_release: float = 0.0
     late_send: float = 0.0
+    longest_copy_delay: float = 1.0  # seconds
+    error_response: float = 0.0
+    close_unanswered: float = 0.0
+    extra: random.Random = field(default_factory=random.Random)
 
 
 @dataclass(kw_only=True, slots=True)
@@ -158,6 +167,7 @@
         self.upstream = upstream
         self.number = number
         self.aborted = False
+        self.closed_by_upstream = False
         self.stray_input = False
         self.waiting: virtual_loop.Wait | None = None
 
@@ -253,7 +263,7 @@
                 lambda: self._arrive(process, conn, path, body, False),
             )
             return
-        if not conn.upstream.alive:
+        if not conn.upstream.alive or conn.closed_by_upstream:
             self._respond(conn, _connection_lost())
             return
         arrived = self._loop.now
@@ -276,6 +286,11 @@
             status = 500
             if conn.upstream.alive:
                 status = conn.upstream.grant(body, arrived)
+            if _happens(self._faults.extra, self._faults.close_unanswered):
+                self._loop.after(LATENCY, lambda: _close_unanswered(conn))
+                return
+            if _happens(self._faults.extra, self._faults.error_response):
+                status = 500
             self._loop.after(
                 LATENCY, lambda: self._respond(conn, _response(status))
             )
@@ -291,13 +306,15 @@
         if conn.waiting is not None:
             conn.waiting.wake(response)
         if rng.random() < self._faults.second_response:
-            delay = rng.uniform(0.0, 1.0)
+            delay = rng.uniform(0.0, self._faults.longest_copy_delay)
             self._loop.after(delay, lambda: self._stray(conn, response))
 
     def _stray(
         self, conn: Conn, response: http_head.ResponseHead | BaseException
     ) -> None:
         """Deliver a second copy of a response."""
+        if conn.closed_by_upstream:
+            return
         if conn.waiting is not None:
             conn.waiting.wake(response)
         conn.stray_input = True
@@ -355,7 +372,7 @@
         return None
 
     async def give_back(self, address: members.Address, conn: Conn) -> None:
-        if not conn.stray_input:
+        if not conn.stray_input and not conn.closed_by_upstream:
             self._idle.setdefault(address, []).append(conn)
 
     async def discard(self, address: members.Address, conn: Conn) -> None:
@@ -377,7 +394,22 @@
 
 
 def _is_idle(conn: Conn) -> bool:
-    return conn.upstream.alive and not conn.aborted and not conn.stray_input
+    return (
+        conn.upstream.alive
+        and not conn.closed_by_upstream
+        and not conn.aborted
+        and not conn.stray_input
+    )
+
+
+def _close_unanswered(conn: Conn) -> None:
+    conn.closed_by_upstream = True
+    if conn.waiting is not None:
+        conn.waiting.wake(_connection_lost())
+
+
+def _happens(rng: random.Random, probability: float) -> bool:
+    return probability > 0 and rng.random() < probability
 
 
 def _overlap(left: Hold, right: Hold) -> bool:
--- a/tests/test_coordinator_sim.py
+++ b/tests/test_coordinator_sim.py
@@ -8,6 +8,10 @@
 SEEDS = range(150)
 # Enough for a rule whose absence is found in one of 40 runs.
 KNOCKOUT_SEEDS = range(1000, 1300)
+# A second copy of a response on a connection that was kept was taken for the
+# response to the next grant, which a partition held back.
+COPIED_RESPONSE_SEEDS = (3384, 8318, 14079)
+EXTENDED_SEEDS = (99, 1647, 3268, 3402, 3817, *range(4000, 4050))
 
 
 class CoordinatorSimTest(unittest.TestCase):
@@ -17,6 +21,15 @@
             outcome = coordinator_sim.run(seed)
             self.assertEqual(outcome.violations, [], seed)
 
+    def test_copied_response_does_not_end_a_hold_early(self) -> None:
+        """Guards against two owners after a response that was sent twice."""
+        for seed in COPIED_RESPONSE_SEEDS:
+            outcome = coordinator_sim.run(seed)
+            self.assertEqual(outcome.violations, [], seed)
+        for seed in EXTENDED_SEEDS:
+            outcome = coordinator_sim.run(seed, extended=True)
+            self.assertEqual(outcome.violations, [], seed)
+
     def test_schedules_grant_keys(self) -> None:
         """Guards against a simulation in which nothing happens."""
         grants = sum(coordinator_sim.run(seed).grants for seed in range(20))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -432,6 +432,33 @@
         for sent in scripted.requests:
             self.assertIn('expect-instance: i-1', sent.lower())
 
+    def test_copy_of_a_rejection_does_not_refuse_an_accepted_grant(
+        self,
+    ) -> None:
+        """Guards against an accepted grant whose hold is not bounded.
+
+        After a rejection the connection was used for other ranges, and a
+        second copy of the rejection was taken for the response to a grant
+        that the upstream accepted.
+        """
+        for status in (409, 421, 500):
+            scripted = ScriptedServer(
+                reply(200), reply(status), reply(status), reply(200)
+            )
+
+            async def main() -> None:
+                calls = leases.PlatformLeases(clock=clock.SystemClock())
+                address = await scripted.start()
+                first = await self.grant(calls, address, None)
+                rejected = await self.grant(calls, address, first.connections)
+                self.assertEqual(rejected.result.name, 'NO_RESPONSE')
+                other = await self.grant(calls, address, first.connections)
+                self.assertEqual(other.result.name, 'DISCONNECTED')
+
+            with self.subTest(status=status):
+                run(main)
+                self.assertEqual(len(scripted.requests), 2)
+
     def test_connection_opened_during_a_grant_proves_nothing(self) -> None:
         """Guards against a reply that is read after a restart.
 
