Count a grant by a response only if it cannot be a copy

Cause: responses to grants carry no id. On a connection that was used before, a second copy of an earlier response was taken for the response to a renewal that a partition held back. A copied acceptance bounded the hold too early, a copied 409 or 421 made an accepted grant count as refused, and any copy counted as a round trip that proves older grants to have arrived. Idle connections were also closed in order, which lets held-back bytes arrive.

Change: an acceptance on a connection that was kept is provisional. It counts once two later calls on the connection were answered, or once the upstream has closed it in order with nothing unread; otherwise from the time at which this side reset the connection. A rejection on such a connection proves nothing, and no connection is kept after one. Connections for grants are always reset. Before a bound frees keys, and at the end of a term, those with provisional grants are reset. Where an owner accepted a higher fence over a new connection, its earlier grants count from then, so a confirmed release waits for nothing. Round trips are proven by opening a connection; responses of the store no longer count.

--- a/goldcresthaven/aio.py
+++ b/goldcresthaven/aio.py
@@ -191,6 +191,18 @@
         return b''
 
 
+def at_end(sock: Socket) -> bool:
+    """Return whether the other side closed in order and all was received.
+
+    False if the connection was reset.
+    """
+    raw = cast(Any, sock)._socket
+    try:
+        return raw is not None and raw.recv(1, socket.MSG_PEEK) == b''
+    except OSError:
+        return False
+
+
 def receive_nowait(sock: Socket, size: int) -> bytes | None:
     """Return received data without blocking, or None if there is none.
 
--- a/goldcresthaven/hold_bounds.py
+++ b/goldcresthaven/hold_bounds.py
@@ -2,6 +2,9 @@
 
 The time of a hold counts from the arrival of its grant, so each bound rests
 on the latest possible arrival. An answered grant arrived before its answer.
+Responses carry no id, and an upstream may send one twice. On a connection
+that was used before, a response is therefore provisional: it may be a second
+copy of an earlier one, while the grant itself is held back by a partition.
 A grant without an answer may still be on its way after its connection was
 reset: packets wait in the queue of a congested link, and a reset does not
 overtake them. It has arrived, or never will, once a call that was sent after
@@ -19,6 +22,12 @@
 # No link keeps a packet for longer than this. It bounds the arrival of a
 # grant until a later call has been answered.
 PACKET_LIFETIME = timedelta(seconds=3)
+# After this many later responses on its connection, a provisional grant has
+# arrived. One such response could be a copy too; two consecutive copies,
+# each while a call is held back, are not expected.
+CONFIRMING_RESPONSES = 2
+# Later than any bound; stands for the end of a provisional grant's hold.
+UNKNOWN_END = timedelta(days=36500)
 _HoldKey = tuple[key_map.Owner, int]
 
 
@@ -29,7 +38,8 @@
     ``arrived_by`` is the latest time of its arrival, once that is known.
     ``reset_at`` is the time at which a call without an answer was given up
     and its connection reset. ``refused`` is set if the grant was certainly
-    not sent or not accepted.
+    not sent or not accepted. ``answered_at`` is the time of a provisional
+    response.
     """
 
     sent_at: timedelta
@@ -37,6 +47,7 @@
     arrived_by: timedelta | None = None
     reset_at: timedelta | None = None
     refused: bool = False
+    answered_at: timedelta | None = None
 
     @property
     def is_open(self) -> bool:
@@ -44,13 +55,25 @@
         return (
             self.arrived_by is None
             and self.reset_at is None
+            and self.answered_at is None
             and not self.refused
         )
 
+    @property
+    def is_provisional(self) -> bool:
+        """Whether its only evidence is a response that may be a copy."""
+        return (
+            self.answered_at is not None
+            and self.arrived_by is None
+            and self.reset_at is None
+        )
+
     def end(self) -> timedelta:
         """Return when the hold has ended for sure."""
         if self.refused:
             return timedelta()
+        if self.is_provisional:
+            return UNKNOWN_END
         arrived_by = self.arrived_by
         if arrived_by is None:
             given_up = self.reset_at or self.sent_at + key_grants.CALL_TIMEOUT
@@ -83,6 +106,9 @@
         self._ranges_by_fence: dict[int, tuple[int, int]] = {}
         self._grants: dict[_HoldKey, list[SentGrant]] = {}
         self._unproven: list[SentGrant] = []
+        self._provisional: dict[
+            key_grants.KeptConnection, list[SentGrant]
+        ] = {}
 
     def needs_predecessor(self, now: timedelta) -> bool:
         """Return whether the predecessor's bounds would shorten a wait."""
@@ -101,6 +127,47 @@
     def record_answered(self, grant: SentGrant, at: timedelta) -> None:
         """Record that an owner accepted a grant."""
         grant.arrived_by = at
+        self._settle()
+
+    def record_provisional(
+        self,
+        grant: SentGrant,
+        at: timedelta,
+        connection: key_grants.KeptConnection,
+    ) -> None:
+        """Record a response that may be a copy of an earlier one.
+
+        It confirms earlier grants on the same connection.
+        """
+        grant.answered_at = at
+        grants = self._provisional.setdefault(connection, [])
+        grants.append(grant)
+        while len(grants) > CONFIRMING_RESPONSES:
+            grants.pop(0).arrived_by = at
+
+    def unsettled(
+        self, owner: key_map.Owner | None = None, fence: int = 0
+    ) -> list[key_grants.KeptConnection]:
+        """Return the connections on which bounds still depend.
+
+        They are limited to those of one owner's fence if ``owner`` is given.
+        After a connection was reset, its grants count from the reset.
+        """
+        self._settle()
+        if owner is None:
+            return list(self._provisional)
+        wanted = self._grants.get((owner, fence), ())
+        return [
+            connection
+            for connection, grants in self._provisional.items()
+            if any(grant in wanted for grant in grants)
+        ]
+
+    def needs_round_trip(self, now: timedelta) -> bool:
+        """Return whether a round trip would shorten a bound."""
+        self._settle()
+        self._unproven = [g for g in self._unproven if g.end() > now]
+        return bool(self._unproven)
 
     def record_refused(self, grant: SentGrant) -> None:
         """Record a grant that certainly was not sent or not accepted."""
@@ -116,9 +183,12 @@
     ) -> None:
         """Record a call that was answered, to any destination.
 
-        Packets leave a link in their order. Those of a connection that was
-        reset before the call have therefore arrived or been dropped.
+        The answer must not be a copy: it opened a connection, or was the
+        first one on it. Packets leave a link in their order. Those of a
+        connection that was reset before the call have therefore arrived or
+        been dropped.
         """
+        self._settle()
         waiting = []
         for grant in self._unproven:
             if grant.reset_at is not None and grant.reset_at <= sent_at:
@@ -161,12 +231,26 @@
         if old in self._uninherited:
             self._uninherited.add(new)
 
-    def free_at(self, owner: key_map.Owner, fence: int) -> timedelta:
-        """Return when an owner certainly holds no more keys under a fence."""
-        return max(
-            self._inherited_for(owner, fence),
-            _latest_end(self._grants.get((owner, fence), ())),
-        )
+    def free_at(
+        self,
+        owner: key_map.Owner,
+        fence: int,
+        *,
+        accepted_at: timedelta | None = None,
+    ) -> timedelta:
+        """Return when an owner certainly holds no more keys under a fence.
+
+        ``accepted_at`` is the time by which the owner had accepted a higher
+        fence for the keys, if it has. It rejects what arrives later.
+        """
+        self._settle()
+        grants = self._grants.get((owner, fence), ())
+        end = _latest_end(grants)
+        if accepted_at is not None:
+            holds = (g.hold for g in grants if not g.refused)
+            longest = max(holds, default=timedelta())
+            end = min(end, key_grants.hold_end(accepted_at, longest))
+        return max(self._inherited_for(owner, fence), end)
 
     def set_predecessor_bounds(
         self, owner_ends: dict[ids.UpstreamId, timedelta]
@@ -178,12 +262,13 @@
         """Return when the last hold of each upstream ends.
 
         It covers all incarnations of an upstream, and the bounds that the
-        predecessor reported. Returns None while a grant is being sent, and
-        while holds that an earlier holder granted to unknown upstreams may
-        still last.
+        predecessor reported. Returns None while a grant is being sent or is
+        provisional, and while holds that an earlier holder granted to
+        unknown upstreams may still last.
         """
         grants = [g for known in self._grants.values() for g in known]
-        if any(grant.is_open for grant in grants):
+        self._settle()
+        if any(grant.is_open or grant.is_provisional for grant in grants):
             return None
         if self.needs_predecessor(now):
             return None
@@ -194,6 +279,22 @@
             owner_ends[owner.upstream_id] = max(earlier, end)
         return {name: end for name, end in owner_ends.items() if end > now}
 
+    def _settle(self) -> None:
+        """Derive the arrival of grants whose connections have ended.
+
+        If the upstream closed the connection in order and each of its
+        responses was read, a copy among them would mean that it has dropped
+        a call, which then never arrives.
+        """
+        ended = [c for c in self._provisional if c.closed or c.reset_at]
+        for connection in ended:
+            for grant in self._provisional.pop(connection):
+                if connection.closed:
+                    grant.arrived_by = grant.answered_at
+                else:
+                    grant.reset_at = connection.reset_at
+                    self._unproven.append(grant)
+
     def _inherited_for(self, owner: key_map.Owner, fence: int) -> timedelta:
         if fence in self._uninherited:
             return timedelta()
--- a/goldcresthaven/http_io.py
+++ b/goldcresthaven/http_io.py
@@ -337,13 +337,17 @@
 
         ``accept_unframed`` allows response bodies without a length, which
         end when the upstream closes. ``number`` is the position in the
-        order in which a pool opened its connections.
+        order in which a pool opened its connections. A ``retired``
+        connection is not kept after its exchange. ``closed_in_order`` is set
+        by ``note_end``.
         """
         super().__init__(sock)
         self.number = number
         self._accept_unframed = accept_unframed
         self._unframed = False
         self._unacknowledged = timedelta()
+        self.retired = False
+        self.closed_in_order = False
 
     def begin(self) -> None:
         """Prepare for the next exchange on this connection."""
@@ -516,6 +520,10 @@
         """
         return not self._buf and aio.peek(self._sock) is None
 
+    def note_end(self) -> None:
+        """Record whether the upstream closed and all it sent was read."""
+        self.closed_in_order = not self._buf and aio.at_end(self._sock)
+
 
 def _rejected(problem: str, status: int) -> errors.RequestRejected:
     return errors.RequestRejected(
--- a/goldcresthaven/key_coordinator.py
+++ b/goldcresthaven/key_coordinator.py
@@ -197,8 +197,8 @@
 
         Returns None if the request is outdated, or if the remaining holds
         are unknown: this process may have restarted since it granted keys,
-        a grant is being sent, or holds that an earlier holder granted may
-        still last. The successor repeats its request.
+        a grant is being sent or may be held back, or holds that an earlier
+        holder granted may still last. The successor repeats its request.
         """
         term = self._term or self._last_term
         if term is None or request.claim_version <= term.claim_version:
@@ -325,6 +325,7 @@
                 'claim-lost', pool=self._pool, detail=term.end_reason
             )
             await writer.cancel()
+        await aio.spawn(self._renewer.settle(term))
 
     def _ask_predecessor(self, term: key_coordinator_state.ClaimTerm) -> None:
         if term.predecessor:
@@ -383,9 +384,6 @@
             expected[self._map_key] = keys.version
             puts[self._map_key] = keys.encode()
         result = await self._store.write(expected=expected, puts=puts)
-        term.holds.record_round_trip(
-            sent_at=sent, answered_at=self._clock.elapsed()
-        )
         if isinstance(result, state_store.Conflict):
             await self._resolve_conflict(term)
             return
--- a/goldcresthaven/key_coordinator_state.py
+++ b/goldcresthaven/key_coordinator_state.py
@@ -47,7 +47,8 @@
     granted keys before, or empty. ``announced_version`` is the version of
     the map that was last announced to the other processes.
     ``write_unconfirmed`` is true while it is unknown whether a write was
-    applied. ``end_reason`` is set when the term ends.
+    applied. ``proving`` is true while a round trip is being made for the
+    bounds. ``end_reason`` is set when the term ends.
     """
 
     address: str
@@ -71,6 +72,7 @@
     announced_version: int = 0
     fences_reserved: bool = False
     write_unconfirmed: bool = False
+    proving: bool = False
     end_reason: str | None = None
 
     def is_valid(self, now: timedelta) -> bool:
--- a/goldcresthaven/key_grants.py
+++ b/goldcresthaven/key_grants.py
@@ -75,16 +75,33 @@
 NO_CONNECTIONS = Connections(0)
 
 
+@dataclass(kw_only=True, slots=True, eq=False)
+class KeptConnection:
+    """A connection that has carried more than one grant.
+
+    ``reset_at`` is the time by which this side had reset it. ``closed`` is
+    set if the upstream closed it in order, and all that it sent was read as
+    responses.
+    """
+
+    number: int
+    address: members.Address
+    reset_at: timedelta | None = None
+    closed: bool = False
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class GrantReply:
     """The outcome of a grant, and the connections open when it was sent.
 
     A connection that was opened later may lead to the upstream after a
-    restart.
+    restart. ``kept`` is the connection of an acceptance that may be a second
+    copy of the response to an earlier call on it; None if it cannot be one.
     """
 
     result: GrantResult
     connections: Connections = NO_CONNECTIONS
+    kept: KeptConnection | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -115,9 +132,21 @@
 
         A renewal is sent only over one of the connections in ``renewal``,
         which the reply to the previous grant of the same fence named. This
-        proves that the upstream has not restarted since.
+        proves that the upstream has not restarted since. A rejection on
+        such a connection may be a second copy of an earlier one, so it
+        counts as no response.
         """
 
+    async def reset(self, address: members.Address, number: int) -> None:
+        """Reset a connection for grants, after the call that is using it.
+
+        ``number`` is that of the connection. The bytes that a partition
+        holds back are dropped.
+        """
+
+    async def round_trip(self, address: members.Address) -> bool:
+        """Return whether a new connection could be opened; it is closed."""
+
     async def release(
         self,
         upstream: ids.UpstreamId,
--- a/goldcresthaven/key_release.py
+++ b/goldcresthaven/key_release.py
@@ -77,11 +77,12 @@
         # At most one grant with a raised fence may stay unanswered, because
         # each one extends the wait.
         raised: hold_bounds.SentGrant | None = None
+        accepted_at: timedelta | None = None
+        if owner in term.failing_since:
+            await self._reset_unsettled(term, owner, source.fence)
         while term.end_reason is None:
             now = self._clock.elapsed()
-            free_at = term.holds.free_at(owner, source.fence)
-            if raised is not None:
-                free_at = max(free_at, raised.end())
+            free_at = _free_at(term, source, owner, accepted_at, raised)
             if now >= free_at:
                 return None
             address = self._owners.address(owner)
@@ -90,6 +91,8 @@
                     fence, raised = await self._raise_fence(
                         term, source, owner, address
                     )
+                    if fence is not None and raised is not None:
+                        accepted_at = raised.arrived_by
                 if fence is not None:
                     self._announce(
                         fleet_messages.Moving(
@@ -108,10 +111,26 @@
                     )
                     if released is not None:
                         return released
+            if fence is None:
+                await self._reset_unsettled(term, owner, source.fence)
+            free_at = _free_at(term, source, owner, accepted_at, raised)
             left = free_at - self._clock.elapsed()
             await aio.sleep(min(RETRY_PAUSE, left + END_MARGIN))
         return None
 
+    async def _reset_unsettled(
+        self,
+        term: key_coordinator_state.ClaimTerm,
+        owner: key_map.Owner,
+        fence: int,
+    ) -> None:
+        """Reset the connections on which a grant may be held back.
+
+        The bounds of such grants then count from the reset.
+        """
+        for connection in term.holds.unsettled(owner, fence):
+            await self._calls.reset(connection.address, connection.number)
+
     async def _wait_for_renewals(
         self, term: key_coordinator_state.ClaimTerm, owner: key_map.Owner
     ) -> None:
@@ -166,3 +185,15 @@
                 return None, grant
         term.holds.record_refused(grant)
         return None, None
+
+
+def _free_at(
+    term: key_coordinator_state.ClaimTerm,
+    source: key_map.KeyRange,
+    owner: key_map.Owner,
+    accepted_at: timedelta | None,
+    raised: hold_bounds.SentGrant | None,
+) -> timedelta:
+    """Return when the owner's holds have ended, with the raised fence's."""
+    free_at = term.holds.free_at(owner, source.fence, accepted_at=accepted_at)
+    return free_at if raised is None else max(free_at, raised.end())
--- a/goldcresthaven/key_renewal.py
+++ b/goldcresthaven/key_renewal.py
@@ -16,6 +16,8 @@
 # move waits at most this long for it.
 ANNOUNCE_WAIT = timedelta(milliseconds=40)
 GRANT_POLL = timedelta(milliseconds=2)
+# Owners that are tried for one round trip; each attempt takes up to 0.4 s.
+ROUND_TRIP_ATTEMPTS = 3
 # When the last renewal of the claim is this old, the store may be
 # unavailable and owners get long holds. All of their renewals fall due before
 # an outage of the store would be declared.
@@ -69,9 +71,54 @@
                 break
             await aio.sleep(GRANT_POLL)
 
+    async def settle(self, term: key_coordinator_state.ClaimTerm) -> None:
+        """Make the bounds of a term that has ended final.
+
+        Resets the connections whose last grants may still be held back.
+        """
+        while term.renewing:
+            await aio.sleep(GRANT_POLL)
+        for connection in term.holds.unsettled():
+            await self._calls.reset(connection.address, connection.number)
+        await self._prove_arrivals(term)
+
+    async def _prove_arrivals(
+        self, term: key_coordinator_state.ClaimTerm
+    ) -> None:
+        """Make a round trip to shorten the bounds of unanswered grants.
+
+        Opens a connection to an owner: unlike a response on a connection
+        that was kept, this cannot be a second copy.
+        """
+        try:
+            for owner in self._reachable_owners(term)[:ROUND_TRIP_ATTEMPTS]:
+                address = self._owners.address(owner)
+                sent = self._clock.elapsed()
+                if address and await self._calls.round_trip(address):
+                    term.holds.record_round_trip(
+                        sent_at=sent, answered_at=self._clock.elapsed()
+                    )
+                    return
+        finally:
+            term.proving = False
+
+    def _reachable_owners(
+        self, term: key_coordinator_state.ClaimTerm
+    ) -> list[key_map.Owner]:
+        """Return the owners that answer, those renewed last first."""
+        answering = [o for o in term.owners() if o not in term.failing_since]
+        return sorted(
+            answering,
+            key=lambda o: term.renewal_due.get(o, timedelta()),
+            reverse=True,
+        )
+
     async def renew_due(
         self, term: key_coordinator_state.ClaimTerm, now: timedelta
     ) -> None:
+        if term.holds.needs_round_trip(now) and not term.proving:
+            term.proving = True
+            await aio.spawn(self._prove_arrivals(term))
         moving = term.moving_ranges()
         owners = term.owners()
         term.renewal_due = {
@@ -163,12 +210,15 @@
         now = self._clock.elapsed()
         result = reply.result
         if result is key_grants.GrantResult.GRANTED:
-            term.holds.record_answered(grant, now)
-            term.holds.record_round_trip(sent_at=sent, answered_at=now)
+            if reply.kept is None:
+                term.holds.record_answered(grant, now)
+                term.holds.record_round_trip(sent_at=sent, answered_at=now)
+                term.holds.record_accepted(key_range)
+            else:
+                term.holds.record_provisional(grant, now, reply.kept)
             term.granted[hold_key] = reply.connections
             term.handovers.pop(key_range.fence, None)
             term.failing_since.pop(owner, None)
-            term.holds.record_accepted(key_range)
             return True
         if result is key_grants.GrantResult.NO_RESPONSE:
             term.holds.record_unanswered(grant, now)
--- a/goldcresthaven/platform/leases.py
+++ b/goldcresthaven/platform/leases.py
@@ -2,6 +2,11 @@
 
 When a call gets no response, its connection is reset. Bytes that a partition
 delays are then dropped, so that the call cannot arrive after its timeout.
+
+Only the first response on a connection is certainly the response to its
+call; each later one may be a second copy of an earlier response. Connections
+for grants are always reset and not closed in order, for the same reason: a
+grant that seems to be answered may still be held back.
 """
 
 from collections.abc import Callable
@@ -11,6 +16,7 @@
 
 from goldcresthaven import aio
 from goldcresthaven import clock as clock_module
+from goldcresthaven import decision_log
 from goldcresthaven import errors
 from goldcresthaven import http_head
 from goldcresthaven import http_io
@@ -41,6 +47,11 @@
         # The oldest connection to an upstream carries most renewals.
         self._grants = upstream_pool.UpstreamPool()
         self._releases = upstream_pool.UpstreamPool()
+        # Connections that carried a grant, until their end is noted.
+        self._carriers: dict[
+            members.Address,
+            dict[http_io.UpstreamConn, key_grants.KeptConnection],
+        ] = {}
 
     async def close(self) -> None:
         await self._grants.close()
@@ -70,16 +81,24 @@
         # lead to the upstream's next incarnation.
         opened_before_call = key_grants.Connections(self._grants.opened)
         conn: http_io.UpstreamConn | None = None
+        with_input = await self._grants.remove_ended(address)
+        if with_input:
+            decision_log.note(
+                'second-response',
+                upstream=upstream,
+                count=len(with_input),
+            )
         if renewal is None:
             # A second response to an earlier call must not be taken for the
             # acceptance of a new fence.
             await self._grants.make_room(address, limit=MAX_IDLE_CONNECTIONS)
         else:
             conn = self._grants.take_opened_before(address, opened=renewal)
+            self._note_ends(address)
             if conn is None:
                 return _reply(key_grants.GrantResult.DISCONNECTED)
         try:
-            response, number = await self._call(
+            response, used = await self._call(
                 self._grants,
                 upstream,
                 address,
@@ -95,18 +114,53 @@
             return _reply(key_grants.GrantResult.UNREACHABLE)
         except errors.Error:
             return _reply(key_grants.GrantResult.NO_RESPONSE)
-        connection_used = key_grants.Connections(number)
-        match response.status:
-            case 200:
-                return key_grants.GrantReply(
-                    result=key_grants.GrantResult.GRANTED,
-                    connections=max(opened_before_call, connection_used),
-                )
-            case 409:
-                return _reply(key_grants.GrantResult.FENCED_OFF)
-            case 421:
-                return _reply(key_grants.GrantResult.ADDRESS_REUSED)
-        return _reply(key_grants.GrantResult.NO_RESPONSE)
+        finally:
+            self._note_ends(address)
+        if response.status != 200:
+            return _reply(_rejection(response.status, kept=conn is not None))
+        carrier = self._carrier(address, used)
+        return key_grants.GrantReply(
+            result=key_grants.GrantResult.GRANTED,
+            connections=max(
+                opened_before_call, key_grants.Connections(used.number)
+            ),
+            kept=None if conn is None else carrier,
+        )
+
+    async def reset(self, address: members.Address, number: int) -> None:
+        for conn in self._carriers.get(address, {}):
+            if conn.number == number:
+                conn.retired = True
+        await self._grants.retire(address, number)
+        self._note_ends(address)
+
+    async def round_trip(self, address: members.Address) -> bool:
+        try:
+            conn = await self._open(self._releases, address)
+        except errors.ConnectionFailed:
+            return False
+        await self._releases.discard(address, conn)
+        return True
+
+    def _carrier(
+        self, address: members.Address, conn: http_io.UpstreamConn
+    ) -> key_grants.KeptConnection:
+        """Return the record of a connection that carried a grant."""
+        carriers = self._carriers.setdefault(address, {})
+        carrier = carriers.setdefault(
+            conn,
+            key_grants.KeptConnection(number=conn.number, address=address),
+        )
+        self._note_ends(address)
+        return carrier
+
+    def _note_ends(self, address: members.Address) -> None:
+        """Record the end of connections that were reset before now."""
+        carriers = self._carriers.get(address, {})
+        for conn in [c for c in carriers if c.closed]:
+            carrier = carriers.pop(conn)
+            carrier.closed = conn.closed_in_order
+            carrier.reset_at = self._clock.elapsed()
 
     async def release(
         self,
@@ -147,8 +201,8 @@
         conn: http_io.UpstreamConn | None = None,
         may_send: Callable[[], bool] = lambda: True,
         reuse: bool = True,
-    ) -> tuple[http_head.ResponseHead, int]:
-        """Return the response and the number of the connection used.
+    ) -> tuple[http_head.ResponseHead, http_io.UpstreamConn]:
+        """Return the response and the connection used.
 
         Without ``conn``, a new connection is opened, on which no late second
         response to another call can arrive.
@@ -190,11 +244,12 @@
             except BaseException:
                 await conns.discard(address, conn)
                 raise
-            if reuse:
+            kept = reuse and response.status == 200 and not conn.retired
+            if kept and conn.is_reusable():
                 await conns.give_back(address, conn)
             else:
                 await conns.discard(address, conn)
-            return response, conn.number
+            return response, conn
 
     def _is_late(self, started: timedelta, timeout: timedelta) -> bool:
         return self._clock.elapsed() - started > timeout
@@ -212,5 +267,21 @@
             ) from exc
 
 
+def _rejection(status: int, *, kept: bool) -> key_grants.GrantResult:
+    """Return what a rejection proves.
+
+    On a connection that was kept, it may be a copy of an earlier rejection,
+    although the upstream has accepted the grant.
+    """
+    if kept:
+        return key_grants.GrantResult.NO_RESPONSE
+    match status:
+        case 409:
+            return key_grants.GrantResult.FENCED_OFF
+        case 421:
+            return key_grants.GrantResult.ADDRESS_REUSED
+    return key_grants.GrantResult.NO_RESPONSE
+
+
 def _reply(result: key_grants.GrantResult) -> key_grants.GrantReply:
     return key_grants.GrantReply(result=result)
--- a/goldcresthaven/upstream_pool.py
+++ b/goldcresthaven/upstream_pool.py
@@ -76,30 +76,60 @@
         return await self._open(endpoint, address)
 
     async def make_room(self, address: members.Address, *, limit: int) -> None:
-        """Close idle connections until fewer than ``limit`` are open.
+        """Reset idle connections until fewer than ``limit`` are open.
 
         Those that the upstream has closed go first, then the newest ones:
         an old connection also serves what was sent over newer ones.
         """
         endpoint = self._endpoints.setdefault(address, _Endpoint())
-        for conn in list(endpoint.idle):
-            if not conn.is_idle():
-                endpoint.idle.remove(conn)
-                await self._close(endpoint, conn)
+        await self.remove_ended(address)
         while endpoint.open_count >= limit and len(endpoint.idle) > 1:
             newest = max(endpoint.idle, key=lambda conn: conn.number)
             endpoint.idle.remove(newest)
-            await self._close(endpoint, newest)
+            await self.discard(address, newest)
+
+    async def remove_ended(
+        self, address: members.Address
+    ) -> list[http_io.UpstreamConn]:
+        """Reset idle connections that were closed or have unread input.
+
+        Returns those with input: nobody waited for it, so it is a second
+        copy of a response, or not a response to a call.
+        """
+        endpoint = self._endpoints.setdefault(address, _Endpoint())
+        with_input = []
+        for conn in list(endpoint.idle):
+            if conn.is_idle():
+                continue
+            if conn.has_input():
+                with_input.append(conn)
+            else:
+                conn.note_end()
+            endpoint.idle.remove(conn)
+            await self.discard(address, conn)
+        return with_input
+
+    async def retire(self, address: members.Address, number: int) -> None:
+        """Reset an idle connection; one in use must not be kept."""
+        endpoint = self._endpoints.setdefault(address, _Endpoint())
+        for conn in list(endpoint.idle):
+            if conn.number == number:
+                if not conn.is_idle() and not conn.has_input():
+                    conn.note_end()
+                endpoint.idle.remove(conn)
+                await self.discard(address, conn)
 
     def take_opened_before(
         self, address: members.Address, *, opened: int
     ) -> http_io.UpstreamConn | None:
-        """Return an idle connection that was opened before a given moment.
+        """Return the oldest idle connection opened before a given moment.
 
+        Using one connection as long as possible leaves no last grant on the
+        others, which would have to be reset for a bound on it.
         ``opened`` is the value of the attribute ``opened`` at that moment.
         """
         endpoint = self._endpoints.setdefault(address, _Endpoint())
-        for conn in endpoint.idle:
+        for conn in sorted(endpoint.idle, key=lambda conn: conn.number):
             if conn.number <= opened and conn.is_idle():
                 endpoint.idle.remove(conn)
                 conn.begin()
--- a/proofs/coordinator_sim.py
+++ b/proofs/coordinator_sim.py
@@ -168,6 +168,13 @@
         await self._world.stall_current()
         return await self._calls.release(*args, **kwargs)
 
+    async def reset(self, *args: Any, **kwargs: Any) -> None:
+        await self._world.stall_current()
+        await self._calls.reset(*args, **kwargs)
+
+    async def round_trip(self, *args: Any, **kwargs: Any) -> bool:
+        return await self._calls.round_trip(*args, **kwargs)
+
 
 class World:
     """The processes, upstreams, links and faults of one run."""
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -234,6 +234,12 @@
         ranges[(grant.first, grant.last)] = grant.fence
         return key_grants.GrantResult.GRANTED
 
+    async def reset(self, address: members.Address, number: int) -> None:
+        pass
+
+    async def round_trip(self, address: members.Address) -> bool:
+        return address.host not in self.unreachable | self.unresponsive
+
     async def release(
         self,
         upstream: ids.UpstreamId,
--- a/tests/test_hold_bounds.py
+++ b/tests/test_hold_bounds.py
@@ -7,6 +7,7 @@
 from goldcresthaven import ids
 from goldcresthaven import key_grants
 from goldcresthaven import key_map
+from goldcresthaven import members
 from tests import fake_platform
 
 NOW = timedelta(seconds=100)
@@ -22,6 +23,10 @@
         self.holds = hold_bounds.HoldBounds(inherited=INHERITED)
         self.holds.record_unheld(OWN_FENCE)
 
+    def kept_connection(self) -> key_grants.KeptConnection:
+        address = members.Address(host='u1', port=80)
+        return key_grants.KeptConnection(number=1, address=address)
+
     def test_hold_counts_from_the_latest_arrival_on_a_slow_clock(self) -> None:
         """Guards against a second owner while the first still holds keys."""
         grant = self.holds.record_sent(OWNER, OWN_FENCE, NOW, HOLD)
@@ -66,6 +71,73 @@
             key_grants.hold_end(answered, HOLD),
         )
 
+    def test_copy_of_an_acceptance_does_not_end_a_hold_early(self) -> None:
+        """Guards against a second owner after a response was sent twice.
+
+        A second copy of a response was taken for the response to the next
+        grant on the connection, which a partition held back (coordinator
+        simulation, seed 3384: two owners for 2.6 s).
+        """
+        kept = self.kept_connection()
+        grant = self.holds.record_sent(OWNER, OWN_FENCE, NOW, HOLD)
+        self.holds.record_provisional(grant, NOW, kept)
+        self.holds.set_predecessor_bounds({})
+        self.assertIsNone(self.holds.bounds(NOW))
+        late = NOW + timedelta(seconds=20)
+        self.assertGreater(self.holds.free_at(OWNER, OWN_FENCE), late)
+        self.assertEqual(self.holds.unsettled(OWNER, OWN_FENCE), [kept])
+        kept.reset_at = NOW + timedelta(seconds=1)
+        self.assertGreater(
+            self.holds.free_at(OWNER, OWN_FENCE),
+            kept.reset_at + hold_bounds.PACKET_LIFETIME + HOLD / 0.98,
+        )
+        self.assertTrue(self.holds.needs_round_trip(NOW))
+        answered = NOW + timedelta(seconds=1.2)
+        self.holds.record_round_trip(
+            sent_at=kept.reset_at, answered_at=answered
+        )
+        end = key_grants.hold_end(answered, HOLD)
+        self.assertEqual(self.holds.free_at(OWNER, OWN_FENCE), end)
+
+    def test_orderly_close_ends_a_hold_as_early_as_before(self) -> None:
+        """Guards against keys of a dead upstream that wait 0.8 s longer."""
+        kept = self.kept_connection()
+        grant = self.holds.record_sent(OWNER, OWN_FENCE, NOW, HOLD)
+        self.holds.record_provisional(grant, NOW, kept)
+        kept.reset_at = NOW + timedelta(seconds=1)
+        kept.closed = True
+        self.assertEqual(
+            self.holds.free_at(OWNER, OWN_FENCE),
+            key_grants.hold_end(NOW, HOLD),
+        )
+
+    def test_later_responses_confirm_a_grant(self) -> None:
+        """Guards against a long hold that counts from a reset hours later."""
+        kept = self.kept_connection()
+        for second in range(4):
+            at = NOW + timedelta(seconds=second)
+            hold = 3 * HOLD if second == 0 else HOLD
+            grant = self.holds.record_sent(OWNER, OWN_FENCE, at, hold)
+            self.holds.record_provisional(grant, at, kept)
+        kept.reset_at = NOW + timedelta(seconds=20)
+        self.holds.record_round_trip(
+            sent_at=kept.reset_at, answered_at=kept.reset_at
+        )
+        self.assertEqual(
+            self.holds.free_at(OWNER, OWN_FENCE),
+            key_grants.hold_end(kept.reset_at, HOLD),
+        )
+
+    def test_accepted_higher_fence_bounds_held_back_grants(self) -> None:
+        """Guards against a needless wait for the reset of connections."""
+        grant = self.holds.record_sent(OWNER, OWN_FENCE, NOW, HOLD)
+        self.holds.record_provisional(grant, NOW, self.kept_connection())
+        accepted = NOW + timedelta(seconds=1)
+        self.assertEqual(
+            self.holds.free_at(OWNER, OWN_FENCE, accepted_at=accepted),
+            key_grants.hold_end(accepted, HOLD),
+        )
+
     def test_grant_whose_reset_was_late_counts_from_the_reset(self) -> None:
         """Guards against a late event loop that shortens a bound."""
         grant = self.holds.record_sent(OWNER, OWN_FENCE, NOW, HOLD)
