Log what tells the causes of two owners apart

A sighting of two upstreams that held the same keys could not be traced: the log did not say what a move had waited for, nor on which connection and as which call a grant had been sent.

hold-ended says which bound freed keys without a release, with the times of the grant that set it; second-response names a connection on which input arrived that nobody waited for; grant-not-accepted gives the call's position on its connection and what came back; claim-taken gives the previous holder, the age of its claim and the inherited bound. Nothing is logged for a grant that was accepted.

--- a/goldcresthaven/hold_bounds.py
+++ b/goldcresthaven/hold_bounds.py
@@ -80,6 +80,23 @@
             arrived_by = given_up + PACKET_LIFETIME
         return key_grants.hold_end(arrived_by, self.hold)
 
+    def describe(self, now: timedelta) -> str:
+        """Return what is known of the call, with ages in seconds."""
+        known = (
+            ('sent', self.sent_at),
+            ('provisionally answered', self.answered_at),
+            ('reset', self.reset_at),
+            ('arrived by', self.arrived_by),
+        )
+        ages = [
+            f'{name} {(now - at).total_seconds():.3f} s ago'
+            for name, at in known
+            if at is not None
+        ]
+        if self.refused:
+            ages.append('not accepted')
+        return f'{self.hold.total_seconds():.1f} s, {", ".join(ages)}'
+
 
 def inherited_end(stopped: timedelta, longest: timedelta) -> timedelta:
     """Return when all holds of a holder that stopped granting have ended.
@@ -252,6 +269,19 @@
             end = min(end, key_grants.hold_end(accepted_at, longest))
         return max(self._inherited_for(owner, fence), end)
 
+    def describe(
+        self, owner: key_map.Owner, fence: int, now: timedelta
+    ) -> str:
+        """Return what sets the bound on an owner's fence, for the log."""
+        inherited = self._inherited_for(owner, fence)
+        grants = self._grants.get((owner, fence), ())
+        last = max(grants, key=lambda grant: grant.end(), default=None)
+        if last is not None and last.end() >= inherited:
+            return f'a grant of {last.describe(now)}'
+        if self._predecessor is None:
+            return 'the inherited bound'
+        return "the predecessor's bound"
+
     def set_predecessor_bounds(
         self, owner_ends: dict[ids.UpstreamId, timedelta]
     ) -> None:
--- a/goldcresthaven/http_io.py
+++ b/goldcresthaven/http_io.py
@@ -338,7 +338,8 @@
         ``accept_unframed`` allows response bodies without a length, which
         end when the upstream closes. ``number`` is the position in the
         order in which a pool opened its connections. A ``retired``
-        connection is not kept after its exchange. ``closed_in_order`` is set
+        connection is not kept after its exchange. ``exchanges`` counts the
+        calls on it, with the current one. ``closed_in_order`` is set
         by ``note_end``.
         """
         super().__init__(sock)
@@ -347,11 +348,13 @@
         self._unframed = False
         self._unacknowledged = timedelta()
         self.retired = False
+        self.exchanges = 1
         self.closed_in_order = False
 
     def begin(self) -> None:
         """Prepare for the next exchange on this connection."""
         self._next_exchange()
+        self.exchanges += 1
 
     def limit_unacknowledged(self, duration: timedelta) -> None:
         """Fail if sent bytes stay unacknowledged for longer; 0 disables."""
--- a/goldcresthaven/key_coordinator.py
+++ b/goldcresthaven/key_coordinator.py
@@ -284,7 +284,10 @@
             pool=self._pool,
             epoch=result.version,
             map_version=keys.version,
-            detail=f'{len(keys.ranges)} ranges',
+            detail=f'{len(keys.ranges)} ranges, from '
+            f'{claim.holder if claim else "nobody"}, renewed '
+            f'{age.total_seconds():.3f} s before; inherited holds end in '
+            f'{max(inherited - taken, timedelta()).total_seconds():.3f} s',
         )
         return term
 
--- a/goldcresthaven/key_release.py
+++ b/goldcresthaven/key_release.py
@@ -12,6 +12,7 @@
 
 from goldcresthaven import aio
 from goldcresthaven import clock as clock_module
+from goldcresthaven import decision_log
 from goldcresthaven import fleet_messages
 from goldcresthaven import hold_bounds
 from goldcresthaven import ids
@@ -78,12 +79,14 @@
         # each one extends the wait.
         raised: hold_bounds.SentGrant | None = None
         accepted_at: timedelta | None = None
+        started = self._clock.elapsed()
         if owner in term.failing_since:
             await self._reset_unsettled(term, owner, source.fence)
         while term.end_reason is None:
             now = self._clock.elapsed()
             free_at = _free_at(term, source, owner, accepted_at, raised)
             if now >= free_at:
+                self._note_bound(term, source, owner, now - started)
                 return None
             address = self._owners.address(owner)
             if address is not None and term.may_renew(now):
@@ -131,6 +134,24 @@
         for connection in term.holds.unsettled(owner, fence):
             await self._calls.reset(connection.address, connection.number)
 
+    def _note_bound(
+        self,
+        term: key_coordinator_state.ClaimTerm,
+        source: key_map.KeyRange,
+        owner: key_map.Owner,
+        waited: timedelta,
+    ) -> None:
+        """Log what set the bound that freed keys without a release."""
+        bound = term.holds.describe(owner, source.fence, self._clock.elapsed())
+        decision_log.note(
+            'hold-ended',
+            pool=self._pool,
+            upstream=owner.upstream_id,
+            epoch=source.fence,
+            elapsed_ms=int(waited / timedelta(milliseconds=1)),
+            detail=f'{source.first}-{source.last}: {bound}',
+        )
+
     async def _wait_for_renewals(
         self, term: key_coordinator_state.ClaimTerm, owner: key_map.Owner
     ) -> None:
--- a/goldcresthaven/key_renewal.py
+++ b/goldcresthaven/key_renewal.py
@@ -238,6 +238,9 @@
             upstream=owner.upstream_id,
             outcome=result.value,
             epoch=key_range.fence,
+            elapsed_ms=int((now - sent) / timedelta(milliseconds=1)),
+            detail=f'{key_range.first}-{key_range.last} for '
+            f'{hold.total_seconds():.1f} s',
         )
         return result is key_grants.GrantResult.DISCONNECTED
 
--- a/goldcresthaven/platform/leases.py
+++ b/goldcresthaven/platform/leases.py
@@ -87,6 +87,10 @@
                 'second-response',
                 upstream=upstream,
                 count=len(with_input),
+                detail=', '.join(
+                    f'connection {c.number} after {c.exchanges} calls'
+                    for c in with_input
+                ),
             )
         if renewal is None:
             # A second response to an earlier call must not be taken for the
@@ -112,11 +116,13 @@
             return _reply(key_grants.GrantResult.WITHDRAWN)
         except errors.ConnectionFailed:
             return _reply(key_grants.GrantResult.UNREACHABLE)
-        except errors.Error:
+        except errors.Error as exc:
+            _note_failure(upstream, grant, conn, str(exc))
             return _reply(key_grants.GrantResult.NO_RESPONSE)
         finally:
             self._note_ends(address)
         if response.status != 200:
+            _note_failure(upstream, grant, conn, f'status {response.status}')
             return _reply(_rejection(response.status, kept=conn is not None))
         carrier = self._carrier(address, used)
         return key_grants.GrantReply(
@@ -283,5 +289,23 @@
     return key_grants.GrantResult.NO_RESPONSE
 
 
+def _note_failure(
+    upstream: ids.UpstreamId,
+    grant: key_grants.Grant,
+    conn: http_io.UpstreamConn | None,
+    problem: str,
+) -> None:
+    """Log a grant without an acceptance; ``conn`` is one that was kept."""
+    place = 'a new connection'
+    if conn is not None:
+        place = f'call {conn.exchanges} on connection {conn.number}'
+    decision_log.note(
+        'grant-not-accepted',
+        upstream=upstream,
+        epoch=grant.fence,
+        detail=f'{grant.first}-{grant.last}, {place}: {problem}',
+    )
+
+
 def _reply(result: key_grants.GrantResult) -> key_grants.GrantReply:
     return key_grants.GrantReply(result=result)
--- a/proofs/coordinator_world.py
+++ b/proofs/coordinator_world.py
@@ -170,6 +170,7 @@
         self.closed_by_upstream = False
         self.closed_in_order = False
         self.retired = False
+        self.exchanges = 1
         self.forgotten = False
         self.stray_input = False
         self.waiting: virtual_loop.Wait | None = None
@@ -405,6 +406,7 @@
         for conn in sorted(idle, key=lambda conn: conn.number):
             if conn.number <= opened and _is_idle(conn):
                 idle.remove(conn)
+                conn.exchanges += 1
                 return conn
         return None
 
--- a/tests/test_hold_bounds.py
+++ b/tests/test_hold_bounds.py
@@ -138,6 +138,20 @@
             key_grants.hold_end(accepted, HOLD),
         )
 
+    def test_description_says_what_sets_a_bound(self) -> None:
+        """Guards against a move whose wait cannot be explained later."""
+        text = self.holds.describe(OWNER, OLD_FENCE, NOW)
+        self.assertEqual(text, 'the inherited bound')
+        grant = self.holds.record_sent(OWNER, OWN_FENCE, NOW, HOLD)
+        kept = self.kept_connection()
+        self.holds.record_provisional(grant, NOW, kept)
+        later = NOW + timedelta(seconds=1.5)
+        self.assertEqual(
+            self.holds.describe(OWNER, OWN_FENCE, later),
+            'a grant of 3.0 s, sent 1.500 s ago, '
+            'provisionally answered 1.500 s ago',
+        )
+
     def test_grant_whose_reset_was_late_counts_from_the_reset(self) -> None:
         """Guards against a late event loop that shortens a bound."""
         grant = self.holds.record_sent(OWNER, OWN_FENCE, NOW, HOLD)
