Recognize copies of the store's response to a renewal of the claim

What callers would see: two coordinators that grant at the same time.

Cause: calls to the store share connections, too. A second copy of the response to an earlier write was taken for the response to a renewal of the claim that a partition held back, so the holder kept its claim for as long as copies arrived.

Change: a renewal counts only with a higher version than the claim had, because each write raises it. Otherwise the write is unconfirmed, and the next one shows whether it was applied. A copy of a conflict only leads to a read. A copy of the response to a read may still have a higher version; this needs a change of platform/store.py.

--- a/goldcresthaven/key_coordinator.py
+++ b/goldcresthaven/key_coordinator.py
@@ -390,6 +390,12 @@
         if isinstance(result, state_store.Conflict):
             await self._resolve_conflict(term)
             return
+        if result.version <= term.claim_version:
+            # Each write raises the version of the claim's row.
+            raise errors.StoreUnavailable(
+                f'the response repeats version {result.version}',
+                remedy='none; the claim is renewed again',
+            )
         term.write_unconfirmed = False
         term.claim_version = result.version
         term.renewed_at = sent
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -72,7 +72,9 @@
     ``down`` makes calls fail; ``hanging`` makes them hang and then fail.
     ``clock`` is the store's own clock in seconds. The next ``lost_answers``
     writes are applied, but their answers are lost. With ``history_lost``, it
-    answers polls as if it no longer kept the changes.
+    answers polls as if it no longer kept the changes. With
+    ``repeats_answers``, writes are not applied, and the response to the last
+    one is sent once more.
     """
 
     def __init__(self) -> None:
@@ -82,6 +84,7 @@
         self.down = False
         self.hanging = False
         self.lost_answers = 0
+        self.repeats_answers = False
         self.history_lost = False
         self.reads = 0
         self.watches = 0
@@ -128,6 +131,10 @@
         puts: Mapping[state_store.Key, bytes],
     ) -> state_store.WriteResult:
         await self._fail_if_set()
+        if self.repeats_answers:
+            return state_store.Committed(
+                version=self.version, clock=timedelta(seconds=self.clock)
+            )
         for key, version in expected.items():
             row = self.rows.get((key.table, key.key))
             if (row.version if row else 0) != version:
--- a/tests/test_key_coordinator.py
+++ b/tests/test_key_coordinator.py
@@ -467,6 +467,24 @@
 
         run(main)
 
+    def test_copy_of_a_stores_response_renews_no_claim(self) -> None:
+        """Guards against a holder that grants after its claim has ended.
+
+        The response to an earlier write, sent once more on a connection in
+        use again, was taken for a renewal that a partition held back.
+        """
+
+        async def main(fleet: Fleet) -> None:
+            fleet.register('u1', 'u2')
+            coordinator = fleet.coordinator('n1')
+            await aio.spawn(coordinator.run())
+            await fleet.until(lambda: len(fleet.leases.held) == 2)
+            self.assertTrue(coordinator.holds_claim)
+            fleet.store.repeats_answers = True
+            await fleet.until(lambda: not coordinator.holds_claim)
+
+        run(main)
+
     def test_holds_are_long_while_the_store_is_unavailable(self) -> None:
         """Guards against holds that expire during an outage of the store."""
 
