--- a/proofs/coordinator_sim.py
+++ b/proofs/coordinator_sim.py
@@ -100,6 +100,15 @@
         self.process.start(self.coordinator.run())
         self.process.start(self._count())
 
+    def start_if_ended(self) -> None:
+        """Start the process again, unless another event has started it.
+
+        Two processes never share an address: one of them would answer the
+        requests to step down that are meant for the other.
+        """
+        if self.process.ended:
+            self.start()
+
     def learn(
         self, upstream: coordinator_world.Upstream, *, draining: bool = False
     ) -> None:
@@ -370,7 +379,7 @@
     def _end_process(self) -> None:
         member = self._some_member()
         member.process.end()
-        self.loop.after(self.loop.rng.uniform(0.1, 2.0), member.start)
+        self.loop.after(self.loop.rng.uniform(0.1, 2.0), member.start_if_ended)
 
     def _restart_upstream(self) -> None:
         name = self.loop.rng.choice(list(self.network.by_address))
