Simulate takeovers with copied responses and held-back renewals

Takeover runs hold back the last renewals of a holder that the store refuses, while the others cannot reach the upstream.

--- a/goldcresthaven/platform/leases.py
+++ b/goldcresthaven/platform/leases.py
@@ -250,8 +250,7 @@
             except BaseException:
                 await conns.discard(address, conn)
                 raise
-            kept = reuse and response.status == 200 and not conn.retired
-            if kept and conn.is_reusable():
+            if reuse and _may_keep(conn, response.status):
                 await conns.give_back(address, conn)
             else:
                 await conns.discard(address, conn)
@@ -273,6 +272,14 @@
             ) from exc
 
 
+def _may_keep(conn: http_io.UpstreamConn, status: int) -> bool:
+    """Return whether a connection may carry another call.
+
+    A copy of a rejection would be taken for the rejection of a later grant.
+    """
+    return status == 200 and not conn.retired and conn.is_reusable()
+
+
 def _rejection(status: int, *, kept: bool) -> key_grants.GrantResult:
     """Return what a rejection proves.
 
--- a/tests/test_coordinator_sim.py
+++ b/tests/test_coordinator_sim.py
@@ -11,6 +11,7 @@
 # A second copy of a response on a connection that was kept was taken for the
 # response to the next grant, which a partition held back.
 COPIED_RESPONSE_SEEDS = (3384, 8318, 14079)
+TAKEOVER_SEEDS = (32, 182, 250)
 EXTENDED_SEEDS = (99, 1647, 3268, 3402, 3817, *range(4000, 4050))
 
 
@@ -29,6 +30,9 @@
         for seed in EXTENDED_SEEDS:
             outcome = coordinator_sim.run(seed, extended=True)
             self.assertEqual(outcome.violations, [], seed)
+        for seed in TAKEOVER_SEEDS:
+            outcome = coordinator_sim.run(seed, takeover=True)
+            self.assertEqual(outcome.violations, [], seed)
 
     def test_schedules_grant_keys(self) -> None:
         """Guards against a simulation in which nothing happens."""
