--- a/goldcresthaven/http_io.py
+++ b/goldcresthaven/http_io.py
@@ -359,20 +359,29 @@
 
         ``accept_unframed`` allows response bodies without a length, which
         end when the upstream closes. ``number`` is the position in the
-        order in which a pool opened its connections. ``reused`` is set from
-        the second exchange on.
+        order in which a pool opened its connections. A ``retired``
+        connection is not kept after its exchange. ``exchanges`` counts the
+        calls on it, with the current one. ``closed_in_order`` is set
+        by ``note_end``.
         """
         super().__init__(sock)
         self.number = number
-        self.reused = False
         self._accept_unframed = accept_unframed
         self._unframed = False
         self._unacknowledged = timedelta()
+        self.retired = False
+        self.exchanges = 1
+        self.closed_in_order = False
+
+    @property
+    def reused(self) -> bool:
+        """Whether a response may belong to an earlier exchange."""
+        return self.exchanges > 1
 
     def begin(self) -> None:
         """Prepare for the next exchange on this connection."""
-        self.reused = True
         self._next_exchange()
+        self.exchanges += 1
 
     def limit_unacknowledged(self, duration: timedelta) -> None:
         """Fail if sent bytes stay unacknowledged for longer; 0 disables."""
@@ -541,6 +550,10 @@
         """
         return not self._buf and aio.peek(self._sock) is None
 
+    def note_end(self) -> None:
+        """Record whether the upstream closed and all it sent was read."""
+        self.closed_in_order = not self._buf and aio.at_end(self._sock)
+
 
 def _rejected(problem: str, status: int) -> errors.RequestRejected:
     return errors.RequestRejected(
--- a/proofs/coordinator_sim.py
+++ b/proofs/coordinator_sim.py
@@ -4,7 +4,8 @@
 real client for grants, run on a virtual clock. A run delays awaits, timers
 and sends by 0.05 to 3 s, cuts and chokes links, loses and delays answers,
 slows the store, and ends and starts processes and upstreams. All random
-choices derive from the seed.
+choices derive from the seed. Extended runs add more second copies of
+responses, rejections, short partitions and a slow holder with a full link.
 """
 
 from collections.abc import Iterator
@@ -99,6 +100,15 @@
         self.process.start(self.coordinator.run())
         self.process.start(self._count())
 
+    def start_if_ended(self) -> None:
+        """Start the process again, unless another event has started it.
+
+        Two processes never share an address: one of them would answer the
+        requests to step down that are meant for the other.
+        """
+        if self.process.ended:
+            self.start()
+
     def learn(
         self, upstream: coordinator_world.Upstream, *, draining: bool = False
     ) -> None:
@@ -167,11 +177,20 @@
         await self._world.stall_current()
         return await self._calls.release(*args, **kwargs)
 
+    async def reset(self, *args: Any, **kwargs: Any) -> None:
+        await self._world.stall_current()
+        await self._calls.reset(*args, **kwargs)
+
+    async def round_trip(self, *args: Any, **kwargs: Any) -> bool:
+        return await self._calls.round_trip(*args, **kwargs)
+
 
 class World:
     """The processes, upstreams, links and faults of one run."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(
+        self, seed: int, *, extended: bool = False, takeover: bool = False
+    ) -> None:
         rng = random.Random(seed)
         self.loop = virtual_loop.Loop(rng)
         self.faults = coordinator_world.Faults()
@@ -190,6 +209,10 @@
             self.network.start_upstream(f'u{i}')
         self.members = [_Member(self, f'n{i}') for i in range(3)]
         self._plan_faults()
+        if extended:
+            self._plan_extra_faults(random.Random(f'extended {seed}'))
+        if takeover:
+            self._plan_takeover(random.Random(f'takeover {seed}'))
 
     def send(self, sender: str, receiver: str, deliver: Any) -> None:
         """Deliver a datagram to a process, unless it is lost."""
@@ -253,6 +276,88 @@
             event = rng.choice(events)
             self.loop.at(rng.uniform(1.0, self.duration - 3.0), event)
 
+    def _plan_extra_faults(self, rng: random.Random) -> None:
+        """Add faults that copy, reject or hold back calls on connections."""
+        faults = self.faults
+        faults.extra = rng
+        faults.longest_copy_delay = rng.uniform(0.3, 3.0)
+        if rng.random() < 0.7:
+            faults.second_response = rng.uniform(0.1, 0.6)
+        if rng.random() < 0.3:
+            faults.error_response = rng.uniform(0.0, 0.2)
+        if rng.random() < 0.2:
+            faults.close_unanswered = rng.uniform(0.0, 0.1)
+        events = (
+            self._cut_briefly,
+            self._cut_briefly,
+            self._refuse_holder,
+            self._overload_holder,
+        )
+        for _ in range(rng.randint(1, 5)):
+            event = rng.choice(events)
+            self.loop.at(rng.uniform(2.0, self.duration - 3.0), event)
+
+    def _plan_takeover(self, rng: random.Random) -> None:
+        """Hold back the last renewals of a holder that the store refuses.
+
+        Responses are often sent twice, and the others cannot reach the
+        upstream, so that the successor has to rely on the holder's bounds.
+        """
+        self.faults.second_response = 0.6
+        self.faults.longest_copy_delay = rng.uniform(0.6, 1.5)
+        self.loop.at(rng.uniform(5.0, 7.0), lambda: self._take_over(rng))
+
+    def _take_over(self, rng: random.Random) -> None:
+        member = self._some_member()
+        host = rng.choice(list(self.network.by_address))
+        others = [m.name for m in self.members if m is not member]
+        self._cut_for([(name, host) for name in others], 8.0)
+        self._cut_for([(member.name, 'store')], 6.0)
+        for _ in range(3):
+            self.loop.after(
+                rng.uniform(0.5, 4.0),
+                lambda: self._cut_for(
+                    [(member.name, host)], rng.uniform(0.3, 1.5)
+                ),
+            )
+
+    def _cut_for(self, links: list[tuple[str, str]], seconds: float) -> None:
+        self.faults.cut |= set(links)
+        self.loop.after(
+            seconds, lambda: self.faults.cut.difference_update(links)
+        )
+
+    def _cut_briefly(self) -> None:
+        """Cut a process off from an upstream for about one renewal."""
+        name = self.loop.rng.choice(list(self.network.by_address))
+        links = [(self._some_member().name, name)]
+        self.faults.cut |= set(links)
+        self.loop.after(
+            self.loop.rng.uniform(0.3, 2.5),
+            lambda: self.faults.cut.difference_update(links),
+        )
+
+    def _refuse_holder(self) -> None:
+        """Let the store refuse the claim's holder, and be slow for others."""
+        self._cut_store()
+        self.faults.store_slow = max(self.faults.store_slow, 0.2)
+
+    def _overload_holder(self) -> None:
+        """Delay the tasks of one process and fill its link."""
+        member = self._some_member()
+        rng = self.loop.rng
+        self.faults.choked[member.name] = rng.uniform(0.5, 3.0)
+        for _ in range(rng.randint(1, 4)):
+            delay = rng.uniform(0.0, 3.0)
+            self.loop.after(
+                delay, lambda: member.process.stall(rng.choice(STALLS))
+            )
+
+        def end() -> None:
+            self.faults.choked.pop(member.name, None)
+
+        self.loop.after(rng.uniform(1.0, 4.0), end)
+
     def _maybe_stall(
         self, process: virtual_loop.Process, share: float
     ) -> None:
@@ -308,7 +413,7 @@
     def _end_process(self) -> None:
         member = self._some_member()
         member.process.end()
-        self.loop.after(self.loop.rng.uniform(0.1, 2.0), member.start)
+        self.loop.after(self.loop.rng.uniform(0.1, 2.0), member.start_if_ended)
 
     def _restart_upstream(self) -> None:
         name = self.loop.rng.choice(list(self.network.by_address))
@@ -377,7 +482,13 @@
         yield
 
 
-def run(seed: int, *, log: bool = False) -> Outcome:
+def run(
+    seed: int,
+    *,
+    extended: bool = False,
+    takeover: bool = False,
+    log: bool = False,
+) -> Outcome:
     """Run one schedule and return its violations."""
     outcome = Outcome()
     loops: list[virtual_loop.Loop] = []
@@ -394,7 +505,7 @@
         _simulated(loops),
         mock.patch.object(decision_log, 'note', note),
     ):
-        world = World(seed)
+        world = World(seed, extended=extended, takeover=takeover)
         loops.append(world.loop)
         world.loop.run(world.duration)
         world.loop.closing = True
