--- a/tests/test_coordinator_sim.py
+++ b/tests/test_coordinator_sim.py
@@ -1,9 +1,14 @@
 """Tests of sole ownership with the simulated coordinators."""
 
+import random
 import unittest
 
+from goldcresthaven import state_store
 from proofs import coordinator_knockouts
 from proofs import coordinator_sim
+from proofs import coordinator_store
+from proofs import coordinator_world
+from proofs import virtual_loop
 
 SEEDS = range(150)
 # Enough for a rule whose absence is found in one of 40 runs.
@@ -39,3 +44,39 @@
             if knockout.rule in frequent:
                 found = any(knockout.violates(s) for s in KNOCKOUT_SEEDS)
                 self.assertTrue(found, knockout.rule)
+
+
+class RestoredStoreTest(unittest.TestCase):
+    """Runs in which the store goes back to older copies."""
+
+    def test_no_restore_violates_sole_ownership(self) -> None:
+        """Guards against two upstreams that hold a key after a restore."""
+        for seed in SEEDS:
+            outcome = coordinator_sim.run(seed, restores=True)
+            self.assertEqual(outcome.violations, [], seed)
+
+    def test_runs_repeat(self) -> None:
+        """Guards against a seed that does not reproduce its violation."""
+        first = coordinator_sim.run(7, log=True, restores=True)
+        second = coordinator_sim.run(7, log=True, restores=True)
+        self.assertEqual(first.log, second.log)
+
+    def test_restore_gives_versions_out_again(self) -> None:
+        """Guards against a restore that keeps rows or versions."""
+        loop = virtual_loop.Loop(random.Random(1))
+        faults = coordinator_world.Faults()
+        uplinks = coordinator_world.Uplinks(loop, faults)
+        store = coordinator_store.Store(loop, faults, uplinks)
+        key = state_store.Key(table=state_store.Table.CLAIMS, key='a')
+        store.history = 1
+        for value in (b'old', b'lost'):
+            store.apply({}, {key: value})
+            loop.after(5.0, lambda: None)
+            loop.run(loop.now + 5.0)
+        store.restore(7.0)
+        reading = store.reading(state_store.Table.CLAIMS)
+        self.assertEqual([row.value for row in reading.rows], [b'old'])
+        self.assertEqual(reading.version, coordinator_store.version_in(2, 1))
+        again = store.apply({key: reading.rows[0].version}, {key: b'new'})
+        assert isinstance(again, state_store.Committed)
+        self.assertEqual(again.version, coordinator_store.version_in(2, 2))
