Add restores of the store to the soak and to the in-memory store

The soak restores the store from a copy of up to 20 s ago, with a rate like that of each other fault; --no-restores leaves this out. The choices have their own source of random numbers, and soak_seed leaves restores out unless asked, so that the seeds of tests/test_soak.py keep their meaning. FakeStore has copy() and restore(), after which its versions are in a new history.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -54,9 +54,12 @@
     folder: pathlib.Path,
     cluster: fleet.Fleet,
     results: list[SeedResult],
+    restore_rng: random.Random | None,
 ) -> None:
     """Run one seed and append its result to ``results``."""
-    injector = faults.FaultInjector(cluster=cluster, rng=cluster.rng)
+    injector = faults.FaultInjector(
+        cluster=cluster, rng=cluster.rng, restore_rng=restore_rng
+    )
     await cluster.start()
     caller_group = callers.Callers(
         gateways=cluster.gateways, rng=random.Random(seed + 1)
@@ -106,16 +109,20 @@
     )
 
 
-def soak_seed(seed: int, seconds: float) -> SeedResult:
+def soak_seed(
+    seed: int, seconds: float, *, restores: bool = False
+) -> SeedResult:
     """Run one seed and print its result.
 
-    Its folder with the logs is kept only if there were violations.
+    With ``restores``, the store is also restored from older copies. The
+    folder with the logs is kept only if there were violations.
     """
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
     results: list[SeedResult] = []
     cluster = fleet.Fleet(folder=folder, rng=random.Random(seed))
+    restore_rng = random.Random(f'restores {seed}') if restores else None
     try:
-        aio.run(run_seed, seed, seconds, folder, cluster, results)
+        aio.run(run_seed, seed, seconds, folder, cluster, results, restore_rng)
     finally:
         cluster.kill_all()
     result = results[0]
@@ -138,6 +145,9 @@
     seed: int | None = typer.Option(None, help='the first seed'),
     count: int = typer.Option(1, help='how many seeds'),
     seconds: float = typer.Option(20.0, help='time with faults, each seed'),
+    restores: bool = typer.Option(
+        True, help='also restore the store from older copies'
+    ),
 ) -> None:
     """Run seeds one after the other; without a seed, fresh ones."""
     # Raises KeyboardInterrupt on SIGTERM, so that the ``finally`` clause ends
@@ -147,7 +157,7 @@
     failed_seeds = [
         number
         for number in range(first, first + count)
-        if soak_seed(number, seconds).problems
+        if soak_seed(number, seconds, restores=restores).problems
     ]
     print(
         f'{count - len(failed_seeds)} passed, {len(failed_seeds)} failed',
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -21,6 +21,11 @@
 STORE_DELAY_MS = 240
 RELAY_DELAY = timedelta(milliseconds=80)
 RESTART_S = (0.3, 1.5)
+# A restored store was away for a moment, and its copy is some seconds old.
+# Lost writes of operators and upstreams are repeated within 2 s.
+AWAY_RANGE_S = (0.0, 3.0)
+COPY_AGE_RANGE_S = (0.0, 20.0)
+REWRITE_RANGE_S = (0.0, 2.0)
 # Interval at which the exit of a process is checked, and between repeated
 # reload signals. The wait for an exit has no limit: a stopping process has to
 # end by itself within the grace period.
@@ -49,11 +54,14 @@
 
     ``affected`` contains the names of the processes and network paths that
     have a fault now; they get no second one. ``log_entries`` lists the
-    faults with their times.
+    faults with their times. With ``restore_rng``, the store is also restored
+    from older copies; these choices come from a source of their own, so that
+    a seed has the same other faults without restores.
     """
 
     cluster: fleet.Fleet
     rng: random.Random
+    restore_rng: random.Random | None = None
     affected: set[str] = field(default_factory=set)
     stops: list[GatewayStop] = field(default_factory=list)
     log_entries: list[tuple[float, str]] = field(default_factory=list)
@@ -67,6 +75,9 @@
             await aio.sleep(timedelta(seconds=self.rng.uniform(*GAP_RANGE_S)))
             fault = self.rng.choice(FAULTS)
             tasks.append(await aio.spawn(fault(self)))
+            rng = self.restore_rng
+            if rng is not None and rng.random() < 1 / len(FAULTS):
+                tasks.append(await aio.spawn(self.restore_store(rng)))
         for task in tasks:
             await task.join()
 
@@ -100,6 +111,27 @@
         self.record('store recovered')
         self.affected.discard('store')
 
+    async def restore_store(self, rng: random.Random) -> None:
+        """Let the store come back from a copy, sometimes twice in a row."""
+        if 'store' in self.affected:
+            return
+        self.affected.add('store')
+        for _ in range(rng.choice((1, 1, 2))):
+            away = rng.uniform(*AWAY_RANGE_S)
+            request = {
+                'back_s': rng.uniform(*COPY_AGE_RANGE_S),
+                'rewrite_s': rng.uniform(*REWRITE_RANGE_S),
+            }
+            self.record(f'store away for {away:.1f} s, restore {request}')
+            await self._set_store_faults({'silent': True})
+            await aio.sleep(timedelta(seconds=away))
+            await http_client.post_json(
+                self.cluster.store, '/restore', request
+            )
+            await self._set_store_faults({})
+        self.record('store restored')
+        self.affected.discard('store')
+
     async def _set_store_faults(self, kind: dict[str, Any]) -> None:
         await http_client.post_json(self.cluster.store, '/faults', kind)
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Mapping
+from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
 import json
@@ -33,6 +34,7 @@
 ZONES = ('a', 'b')
 HOLD_MAX_S = 6
 GRACE_S = 6
+DRAIN_S = 2.0
 # Rates of the clocks that measure grants; the platform allows 2% deviation.
 CLOCK_RATES = (1.0, 0.98, 1.01)
 MAX_LOG_BYTES = 64 << 20
@@ -104,16 +106,9 @@
         self.store = members.Address.parse(self._read_address(popen))
         await self.configure(swapped=False)
         for number in range(KEYED_COUNT + PLAIN_COUNT):
-            pool = KEYED_POOL if number < KEYED_COUNT else PLAIN_POOL
-            upstream = Upstream(
-                name=f'u{number}',
-                pool=pool,
-                zone=ZONES[number % len(ZONES)],
-                relay=tcp_relay.Relay(host=f'{self._net}.100', target=None),
+            await self.add_upstream(
+                KEYED_POOL if number < KEYED_COUNT else PLAIN_POOL
             )
-            await upstream.relay.start()
-            self.upstreams.append(upstream)
-            self.start_upstream(upstream)
         for number in range(GATEWAY_COUNT):
             gateway = Gateway(
                 name=f'g{number}',
@@ -127,10 +122,27 @@
             self.gateways.append(gateway)
             self.start_gateway(gateway)
 
-    async def configure(self, *, swapped: bool) -> None:
+    async def add_upstream(self, pool: str) -> Upstream:
+        """Start one more upstream of a pool."""
+        number = len(self.upstreams)
+        upstream = Upstream(
+            name=f'u{number}',
+            pool=pool,
+            zone=ZONES[number % len(ZONES)],
+            relay=tcp_relay.Relay(host=f'{self._net}.100', target=None),
+        )
+        await upstream.relay.start()
+        self.upstreams.append(upstream)
+        self.start_upstream(upstream)
+        return upstream
+
+    async def configure(
+        self, *, swapped: bool, added: Sequence[str] = ()
+    ) -> None:
         """Store the next version of the configuration.
 
         ``swapped`` moves the route 'pay' from the plain to the keyed pool.
+        ``added`` names further routes, which lead to the plain pool.
         """
         self.config_version += self.rng.randint(1, 9)
         urgent = KEYED_POOL if swapped else PLAIN_POOL
@@ -138,6 +150,7 @@
             'read': _route('read', KEYED_POOL, 'safe'),
             'book': _route('book', KEYED_POOL, 'unsafe'),
             'pay': _route('pay', urgent, 'unsafe'),
+            **{name: _route(name, PLAIN_POOL, 'safe') for name in added},
         }
         document = {
             'version': f'{self.config_version:08x}',
@@ -154,7 +167,9 @@
             {'put': [table_store.make_row('op', 'config', document)]},
         )
 
-    def start_upstream(self, upstream: Upstream) -> None:
+    def start_upstream(
+        self, upstream: Upstream, *, drain_s: float = DRAIN_S
+    ) -> None:
         """Start a new process of an upstream and point the relay to it."""
         settings = {
             'name': upstream.name,
@@ -167,6 +182,7 @@
             'born': int(time.time() * 1000),
             'clock_rate': self.rng.choice(CLOCK_RATES),
             'sharded': upstream.pool == KEYED_POOL,
+            'drain_s': drain_s,
         }
         proc = self._launch(
             upstream.name, 'standins.key_endpoint', json.dumps(settings)
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+from dataclasses import dataclass
 from datetime import timedelta
 
 from goldcresthaven import aio
@@ -13,6 +14,7 @@
 from goldcresthaven import registry
 from goldcresthaven import routes
 from goldcresthaven import state_store
+from proofs import coordinator_store
 
 POOL = ids.PoolName('catalogue')
 
@@ -66,6 +68,14 @@
     )
 
 
+@dataclass(frozen=True, kw_only=True)
+class Copy:
+    """All rows of a store at one time."""
+
+    rows: Mapping[tuple[state_store.Table, str], state_store.Row]
+    version: int
+
+
 class FakeStore:
     """A table store in memory.
 
@@ -73,6 +83,10 @@
     ``clock`` is the store's own clock in seconds. The next ``lost_answers``
     writes are applied, but their answers are lost. With ``history_lost``, it
     answers polls as if it no longer kept the changes.
+
+    Versions contain the history in which the store answers, as those of the
+    real client do. Expected versions are compared by the store's own number,
+    which is all that the store is sent.
     """
 
     def __init__(self) -> None:
@@ -86,6 +100,25 @@
         self.reads = 0
         self.watches = 0
 
+    def copy(self) -> 'Copy':
+        return Copy(rows=dict(self.rows), version=self.version)
+
+    def restore(self, copy: 'Copy') -> None:
+        """Continue from a copy in a new history."""
+        history = (self.version >> coordinator_store.NUMBER_BITS) + 1
+
+        def moved(version: int) -> int:
+            number = coordinator_store.number_of(version)
+            return coordinator_store.version_in(history, number)
+
+        self.version = moved(copy.version)
+        self.rows = {
+            place: state_store.Row(
+                key=row.key, version=moved(row.version), value=row.value
+            )
+            for place, row in copy.rows.items()
+        }
+
     def put(self, table: state_store.Table, key: str, value: bytes) -> None:
         self.version += 1
         self.rows[(table, key)] = state_store.Row(
@@ -110,7 +143,7 @@
         if self.hanging:
             await aio.sleep(wait)
         await self._fail_if_set()
-        if self.history_lost:
+        if self.history_lost or not self._has_version(after):
             raise state_store.HistoryLost('history lost', remedy='read all')
         waited = 0.0
         while waited < wait.total_seconds():
@@ -130,7 +163,8 @@
         await self._fail_if_set()
         for key, version in expected.items():
             row = self.rows.get((key.table, key.key))
-            if (row.version if row else 0) != version:
+            found = row.version if row else state_store.ABSENT
+            if not _same_number(found, version):
                 return state_store.Conflict()
         self.version += 1
         for key, value in puts.items():
@@ -144,6 +178,12 @@
             version=self.version, clock=timedelta(seconds=self.clock)
         )
 
+    def _has_version(self, version: int) -> bool:
+        bits = coordinator_store.NUMBER_BITS
+        return (
+            version >> bits == self.version >> bits and version <= self.version
+        )
+
     async def _fail_if_set(self) -> None:
         if self.hanging:
             await aio.sleep(timedelta(milliseconds=50))
@@ -251,5 +291,10 @@
         return [g for k, h, g in self.log if (k, h) == (kind, host)]
 
 
+def _same_number(left: int, right: int) -> bool:
+    number_of = coordinator_store.number_of
+    return number_of(left) == number_of(right)
+
+
 def _unavailable(problem: str) -> errors.StoreUnavailable:
     return errors.StoreUnavailable(problem, remedy='none, this is a test')
