Add failing tests of coordinators whose store is restored

In process: the holder of the claim grants by the older map that it reads, and moves keys again that it had moved; a process that knows only the copy takes the claim and grants keys that another upstream still holds.

--- a/tests/test_key_coordinator.py
+++ b/tests/test_key_coordinator.py
@@ -512,5 +512,96 @@
         run(main)
 
 
+class RestoredStoreTest(unittest.TestCase):
+    """The store comes back from a copy that lacks the last moves."""
+
+    async def _move_after_copy(
+        self, fleet: Fleet
+    ) -> tuple[aio.Task, fake_platform.Copy]:
+        """Return the coordinator and a copy from before it moved keys."""
+        fleet.register('u1', 'u2')
+        task = await aio.spawn(fleet.coordinator('n1').run())
+        await fleet.until(lambda: len(fleet.leases.held) == 2)
+        copy = fleet.store.copy()
+        fleet.register('u3')
+        await fleet.until(lambda: 'u3' in fleet.leases.held)
+        await aio.sleep(timedelta(milliseconds=500))
+        return task, copy
+
+    async def _check_moved_keys(
+        self, fleet: Fleet, moved: key_map.KeyMap, sent: int
+    ) -> None:
+        """Check that keys of ``u3`` are granted to no other upstream.
+
+        It still holds them: a hold lasts for 3 s, and it was renewed at most
+        0.7 s ago. A release before the grant is allowed.
+        """
+        await aio.sleep(timedelta(seconds=2))
+        kept = [
+            (r.first, r.last)
+            for r in moved.ranges
+            if r.owner and r.owner.upstream_id == 'u3'
+        ]
+        self.assertTrue(kept)
+        released = False
+        for kind, host, grant in fleet.leases.log[sent:]:
+            released |= (kind, host) == ('release', 'u3')
+            if kind == 'release' or host == 'u3' or released:
+                continue
+            taken = [
+                (first, last)
+                for first, last in kept
+                if first <= grant.last and grant.first <= last
+            ]
+            self.assertEqual(taken, [], f'{host} gets {grant}')
+
+    def test_holder_does_not_grant_by_an_older_map(self) -> None:
+        """Guards against two owners of the keys of a move that was lost."""
+
+        async def main(fleet: Fleet) -> None:
+            _, copy = await self._move_after_copy(fleet)
+            moved = fleet.keys()
+            sent = len(fleet.leases.log)
+            fleet.store.restore(copy)
+            await self._check_moved_keys(fleet, moved, sent)
+
+        run(main)
+
+    def test_holder_keeps_its_moves(self) -> None:
+        """Guards against needless moves by a holder that knows the newest map.
+
+        Its upstreams still hold their keys.
+        """
+
+        async def main(fleet: Fleet) -> None:
+            _, copy = await self._move_after_copy(fleet)
+            moved = fleet.keys()
+            sent = len(fleet.leases.log)
+            fleet.store.restore(copy)
+            await aio.sleep(timedelta(seconds=3))
+            kinds = {kind for kind, _, _ in fleet.leases.log[sent:]}
+            self.assertEqual(kinds, {'grant'})
+            found = fleet.keys()
+            for key in range(0, key_map.KEY_COUNT, 1000):
+                self.assertEqual(found.find(key).owner, moved.find(key).owner)
+
+        run(main)
+
+    def test_successor_waits_for_holds_that_the_copy_lacks(self) -> None:
+        """Guards against grants by a process that knows only the copy."""
+
+        async def main(fleet: Fleet) -> None:
+            first, copy = await self._move_after_copy(fleet)
+            moved = fleet.keys()
+            sent = len(fleet.leases.log)
+            await first.cancel()
+            fleet.store.restore(copy)
+            fleet.advance_store_clock(5.0)
+            await aio.spawn(fleet.coordinator('n2').run())
+            await self._check_moved_keys(fleet, moved, sent)
+
+        run(main)
+
+
 if __name__ == '__main__':
     unittest.main()
