--- a/proofs/coordinator_sim.py
+++ b/proofs/coordinator_sim.py
@@ -40,6 +40,9 @@
 SPLIT_DURATION = 40.0  # seconds
 SPLIT_SHARE = 0.15  # of all runs
 STALLS = (0.05, 0.2, 0.6, 1.2, 3.0)  # seconds
+# Largest ages of the copies from which the store comes back. Most runs are
+# shorter than the last one, so that the copy has no rows.
+COPY_AGES = (3.0, 8.0, 20.0)  # seconds
 
 
 @dataclass(kw_only=True)
@@ -379,7 +382,7 @@
 
     def _restore_store(self, rng: random.Random, at: float) -> None:
         """Make the store unreachable, then let it continue from a copy."""
-        seconds_back = rng.uniform(0.0, 20.0)
+        seconds_back = rng.uniform(0.0, rng.choice(COPY_AGES))
 
         def leave() -> None:
             self.store.outages += 1
