Tell the store's histories apart, and resume a claim after a restore

In tests with real processes, 2 of 3 gateways never served a route that was added after it.

Cause: rows and versions that the store gives out after a restore were compared with those from before it as if versions only rose. The restored renewal time made a live holder look stale, and its successor granted by a map that lacked the last moves, with fences that were in use.

Change: the client of the store combines each version with the number of restores that the store states (Store-Era), so that versions rise across a restore, positions and relays included, and a write that expects a version of an earlier history is not sent. Claims and maps say in which history they were written. An older one is unproven: the last holder, which knows its map, resumes with it; if none does, a successor waits until all holds that an unknown holder may have granted have ended, and uses fences of a range of its own. A program of the version before leaves the new fields out; its rows count as before.

--- a/goldcresthaven/gateway_process.py
+++ b/goldcresthaven/gateway_process.py
@@ -189,6 +189,7 @@
             capacity=self._selector.capacity,
             report_age=self._known_state.coordinator_report_age,
             fleet_size=lambda: self._known_state.fleet_size,
+            known_map=self._known_state.maps.get,
             announce=self._fleet_link.announce,
             request_step_down=self._fleet_link.request_step_down,
             longest_hold=self._cfg.longest_hold,
--- a/goldcresthaven/hold_bounds.py
+++ b/goldcresthaven/hold_bounds.py
@@ -291,6 +291,15 @@
             return 'the inherited bound'
         return "the predecessor's bound"
 
+    def last_end(self) -> timedelta:
+        """Return when all holds have ended for sure, also inherited ones."""
+        self._settle()
+        grants = [g for known in self._grants.values() for g in known]
+        inherited = [self._inherited]
+        if self._predecessor is not None:
+            inherited = list(self._predecessor.values())
+        return max([_latest_end(grants), *inherited])
+
     def set_predecessor_bounds(
         self, owner_ends: dict[ids.UpstreamId, timedelta]
     ) -> None:
--- a/goldcresthaven/key_claims.py
+++ b/goldcresthaven/key_claims.py
@@ -24,17 +24,31 @@
     """The value of a claim's row.
 
     ``renewed_at`` is the latest possible time of the last renewal on the
-    store's clock. A holder that releases its claim writes zero.
+    store's clock. A holder that releases its claim writes zero. ``history``
+    is the store's history in which it was written, and None if the program
+    that wrote it knew none. ``acquired`` is the version with which the
+    holder took the claim over.
     """
 
     holder: str
     renewed_at: timedelta
+    history: state_store.History | None = None
+    acquired: int = 0
 
     def encode(self) -> bytes:
         return json.dumps(
-            {'holder': self.holder, 'beat': self.renewed_at.total_seconds()}
+            {
+                'holder': self.holder,
+                'beat': self.renewed_at.total_seconds(),
+                'history': self.history,
+                'acquired': self.acquired,
+            }
         ).encode()
 
+    def is_current(self, history: state_store.History) -> bool:
+        """Return whether no later claim can have been lost by a restore."""
+        return self.history is None or self.history == history
+
 
 def decode(row: state_store.Row | None) -> Claim | None:
     """Decode a claim's row; None if it is missing or malformed."""
@@ -45,6 +59,8 @@
         return Claim(
             holder=str(document['holder']),
             renewed_at=timedelta(seconds=document['beat']),
+            history=document.get('history'),
+            acquired=int(document.get('acquired', 0)),
         )
     except (KeyError, OverflowError, TypeError, ValueError):
         decision_log.note('claim-unreadable', detail=row.key)
--- a/goldcresthaven/key_coordinator.py
+++ b/goldcresthaven/key_coordinator.py
@@ -11,6 +11,11 @@
 that the previous one produced. After a write without an answer, the holder
 renews the claim. The renewal either invalidates the lost write or conflicts
 with it, which shows that it was applied.
+
+After the store was restored from a copy, its claim and its map are unproven:
+they may have had successors that it has lost. The last holder, which knows its
+map, resumes with it. Another process takes over only when no holder does, and
+grants no key before every hold that an unknown holder granted has ended.
 """
 
 from collections.abc import Callable
@@ -57,6 +62,12 @@
 # After a process released its claim because it reached too few owners, it does
 # not read the claim for longer than another process needs to take it over.
 HANDOVER_PAUSE = timedelta(seconds=5)
+# A holder whose term was ended by an outage or a restore of the store resumes
+# within this time, far earlier than a successor without its map may grant.
+RESUME_LIMIT = timedelta(seconds=8)
+# Without a restore, a store states this history.
+INITIAL_HISTORY = state_store.History(1)
+RESUME_POLL = timedelta(milliseconds=200)
 # At 260 requests/s the sample holds about 750 requests, 50 for each owner.
 LOAD_HALF_LIFE = timedelta(seconds=2)
 
@@ -67,7 +78,8 @@
     ``address`` is the address to which other processes report keys and
     loads. ``capacity`` returns the relative capacity of an upstream.
     ``report_age`` returns the time since the last report of a pool's
-    coordinator, and ``fleet_size`` the number of processes. ``announce`` and
+    coordinator, ``fleet_size`` the number of processes, and ``known_map``
+    the newest map of a pool that this process knows. ``announce`` and
     ``request_step_down`` send datagrams. ``longest_hold`` is the longest
     hold that an upstream accepts. ``cpu_cores`` is the VM's share of CPU
     cores, and ``link_bytes_per_s`` the bandwidth of its network link.
@@ -85,6 +97,7 @@
         capacity: Callable[[registry_module.Upstream], float],
         report_age: Callable[[ids.PoolName, timedelta], timedelta],
         fleet_size: Callable[[], int],
+        known_map: Callable[[ids.PoolName], key_map.KeyMap | None],
         announce: Callable[[fleet_messages.Announcement], None],
         request_step_down: Callable[[str, fleet_messages.StepDown], None],
         longest_hold: timedelta,
@@ -104,6 +117,7 @@
         self._request_step_down = request_step_down
         self._longest_hold = longest_hold
         self._fleet_size = fleet_size
+        self._known_map = known_map
         self._clock = clock
         self._watch = claim_watch.ClaimWatch(
             cpu_cores=cpu_cores,
@@ -133,6 +147,9 @@
             clock=clock,
         )
         self._first_seen: dict[key_map.Owner, timedelta] = {}
+        self._history: state_store.History | None = None
+        self._history_seen_at = timedelta()
+        self._saw_restore = False
         self._stopped = False
         self._term: key_coordinator_state.ClaimTerm | None = None
         self._last_term: key_coordinator_state.ClaimTerm | None = None
@@ -156,10 +173,13 @@
         Returns after ``stop``.
         """
         while not self._stopped:
-            await aio.sleep(self._watch.next_delay())
+            resumable = self._resumable_term(self._clock.elapsed())
+            await aio.sleep(
+                self._watch.next_delay() if resumable is None else RESUME_POLL
+            )
             now = self._clock.elapsed()
             report_age = self._report_age(self._pool, now)
-            if not self._watch.should_read(
+            if resumable is None and not self._watch.should_read(
                 now, report_age, self._fleet_size()
             ):
                 continue
@@ -204,6 +224,7 @@
         if term is None or request.claim_version <= term.claim_version:
             return None
         term.end_reason = term.end_reason or 'a successor took over the claim'
+        term.is_resumable = False
         now = self._clock.elapsed()
         bounds = term.holds.bounds(now)
         if bounds is None:
@@ -242,48 +263,101 @@
     async def _try_acquire(self) -> key_coordinator_state.ClaimTerm | None:
         asked = self._clock.elapsed()
         reading = await self._store.read(state_store.Table.CLAIMS)
-        offset = reading.clock - asked
+        now = self._clock.elapsed()
         row = _find(reading, self._pool)
         claim = key_claims.decode(row)
-        if not key_claims.is_stale(claim, self._identity, reading.clock):
-            self._watch.record_claim(
-                claim, reading.clock, self._clock.elapsed()
-            )
+        history = state_store.history_of(reading.version)
+        self._record_history(history, now)
+        proven = self._is_claim_proven(claim, history)
+        resumed = self._resumable_term(now)
+        if resumed is not None and not resumed.may_resume(claim, history):
+            resumed = None
+        if resumed is not None:
+            acquired = resumed.acquired_version
+        elif not proven:
+            # Its holder may still be granting, and resumes.
+            takeover_at = self._history_seen_at + key_claims.STALE_TIMEOUT
+            if now < takeover_at:
+                self._watch.defer(takeover_at)
+                return None
+            acquired = 0
+        elif key_claims.is_stale(claim, self._identity, reading.clock):
+            acquired = row.version if row else 0
+        else:
+            self._watch.record_claim(claim, reading.clock, now)
             return None
         sent = self._clock.elapsed()
+        renewed_at = sent + reading.clock - asked
         result = await self._store.write(
             expected={self._claim_key: row.version if row else 0},
-            puts={self._claim_key: self._encode_claim(sent + offset)},
+            puts={
+                self._claim_key: self._encode_claim(
+                    renewed_at, history, acquired
+                )
+            },
         )
         if isinstance(result, state_store.Conflict):
             return None
         taken = self._clock.elapsed()
         maps = await self._store.read(state_store.Table.ASSIGNMENTS)
+        if {
+            state_store.history_of(result.version),
+            state_store.history_of(maps.version),
+        } != {history}:
+            decision_log.note(
+                'claim-not-taken',
+                pool=self._pool,
+                detail='the store was restored meanwhile',
+            )
+            return None
+        map_row = _find(maps, self._pool)
         keys = _map_of(maps, self._pool)
-        # An earlier holder may grant the longest hold until its claim is no
-        # longer valid.
-        age = key_claims.renewal_age(claim, reading.clock)
-        stopped = taken + key_claims.CLAIM_VALIDITY - age
-        inherited = hold_bounds.inherited_end(stopped, self._longest_hold)
-        if keys.version == state_store.ABSENT:
+        proven = proven and self._is_map_proven(keys, history)
+        age = timedelta()
+        if resumed is not None:
+            keys = resumed.keys
+            inherited = min(
+                resumed.holds.last_end(),
+                hold_bounds.inherited_end(taken, self._longest_hold),
+            )
+        else:
+            # An earlier holder may grant the longest hold until its claim is
+            # no longer valid. An unproven claim does not show its renewal.
+            if proven:
+                age = key_claims.renewal_age(claim, reading.clock)
+            stopped = taken + key_claims.CLAIM_VALIDITY - age
+            inherited = hold_bounds.inherited_end(stopped, self._longest_hold)
+        if proven and keys.version == state_store.ABSENT:
             inherited = timedelta()
+        if not proven:
+            keys = self._newest_known(keys)
         term = key_coordinator_state.ClaimTerm(
             address=self._address_text,
+            history=history,
             claim_version=result.version,
             acquired_version=result.version,
+            map_row_version=map_row.version if map_row else 0,
             renewed_at=sent,
             store_clock_offset=result.clock - sent,
             keys=keys,
             holds=hold_bounds.HoldBounds(inherited=inherited),
             fence=keys.next_fence,
         )
-        if keys.coordinator != self._address_text:
+        if resumed is not None:
+            term.acquired_version = resumed.acquired_version
+            term.fence = resumed.fence
+        elif not proven:
+            term.map_proven_at = inherited
+            floor = history * key_coordinator_state.FENCES_PER_HISTORY
+            term.fence = max(term.fence, floor)
+        elif keys.coordinator != self._address_text:
             term.predecessor = keys.coordinator
         decision_log.note(
             'claim-taken',
             pool=self._pool,
             epoch=result.version,
             map_version=keys.version,
+            state=_map_state(resumed is not None, proven),
             detail=f'{len(keys.ranges)} ranges, from '
             f'{claim.holder if claim else "nobody"}, renewed '
             f'{age.total_seconds():.3f} s before; inherited holds end in '
@@ -291,8 +365,63 @@
         )
         return term
 
-    def _encode_claim(self, renewed_at: timedelta) -> bytes:
-        claim = key_claims.Claim(holder=self._identity, renewed_at=renewed_at)
+    def _resumable_term(
+        self, now: timedelta
+    ) -> key_coordinator_state.ClaimTerm | None:
+        """Return the last term if it may go on after a restore."""
+        last = self._last_term
+        if last is None or not last.is_resumable:
+            return None
+        return last if now - last.renewed_at < RESUME_LIMIT else None
+
+    def _record_history(
+        self, history: state_store.History, now: timedelta
+    ) -> None:
+        """Record since when this process knows of the store's history."""
+        if history == self._history:
+            return
+        self._saw_restore = self._history is not None
+        self._history = history
+        self._history_seen_at = now
+
+    def _is_claim_proven(
+        self, claim: key_claims.Claim | None, history: state_store.History
+    ) -> bool:
+        """Return whether the store cannot have lost a later claim."""
+        if claim is None:
+            return not self._may_have_lost_rows(history)
+        return claim.is_current(history)
+
+    def _is_map_proven(
+        self, keys: key_map.KeyMap, history: state_store.History
+    ) -> bool:
+        """Return whether the store cannot have lost a later map."""
+        if keys.version == state_store.ABSENT:
+            return not self._may_have_lost_rows(history)
+        return keys.is_current(history)
+
+    def _may_have_lost_rows(self, history: state_store.History) -> bool:
+        """Return whether a missing row may have been lost by a restore."""
+        return self._saw_restore or history > INITIAL_HISTORY
+
+    def _newest_known(self, stored: key_map.KeyMap) -> key_map.KeyMap:
+        known = self._known_map(self._pool)
+        if known is None or known.version < stored.version:
+            return stored
+        return known
+
+    def _encode_claim(
+        self,
+        renewed_at: timedelta,
+        history: state_store.History,
+        acquired: int,
+    ) -> bytes:
+        claim = key_claims.Claim(
+            holder=self._identity,
+            renewed_at=renewed_at,
+            history=history,
+            acquired=acquired,
+        )
         return claim.encode()
 
     async def _hold_claim(self, term: key_coordinator_state.ClaimTerm) -> None:
@@ -305,6 +434,7 @@
                 now = self._clock.elapsed()
                 if not term.is_valid(now):
                     term.end_reason = 'the claim was not renewed in time'
+                    term.is_resumable = True
                     break
                 if now >= step_down_due and term.holds.needs_predecessor(now):
                     self._ask_predecessor(term)
@@ -342,9 +472,11 @@
     async def _write_loop(self, term: key_coordinator_state.ClaimTerm) -> None:
         while term.end_reason is None:
             ready = [t for t in term.transfers if t.source_released]
-            since = self._clock.elapsed() - term.renewed_at
+            now = self._clock.elapsed()
+            since = now - term.renewed_at
+            waits_for_proof = not term.is_map_proven(now)
             if (
-                term.fences_reserved
+                (term.fences_reserved or waits_for_proof)
                 and not ready
                 and since < key_claims.RENEW_INTERVAL
             ):
@@ -376,17 +508,27 @@
         map_due = (
             bool(ready) or term.needs_fences() or not term.fences_reserved
         )
-        changed = map_due and not term.write_unconfirmed
+        changed = (
+            map_due and not term.write_unconfirmed and term.is_map_proven(sent)
+        )
         if changed:
             keys = term.next_map(ready)
         expected = {self._claim_key: term.claim_version}
         puts = {
-            self._claim_key: self._encode_claim(sent + term.store_clock_offset)
+            self._claim_key: self._encode_claim(
+                sent + term.store_clock_offset,
+                term.history,
+                term.acquired_version if term.is_map_proven(sent) else 0,
+            )
         }
         if changed:
-            expected[self._map_key] = keys.version
+            expected[self._map_key] = term.map_row_version
             puts[self._map_key] = keys.encode()
         result = await self._store.write(expected=expected, puts=puts)
+        if _history_of(result) > term.history:
+            term.end_reason = 'the store was restored'
+            term.is_resumable = True
+            return
         if isinstance(result, state_store.Conflict):
             await self._resolve_conflict(term)
             return
@@ -406,26 +548,19 @@
         first_map = not term.fences_reserved
         self._apply_stored_map(term, keys.at_version(result.version))
         if first_map:
-            change: fleet_messages.Announcement = (
-                fleet_messages.CoordinatorChange(
-                    pool=self._pool,
-                    base=base,
-                    version=result.version,
-                    address=self._address_text,
-                )
-            )
-        else:
-            await self._renewer.grant_moved(term, ready)
-            change = fleet_messages.MapChange(
-                pool=self._pool,
-                base=base,
-                version=result.version,
-                ranges=[
-                    held
-                    for t in ready
-                    for held in _within(term.keys, t.move.source)
-                ],
-            )
+            self._announce_coordinator(term, base)
+            return
+        await self._renewer.grant_moved(term, ready)
+        change = fleet_messages.MapChange(
+            pool=self._pool,
+            base=base,
+            version=result.version,
+            ranges=[
+                held
+                for t in ready
+                for held in _within(term.keys, t.move.source)
+            ],
+        )
         self._announce(change)
         term.announced_version = result.version
 
@@ -439,6 +574,9 @@
         """
         maps = await self._store.read(state_store.Table.ASSIGNMENTS)
         claims = await self._store.read(state_store.Table.CLAIMS)
+        if state_store.history_of(claims.version) != term.history:
+            # The next write finds this out.
+            return
         row = _find(claims, self._pool)
         if row is None or row.value is None:
             term.end_reason = 'the row of the claim was removed'
@@ -452,6 +590,20 @@
         self._apply_stored_map(term, _map_of(maps, self._pool))
         term.announced_version = term.keys.version
 
+    def _announce_coordinator(
+        self, term: key_coordinator_state.ClaimTerm, base: int
+    ) -> None:
+        """Announce a map that keeps all owners of the map ``base``."""
+        self._announce(
+            fleet_messages.CoordinatorChange(
+                pool=self._pool,
+                base=base,
+                version=term.keys.version,
+                address=self._address_text,
+            )
+        )
+        term.announced_version = term.keys.version
+
     def _apply_stored_map(
         self, term: key_coordinator_state.ClaimTerm, keys: key_map.KeyMap
     ) -> None:
@@ -475,7 +627,11 @@
         try:
             await self._store.write(
                 expected={self._claim_key: term.claim_version},
-                puts={self._claim_key: self._encode_claim(timedelta())},
+                puts={
+                    self._claim_key: self._encode_claim(
+                        timedelta(), term.history, term.acquired_version
+                    )
+                },
             )
         except errors.StoreUnavailable as exc:
             decision_log.note('claim-not-released', detail=str(exc))
@@ -572,6 +728,20 @@
         ]
 
 
+def _map_state(resumed: bool, proven: bool) -> str:
+    if resumed:
+        return 'resumed'
+    return 'proven' if proven else 'unproven'
+
+
+def _history_of(result: state_store.WriteResult) -> state_store.History:
+    match result:
+        case state_store.Conflict():
+            return result.history
+        case state_store.Committed():
+            return state_store.history_of(result.version)
+
+
 def _find(reading: state_store.Reading, key: str) -> state_store.Row | None:
     return next((row for row in reading.rows if row.key == key), None)
 
--- a/goldcresthaven/key_coordinator_state.py
+++ b/goldcresthaven/key_coordinator_state.py
@@ -13,10 +13,14 @@
 from goldcresthaven import key_plan
 from goldcresthaven import members
 from goldcresthaven import registry as registry_module
+from goldcresthaven import state_store
 
 # Fences reserved with each write of the map. The holder may use them before
 # it has to write the map again.
 RESERVED_FENCES = 10000
+# The first fence of a history whose map is unknown is its number times this.
+# No history uses as many fences.
+FENCES_PER_HISTORY = 1 << 40
 
 
 @dataclass(kw_only=True)
@@ -49,11 +53,19 @@
     ``write_unconfirmed`` is true while it is unknown whether a write was
     applied. ``proving`` is true while a round trip is being made for the
     bounds. ``end_reason`` is set when the term ends.
+
+    ``history`` is the store's history in which the claim was last renewed,
+    and ``map_row_version`` the version of the map's row in it. The map may
+    be older than one that the store has lost until ``map_proven_at``; until
+    then it is not written and no key is granted. ``is_resumable`` is set if
+    the term ended although no successor is known.
     """
 
     address: str
+    history: state_store.History
     claim_version: int
     acquired_version: int
+    map_row_version: int
     renewed_at: timedelta
     store_clock_offset: timedelta
     keys: key_map.KeyMap
@@ -69,12 +81,32 @@
         default_factory=dict
     )
     predecessor: str = ''
+    map_proven_at: timedelta = timedelta()
+    is_resumable: bool = False
     announced_version: int = 0
     fences_reserved: bool = False
     write_unconfirmed: bool = False
     proving: bool = False
     end_reason: str | None = None
 
+    def may_resume(
+        self, claim: key_claims.Claim | None, history: state_store.History
+    ) -> bool:
+        """Return whether this term may go on in a new history of the store.
+
+        ``claim`` is the stored claim. Its holder knows a newer map if it
+        acquired the claim later.
+        """
+        if history <= self.history or not self.fences_reserved:
+            return False
+        if claim is None or claim.history != history:
+            return True
+        return claim.acquired < self.acquired_version
+
+    def is_map_proven(self, now: timedelta) -> bool:
+        """Return whether no hold under a map that was lost can last."""
+        return now >= self.map_proven_at
+
     def is_valid(self, now: timedelta) -> bool:
         """Return whether the claim was renewed recently enough to grant."""
         return now - self.renewed_at < key_claims.CLAIM_VALIDITY
@@ -132,11 +164,13 @@
             changes,
             next_fence=self.fence + RESERVED_FENCES,
             coordinator=self.address,
+            history=self.history,
         )
 
     def apply_stored_map(self, keys: key_map.KeyMap) -> list[Transfer]:
         """Replace the map by the stored one; return the moves it completes."""
         self.keys = keys
+        self.map_row_version = keys.version
         self.fences_reserved = (
             keys.coordinator == self.address and keys.next_fence > self.fence
         )
--- a/goldcresthaven/key_map.py
+++ b/goldcresthaven/key_map.py
@@ -17,6 +17,7 @@
 from goldcresthaven import errors
 from goldcresthaven import ids
 from goldcresthaven import registry
+from goldcresthaven import state_store
 
 FIRST_KEY = 0
 LAST_KEY = 65535
@@ -57,14 +58,17 @@
 class KeyMap:
     """All ranges of a pool in key order.
 
-    ``version`` is the store's version of the row. ``coordinator`` is the
-    address, as ``host:port``, to which processes report keys and loads.
+    ``version`` is the version with which the map was written. ``coordinator``
+    is the address, as ``host:port``, to which processes report keys and
+    loads. ``history`` is the store's history in which the map was written,
+    and None if the program that wrote it knew none.
     """
 
     ranges: tuple[KeyRange, ...]
     next_fence: int
     version: int = 0
     coordinator: str = ''
+    history: state_store.History | None = None
     _firsts: list[int] = field(init=False, repr=False, default_factory=list)
 
     def __post_init__(self) -> None:
@@ -82,8 +86,12 @@
         *,
         next_fence: int,
         coordinator: str | None = None,
+        history: state_store.History | None = None,
     ) -> 'KeyMap':
-        """Return a map in which ``changes`` replace the ranges they cover."""
+        """Return a map in which ``changes`` replace the ranges they cover.
+
+        ``coordinator`` and ``history`` stay as they are if they are None.
+        """
         unchanged: list[KeyRange] = []
         for known in self.ranges:
             unchanged.extend(remainders(known, changes))
@@ -95,6 +103,7 @@
             coordinator=(
                 self.coordinator if coordinator is None else coordinator
             ),
+            history=self.history if history is None else history,
         )
 
     def at_version(self, version: int) -> 'KeyMap':
@@ -103,8 +112,13 @@
             next_fence=self.next_fence,
             version=version,
             coordinator=self.coordinator,
+            history=self.history,
         )
 
+    def is_current(self, history: state_store.History) -> bool:
+        """Return whether no later map can have been lost by a restore."""
+        return self.history is None or self.history == history
+
     def encode(self) -> bytes:
         """Return the map as the value of its row."""
         rows = [
@@ -119,6 +133,7 @@
         document = {
             'next_fence': self.next_fence,
             'coordinator': self.coordinator,
+            'history': self.history,
             'ranges': rows,
         }
         return json.dumps(document, separators=(',', ':')).encode()
@@ -131,9 +146,12 @@
 
 
 def decode(value: bytes, *, version: int) -> KeyMap:
-    """Decode the value of a row.
+    """Decode the value of a row that was read with a version.
 
-    Raises ProtocolError if the value is not a key map.
+    A map that was written before the store was restored gets a version of
+    the history in which it was written, so that it does not replace a newer
+    map which the store has lost. Raises ProtocolError if the value is not a
+    key map.
     """
     try:
         document = json.loads(value)
@@ -150,11 +168,16 @@
                 rows, ends, strict=True
             )
         )
+        history = document.get('history')
+        if history is not None:
+            number = state_store.number_of(version)
+            version = state_store.version_in(history, number)
         return KeyMap(
             ranges=ranges,
             next_fence=document['next_fence'],
             version=version,
             coordinator=str(document.get('coordinator', '')),
+            history=history,
         )
     except (KeyError, TypeError, ValueError) as exc:
         raise errors.ProtocolError(
--- a/goldcresthaven/platform/names.py
+++ b/goldcresthaven/platform/names.py
@@ -12,6 +12,8 @@
 NOT_EXECUTED = 'x-goldcresthaven-not-executed'
 # An upstream's signature of its response.
 SERVER_STAMP = 'x-goldcresthaven-server-stamp'
+# Rises by one each time the store is restored from a copy.
+STORE_ERA = 'store-era'
 SHARD_KEY = 'x-goldcresthaven-shard-key'
 HANDOVER = 'x-goldcresthaven-handover'
 
--- a/goldcresthaven/platform/store.py
+++ b/goldcresthaven/platform/store.py
@@ -3,6 +3,10 @@
 A connection carries one call at a time. When a call gets no response, its
 connection is reset, so that bytes that a partition delays are dropped instead
 of arriving later.
+
+Each response states how often the store was restored from a copy. Versions of
+the store's tables are combined with this number, so that a version from before
+a restore is never taken for one that the store gives out again.
 """
 
 import base64
@@ -13,6 +17,7 @@
 import urllib.parse
 
 from goldcresthaven import aio
+from goldcresthaven import decision_log
 from goldcresthaven import errors
 from goldcresthaven import http_head
 from goldcresthaven import http_io
@@ -28,6 +33,7 @@
 MAX_RESPONSE_BYTES = 4 << 20
 MAX_CONNECTIONS = 12
 PAGE_ROWS = 500
+ERA_DIGITS = 6
 _MS = timedelta(milliseconds=1)
 
 
@@ -37,6 +43,7 @@
     def __init__(self, *, address: members.Address) -> None:
         self._address = address
         self._conns = upstream_pool.UpstreamPool()
+        self._history = state_store.FIRST_HISTORY
 
     async def close(self) -> None:
         await self._conns.close()
@@ -46,7 +53,7 @@
         start = ''
         version: int | None = None
         while True:
-            document = await self._get(
+            history, document = await self._get(
                 '/rows-get',
                 {
                     'table': names.TABLES[table],
@@ -56,12 +63,14 @@
                 },
                 CALL_TIMEOUT,
             )
-            page = _rows(document)
+            page = _rows(document, history)
             rows += page
             # Each page is a separate snapshot. Changes since the first page
             # have to be read again, so its version is returned.
             if version is None:
-                version = _integer(document, 'ver')
+                version = _version(document, history)
+            elif state_store.history_of(version) != history:
+                raise _unavailable('the store was restored during the read')
             if not document.get('has-more') or not page:
                 return state_store.Reading(
                     rows=tuple(rows), version=version, clock=_clock(document)
@@ -71,16 +80,27 @@
     async def watch(
         self, table: state_store.Table, *, after: int, wait: timedelta
     ) -> state_store.Reading:
-        document = await self._get(
-            '/rows-feed',
-            {
-                'table': names.TABLES[table],
-                'after': after,
-                'wait-ms': int(wait / _MS),
-            },
-            wait + WATCH_SLACK,
+        history = state_store.history_of(after)
+        if history >= self._history:
+            history, document = await self._get(
+                '/rows-feed',
+                {
+                    'table': names.TABLES[table],
+                    'after': state_store.number_of(after),
+                    'wait-ms': int(wait / _MS),
+                },
+                wait + WATCH_SLACK,
+            )
+            if history == state_store.history_of(after):
+                return state_store.Reading(
+                    rows=tuple(_rows(document, history)),
+                    version=_version(document, history),
+                    clock=_clock(document),
+                )
+        raise state_store.HistoryLost(
+            'the store was restored from a copy',
+            remedy='read the whole table',
         )
-        return _reading(document, _rows(document))
 
     async def write(
         self,
@@ -88,39 +108,46 @@
         expected: Mapping[state_store.Key, int],
         puts: Mapping[state_store.Key, bytes],
     ) -> state_store.WriteResult:
+        versions = [v for v in expected.values() if v != state_store.ABSENT]
+        if any(state_store.history_of(v) < self._history for v in versions):
+            # The same number may belong to another content by now.
+            return state_store.Conflict(history=self._history)
         body = {
-            'expect': [{**_key(k), 'ver': v} for k, v in expected.items()],
+            'expect': [
+                {**_key(k), 'ver': state_store.number_of(v)}
+                for k, v in expected.items()
+            ],
             'put': [
                 {**_key(k), 'value': base64.b64encode(v).decode()}
                 for k, v in puts.items()
             ],
             'remove': [],
         }
-        status, data = await self._call(
+        status, history, data = await self._call(
             'POST', '/rows-tx', json.dumps(body).encode(), CALL_TIMEOUT
         )
         if status == 412:
-            return state_store.Conflict()
+            return state_store.Conflict(history=history)
         document = _document(status, data)
         return state_store.Committed(
-            version=_integer(document, 'ver'), clock=_clock(document)
+            version=_version(document, history), clock=_clock(document)
         )
 
     async def _get(
         self, path: str, query: Mapping[str, str | int], timeout: timedelta
-    ) -> dict[str, Any]:
+    ) -> tuple[state_store.History, dict[str, Any]]:
         target = f'{path}?{urllib.parse.urlencode(query)}'
-        status, data = await self._call('GET', target, b'', timeout)
+        status, history, data = await self._call('GET', target, b'', timeout)
         if status == 410:
             raise state_store.HistoryLost(
                 'the store no longer has the requested history',
                 remedy='read the whole table',
             )
-        return _document(status, data)
+        return history, _document(status, data)
 
     async def _call(
         self, method: str, target: str, body: bytes, timeout: timedelta
-    ) -> tuple[int, bytes]:
+    ) -> tuple[int, state_store.History, bytes]:
         head = http_head.RequestHead(
             method=method,
             target=target,
@@ -149,7 +176,29 @@
             errors.ProtocolError,
         ) as exc:
             raise _unavailable(str(exc)) from exc
-        return response.status, data
+        return response.status, self._history_of(response), data
+
+    def _history_of(
+        self, response: http_head.ResponseHead
+    ) -> state_store.History:
+        """Return the history that a response belongs to.
+
+        A response that was delayed may belong to an earlier history than the
+        newest one. A store without the header is never restored.
+        """
+        text = http_head.find(response.headers, names.STORE_ERA)
+        if text is None:
+            return self._history
+        if not (text.isascii() and text.isdigit() and len(text) <= ERA_DIGITS):
+            raise _unavailable(f'the era {text[:20]!r} is not a number')
+        history = state_store.History(int(text))
+        if history > self._history:
+            decision_log.note(
+                'store-history',
+                detail=f'history {history} after {self._history}',
+            )
+            self._history = history
+        return history
 
 
 def _key(key: state_store.Key) -> dict[str, str]:
@@ -168,30 +217,28 @@
     return document
 
 
-def _rows(document: Mapping[str, Any]) -> list[state_store.Row]:
+def _rows(
+    document: Mapping[str, Any], history: state_store.History
+) -> list[state_store.Row]:
     try:
-        return [_row(row) for row in document['rows']]
+        return [_row(row, history) for row in document['rows']]
     except (AttributeError, KeyError, TypeError, ValueError) as exc:
         raise _unavailable(f'the response has invalid rows: {exc}') from exc
 
 
-def _row(row: Mapping[str, Any]) -> state_store.Row:
+def _row(
+    row: Mapping[str, Any], history: state_store.History
+) -> state_store.Row:
     removed = row.get('deleted') or row.get('value') is None
     return state_store.Row(
         key=str(row['key']),
-        version=int(row['ver']),
+        version=state_store.version_in(history, int(row['ver'])),
         value=None if removed else base64.b64decode(row['value']),
     )
 
 
-def _reading(
-    document: Mapping[str, Any], rows: list[state_store.Row]
-) -> state_store.Reading:
-    return state_store.Reading(
-        rows=tuple(rows),
-        version=_integer(document, 'ver'),
-        clock=_clock(document),
-    )
+def _version(document: Mapping[str, Any], history: state_store.History) -> int:
+    return state_store.version_in(history, _integer(document, 'ver'))
 
 
 def _integer(document: Mapping[str, Any], name: str) -> int:
--- a/goldcresthaven/state_store.py
+++ b/goldcresthaven/state_store.py
@@ -3,12 +3,18 @@
 ``platform`` implements it for the real store; the tests use an in-memory
 fake. Values are bytes, so that tables written by other programs can be read
 through the same client.
+
+A store that is restored from a copy begins a new history: it has lost the
+last writes, and counts its versions on from an older one. The versions here
+therefore consist of the number of the history and the store's version within
+it. They increase across a restore, and never name two contents of a row.
 """
 
 from collections.abc import Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
+from typing import NewType
 from typing import Protocol
 
 from goldcresthaven import errors
@@ -16,6 +22,30 @@
 ABSENT = 0
 """The version of a row that does not exist."""
 
+History = NewType('History', int)
+"""Counts how often the store was restored from an older copy."""
+
+FIRST_HISTORY = History(0)
+"""The history of a store that does not say how often it was restored."""
+
+# Leaves room for 2**23 histories in the 63 bits of a message's integers.
+_NUMBER_BITS = 40
+
+
+def version_in(history: History, number: int) -> int:
+    """Return the version for the store's version ``number`` in a history."""
+    return history << _NUMBER_BITS | number
+
+
+def history_of(version: int) -> History:
+    """Return the history in which the store gave out a version."""
+    return History(version >> _NUMBER_BITS)
+
+
+def number_of(version: int) -> int:
+    """Return the store's own version, which is unique in its history."""
+    return version & ((1 << _NUMBER_BITS) - 1)
+
 
 class Table(Enum):
     """The tables that the router reads.
@@ -73,7 +103,12 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Conflict:
-    """An expected version did not match, so nothing was written."""
+    """An expected version did not match, so nothing was written.
+
+    ``history`` is the store's history at that time.
+    """
+
+    history: History = FIRST_HISTORY
 
 
 WriteResult = Committed | Conflict
@@ -96,7 +131,8 @@
         """Return the rows that changed after a version.
 
         Waits at most ``wait`` for the first change. Raises HistoryLost if
-        the store no longer keeps the changes after ``after``.
+        the store no longer keeps the changes after ``after``, or if
+        ``after`` is of an earlier history.
         """
 
     async def write(
--- a/proofs/coordinator_sim.py
+++ b/proofs/coordinator_sim.py
@@ -27,6 +27,7 @@
 from goldcresthaven import key_map
 from goldcresthaven import members
 from goldcresthaven import registry
+from goldcresthaven import state_store
 from goldcresthaven import upstream_pool
 from goldcresthaven.platform import leases
 from proofs import coordinator_store
@@ -92,6 +93,7 @@
             capacity=lambda upstream: float(upstream.slots),
             report_age=lambda pool, now: timedelta(seconds=60),
             fleet_size=lambda: 2,
+            known_map=lambda pool: None,
             announce=lambda message: None,
             request_step_down=self._request_step_down,
             longest_hold=LONGEST_HOLD,
@@ -472,7 +474,7 @@
         other faults of a seed are the same with and without restores.
         """
         rng = random.Random(f'restores {seed}')
-        self.store.history = 1
+        self.store.history = state_store.History(1)
         for _ in range(rng.choice((1, 1, 2, 3))):
             at = rng.uniform(0.5, self.duration - 3.0)
             self._restore_store(rng, at)
--- a/proofs/coordinator_store.py
+++ b/proofs/coordinator_store.py
@@ -19,18 +19,6 @@
 from proofs import virtual_loop
 
 STORE_TIMEOUT = 1.0  # seconds
-# The bits of a version that contain the store's own number.
-NUMBER_BITS = 40
-
-
-def version_in(history: int, number: int) -> int:
-    """Return the version that ``number`` has in a history of the store."""
-    return (history << NUMBER_BITS) | number
-
-
-def number_of(version: int) -> int:
-    """Return the store's own number of a version."""
-    return version & ((1 << NUMBER_BITS) - 1)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -63,7 +51,7 @@
         self.uplinks = uplinks
         self._rows: dict[state_store.Key, state_store.Row] = {}
         self._version = 0
-        self.history = 0
+        self.history = state_store.FIRST_HISTORY
         self.outages = 0
         self.response_delay: Callable[[], float] = lambda: 0.0
         self._copies = [Copy(at=loop.now, rows={}, version=0)]
@@ -75,7 +63,7 @@
         copy = older[-1] if older else self._copies[0]
         self._rows = dict(copy.rows)
         self._version = copy.version
-        self.history += 1
+        self.history = state_store.History(self.history + 1)
         self._keep_copy()
 
     def _keep_copy(self) -> None:
@@ -94,7 +82,7 @@
         rows = tuple(
             state_store.Row(
                 key=row.key,
-                version=version_in(self.history, row.version),
+                version=state_store.version_in(self.history, row.version),
                 value=row.value,
             )
             for key, row in self._rows.items()
@@ -102,7 +90,7 @@
         )
         return state_store.Reading(
             rows=rows,
-            version=version_in(self.history, self._version),
+            version=state_store.version_in(self.history, self._version),
             clock=self._clock(),
         )
 
@@ -114,8 +102,8 @@
         for key, version in expected.items():
             row = self._rows.get(key)
             found = row.version if row else state_store.ABSENT
-            if found != number_of(version):
-                return state_store.Conflict()
+            if found != state_store.number_of(version):
+                return state_store.Conflict(history=self.history)
         return self._put(puts)
 
     def _put(
@@ -128,7 +116,7 @@
             )
         self._keep_copy()
         return state_store.Committed(
-            version=version_in(self.history, self._version),
+            version=state_store.version_in(self.history, self._version),
             clock=self._clock(),
         )
 
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -14,7 +14,6 @@
 from goldcresthaven import registry
 from goldcresthaven import routes
 from goldcresthaven import state_store
-from proofs import coordinator_store
 
 POOL = ids.PoolName('catalogue')
 
@@ -108,11 +107,11 @@
 
     def restore(self, copy: 'Copy') -> None:
         """Continue from a copy in a new history."""
-        history = (self.version >> coordinator_store.NUMBER_BITS) + 1
+        history = state_store.History(state_store.history_of(self.version) + 1)
 
         def moved(version: int) -> int:
-            number = coordinator_store.number_of(version)
-            return coordinator_store.version_in(history, number)
+            number = state_store.number_of(version)
+            return state_store.version_in(history, number)
 
         self.version = moved(copy.version)
         self.rows = {
@@ -172,7 +171,9 @@
             row = self.rows.get((key.table, key.key))
             found = row.version if row else state_store.ABSENT
             if not _same_number(found, version):
-                return state_store.Conflict()
+                return state_store.Conflict(
+                    history=state_store.history_of(self.version)
+                )
         self.version += 1
         for key, value in puts.items():
             self.rows[(key.table, key.key)] = state_store.Row(
@@ -186,9 +187,10 @@
         )
 
     def _has_version(self, version: int) -> bool:
-        bits = coordinator_store.NUMBER_BITS
+        history = state_store.history_of(version)
         return (
-            version >> bits == self.version >> bits and version <= self.version
+            history == state_store.history_of(self.version)
+            and version <= self.version
         )
 
     async def _fail_if_set(self) -> None:
@@ -305,7 +307,7 @@
 
 
 def _same_number(left: int, right: int) -> bool:
-    number_of = coordinator_store.number_of
+    number_of = state_store.number_of
     return number_of(left) == number_of(right)
 
 
--- a/tests/test_coordinator_sim.py
+++ b/tests/test_coordinator_sim.py
@@ -91,7 +91,7 @@
         uplinks = coordinator_world.Uplinks(loop, faults)
         store = coordinator_store.Store(loop, faults, uplinks)
         key = state_store.Key(table=state_store.Table.CLAIMS, key='a')
-        store.history = 1
+        store.history = state_store.History(1)
         for value in (b'old', b'lost'):
             store.apply({}, {key: value})
             loop.after(5.0, lambda: None)
@@ -99,7 +99,11 @@
         store.restore(7.0)
         reading = store.reading(state_store.Table.CLAIMS)
         self.assertEqual([row.value for row in reading.rows], [b'old'])
-        self.assertEqual(reading.version, coordinator_store.version_in(2, 1))
+        self.assertEqual(
+            reading.version, state_store.version_in(state_store.History(2), 1)
+        )
         again = store.apply({key: reading.rows[0].version}, {key: b'new'})
         assert isinstance(again, state_store.Committed)
-        self.assertEqual(again.version, coordinator_store.version_in(2, 2))
+        self.assertEqual(
+            again.version, state_store.version_in(state_store.History(2), 2)
+        )
--- a/tests/test_key_coordinator.py
+++ b/tests/test_key_coordinator.py
@@ -63,6 +63,7 @@
             capacity=lambda upstream: float(upstream.slots),
             report_age=lambda pool, now: timedelta(seconds=60),
             fleet_size=lambda: 2,
+            known_map=lambda pool: None,
             cpu_cores=1.0,
             link_bytes_per_s=1e8,
             announce=self.announced.append,
@@ -339,8 +340,10 @@
         """
         term = key_coordinator_state.ClaimTerm(
             address='n1:7200',
+            history=state_store.FIRST_HISTORY,
             claim_version=1,
             acquired_version=1,
+            map_row_version=0,
             renewed_at=timedelta(seconds=50),
             store_clock_offset=timedelta(),
             keys=key_map.empty(),
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -23,7 +23,6 @@
 from goldcresthaven import table_relay
 from goldcresthaven.platform import decode
 from goldcresthaven.platform import store as platform_store
-from proofs import coordinator_store
 from standins import server
 from standins import table_store
 from tools import entry_harness
@@ -174,8 +173,7 @@
         await self.until(lambda p: p.config_version() == 5)
         await self.until(
             lambda p: all(
-                coordinator_store.number_of(position.reached or 0)
-                == LOST_VERSION
+                state_store.number_of(position.reached or 0) == LOST_VERSION
                 for position in p.known_state.positions.values()
             )
         )
@@ -401,8 +399,8 @@
             )
             assert isinstance(again, state_store.Committed)
             self.assertEqual(
-                coordinator_store.number_of(lost.version),
-                coordinator_store.number_of(again.version),
+                state_store.number_of(lost.version),
+                state_store.number_of(again.version),
             )
             self.assertNotEqual(lost.version, again.version)
             await deposed.read(CLAIM.table)
@@ -424,8 +422,8 @@
             before = (await client.read(CONFIG)).version
             await self.restore()
             after = (await client.read(CONFIG)).version
-            self.assertEqual(coordinator_store.number_of(before), LOST_VERSION)
-            self.assertEqual(coordinator_store.number_of(after), COPY_VERSION)
+            self.assertEqual(state_store.number_of(before), LOST_VERSION)
+            self.assertEqual(state_store.number_of(after), COPY_VERSION)
             self.assertGreater(after, before)
 
         entry_harness.run(test)
