Ignore entries of upstreams that a restore of the store made older

What callers saw: in tests with real processes, an upstream that had begun to drain was ready again after the store came back from an older copy and got requests 3.1 s after it began to drain, an upstream that had ended got 7 grants at its address, and one whose entry was lost for a moment got no request for 1.2 to 2.1 s.

Cause: an entry of the copy replaced a newer one, and a missing entry counted as a departure at once.

Change: an entry with a lower sequence number than the known one of the same incarnation is ignored, and so is an equal one of an upstream that has left. A restore starts the grace period for missing entries, and a full read at its end finds those that are gone.

--- a/goldcresthaven/platform/decode.py
+++ b/goldcresthaven/platform/decode.py
@@ -164,4 +164,5 @@
         draining=state == 'draining',
         incarnation=registry.Incarnation(born),
         cold_for=timedelta(seconds=max(0.0, cold)),
+        sequence=status['sequence'],
     )
--- a/goldcresthaven/registry.py
+++ b/goldcresthaven/registry.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+from dataclasses import field
 from datetime import timedelta
 from typing import NewType
 
@@ -26,7 +27,8 @@
     """A registered upstream.
 
     ``cold_for`` is the remaining time for which it is slow after its start,
-    counted from the moment at which it reported the value.
+    counted from the moment at which it reported the value. ``sequence``
+    increases with each change of its entry.
     """
 
     upstream_id: ids.UpstreamId
@@ -37,6 +39,7 @@
     draining: bool
     incarnation: Incarnation
     cold_for: timedelta = timedelta()
+    sequence: int = field(default=0, compare=False)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -66,6 +69,7 @@
         self._upstreams: dict[ids.UpstreamId, Upstream] = {}
         self._departures: dict[ids.UpstreamId, Departure] = {}
         self._lapse_grace_until = timedelta()
+        self._restored_until = timedelta()
         self._by_pool: dict[ids.PoolName, list[Upstream]] | None = None
         self.version = 0
 
@@ -73,6 +77,15 @@
         """Start the grace period for entries that expired during an outage."""
         self._lapse_grace_until = now + LAPSED_ENTRY_GRACE
 
+    def store_restored(self, now: timedelta) -> None:
+        """Start the grace period after the store lost its last changes.
+
+        Until the upstreams have written their entries again, entries of
+        earlier incarnations are ignored.
+        """
+        self.store_recovered(now)
+        self._restored_until = self._lapse_grace_until
+
     def apply(
         self,
         changes: Mapping[ids.UpstreamId, Upstream | None],
@@ -171,6 +184,8 @@
         changed_since: timedelta,
     ) -> bool:
         known = self._upstreams.get(upstream_id)
+        if upstream is not None and self._is_outdated(upstream, now):
+            return False
         if upstream is None:
             if known is None or upstream_id in self._departures:
                 return False
@@ -188,6 +203,29 @@
             self._departures.pop(upstream_id, None)
         return upstream != known
 
+    def _is_outdated(self, upstream: Upstream, now: timedelta) -> bool:
+        """Return whether an entry is older than what is known.
+
+        A store that was restored from a copy has such entries. The entry of
+        an upstream that has left is outdated unless it was written since.
+        """
+        known = self._upstreams.get(upstream.upstream_id)
+        if known is None:
+            return False
+        if upstream.incarnation != known.incarnation:
+            return (
+                now < self._restored_until
+                and upstream.incarnation < known.incarnation
+            )
+        departure = self._departures.get(upstream.upstream_id)
+        has_left = departure is not None and not departure.suspected
+        return (
+            upstream.sequence < known.sequence
+            or has_left
+            and upstream.sequence == known.sequence
+            and not upstream.draining
+        )
+
     def _remove_departed(self, now: timedelta) -> None:
         for upstream_id, departure in list(self._departures.items()):
             if now - departure.since > self.DEPARTED_RETENTION:
--- a/goldcresthaven/store_follower.py
+++ b/goldcresthaven/store_follower.py
@@ -199,8 +199,9 @@
                     # The store answers a coordinator, so that only this
                     # process did not reach it.
                     failed_since = None
-            full = position.reached is None or failed_since is not None
             started = self._clock.elapsed()
+            position.start_due_full_read(started)
+            full = position.reached is None or failed_since is not None
             base, answered_at = position.reached, position.answered_at
             try:
                 reading = await self._read_or_watch(
@@ -401,6 +402,15 @@
                 decision_log.note('entry-unreadable', upstream=row.key[:64])
             changes[ids.UpstreamId(row.key)] = upstream
         registry = self._known_state.registry
+        if registry.version and state_store.history_of(
+            registry.version
+        ) < state_store.history_of(version):
+            decision_log.note('registry-restored', map_version=version)
+            now = self._clock.elapsed()
+            registry.store_restored(now)
+            self._known_state.positions[
+                state_store.Table.REGISTRY
+            ].schedule_full_read(now + registry_module.LAPSED_ENTRY_GRACE)
         changed_ids = registry.apply(
             changes,
             full=full,
--- a/goldcresthaven/table_relay.py
+++ b/goldcresthaven/table_relay.py
@@ -63,6 +63,7 @@
     answered_at: timedelta | None = None
     _trusted_until: timedelta = field(default=_NEVER, init=False)
     _behind_since: timedelta | None = field(default=None, init=False)
+    _full_read_at: timedelta | None = field(default=None, init=False)
 
     @property
     def was_reported(self) -> bool:
@@ -93,6 +94,16 @@
         """Require a full read, because the store has dropped older changes."""
         self.reached = None
 
+    def schedule_full_read(self, at: timedelta) -> None:
+        """Require a full read from ``at`` on."""
+        self._full_read_at = at
+
+    def start_due_full_read(self, now: timedelta) -> None:
+        """Require the scheduled full read if it is due."""
+        if self._full_read_at is not None and now >= self._full_read_at:
+            self._full_read_at = None
+            self.require_full_read()
+
     def state(
         self, table: state_store.Table, now: timedelta
     ) -> TableState | None:
@@ -146,6 +157,7 @@
         arrive. It differs between processes, so that those that missed the
         same change do not poll at the same time.
         """
+        self.start_due_full_read(now)
         if self.reached is None or now > self._trusted_until:
             return True
         behind = self._behind_since
