Send nothing to upstreams that leave or ask for a pause

An upstream that leaves says so in its responses (Server-Leaving), and one that refuses may ask for a pause (Retry-After in a 503). Neither was read, so an upstream whose row still said ready got requests until it ended.

Change: `upstream_notices` records what responses announce, by incarnation. From the first response that says so, an upstream may get requests for the drain time less a margin: as the last resort of its pool, or as the owner of keys that have not moved. During a pause it gets nothing. Both are checked when the upstream is chosen and again right before the request is written. Processes tell each other about leaving upstreams through the coordinators, which move the keys.

--- a/goldcresthaven/fleet_link.py
+++ b/goldcresthaven/fleet_link.py
@@ -156,6 +156,7 @@
         while True:
             await aio.sleep(REPORT_INTERVAL)
             now = self._clock.elapsed()
+            self._report_leaving(now)
             for pool, keys in self._known_state.maps.items():
                 requested = self._take_requested_keys(pool)
                 coordinator = self._coordinators.get(pool)
@@ -166,6 +167,28 @@
                     address = members.Address.parse(keys.coordinator)
                     self._send(self._own_report(pool, requested, now), address)
 
+    def _report_leaving(self, now: timedelta) -> None:
+        """Send newly found leaving upstreams to the coordinators.
+
+        A coordinator sends them to all processes that report to it.
+        """
+        pools = [p for p, c in self._coordinators.items() if c.holds_claim]
+        upstreams = self._known_state.notices.take_unreported(
+            now, relaying=bool(pools)
+        )
+        if not upstreams:
+            return
+        for pool, keys in self._known_state.maps.items():
+            message = fleet_messages.Leaving(pool=pool, upstreams=upstreams)
+            if keys.coordinator and pool not in pools:
+                address = members.Address.parse(keys.coordinator)
+                self._send(message, address)
+        if pools:
+            message = fleet_messages.Leaving(
+                pool=pools[0], upstreams=upstreams
+            )
+            self._send_all(fleet_messages.encode(message))
+
     def _own_report(
         self, pool: ids.PoolName, requested: list[int], now: timedelta
     ) -> fleet_messages.Report:
@@ -296,6 +319,10 @@
                 for peer in message.peers:
                     self._peers[members.Address.parse(peer)] = now
                 tables.apply_report(message.tables, now)
+            case fleet_messages.Leaving():
+                self._known_state.notices.record_reports(
+                    message.upstreams, now
+                )
             case fleet_messages.RelayedRows():
                 tables.apply_rows(message.changes, now)
             case (
--- a/goldcresthaven/fleet_messages.py
+++ b/goldcresthaven/fleet_messages.py
@@ -30,6 +30,8 @@
 # further loads are left out.
 MAX_KEYS = 200
 MAX_LOADS = 300
+# Limit of one datagram, which is then about 4 KiB; the others follow later.
+MAX_LEAVING = 100
 # The operating system reassembles UDP datagrams of up to this size.
 MAX_BYTES = 60_000
 # Limit of relayed rows after decompression, in bytes.
@@ -46,6 +48,7 @@
     MOVING = 6
     COORDINATOR_CHANGE = 8
     RELAYED_ROWS = 9
+    LEAVING = 10
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -171,6 +174,27 @@
     bounds: Sequence[HoldBound]
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LeavingUpstream:
+    """An incarnation that was found leaving ``age`` ago."""
+
+    upstream_id: ids.UpstreamId
+    incarnation: int
+    age: timedelta
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Leaving:
+    """Upstreams whose responses have announced that they leave.
+
+    It is a message of its own, because earlier versions of the program
+    reject a report with further fields as a whole.
+    """
+
+    pool: ids.PoolName
+    upstreams: Sequence[LeavingUpstream]
+
+
 Announcement = MapChange | CoordinatorChange | Moving
 Loads = Sequence[UpstreamLoad]
 Message = (
@@ -182,6 +206,7 @@
     | Moving
     | StepDown
     | SteppedDown
+    | Leaving
 )
 
 
@@ -255,6 +280,15 @@
                 message.claim_version,
                 [[b.upstream_id, _ms(b.left)] for b in message.bounds],
             ]
+        case Leaving():
+            return [
+                Kind.LEAVING.value,
+                message.pool,
+                [
+                    [u.upstream_id, u.incarnation, _ms(u.age)]
+                    for u in message.upstreams
+                ],
+            ]
 
 
 def decode(data: bytes) -> Message:
@@ -346,6 +380,11 @@
                     for upstream_id, left in bounds
                 ],
             )
+        case Kind.LEAVING:
+            (upstreams,) = fields
+            return Leaving(
+                pool=pool, upstreams=[_decode_leaving(u) for u in upstreams]
+            )
 
 
 def _ms(duration: timedelta) -> int:
@@ -454,6 +493,17 @@
     )
 
 
+def _decode_leaving(values: Any) -> LeavingUpstream:
+    upstream_id, incarnation, age = values
+    if int(age) < 0:
+        raise ValueError('the age of an announcement is negative')
+    return LeavingUpstream(
+        upstream_id=ids.UpstreamId(str(upstream_id)),
+        incarnation=int(incarnation),
+        age=int(age) * _MS,
+    )
+
+
 def _decode_range(values: Any) -> key_map.KeyRange:
     first, last, upstream_id, incarnation, fence = values
     if _decode_key(first) > _decode_key(last):
--- a/goldcresthaven/gateway.py
+++ b/goldcresthaven/gateway.py
@@ -281,9 +281,9 @@
                 remaining=routed.deadline - self._clock.elapsed(),
             )
             if self._is_last_attempt(routed, attempt):
-                return self._with_retry_after(outcome)
+                return self._with_retry_after(routed, outcome)
             if not retries.may_retry(attempt, context, budget):
-                return self._with_retry_after(outcome)
+                return self._with_retry_after(routed, outcome)
             self._metrics.retried()
             if attempt.status == 421:
                 routed.refused_map_version = self._chooser.map_version(
@@ -319,8 +319,13 @@
         sent = sum(past.bytes_written > 0 for past in routed.past_attempts)
         return sent >= routed.route.max_attempts
 
-    def _with_retry_after(self, outcome: outcomes.Outcome) -> outcomes.Outcome:
+    def _with_retry_after(
+        self, routed: upstream_choice.RoutedRequest, outcome: outcomes.Outcome
+    ) -> outcomes.Outcome:
         if isinstance(outcome, outcomes.NotRun):
+            paused = self._chooser.refusal_during_pause(routed)
+            if paused is not None:
+                return paused
             return outcomes.NotRun(
                 reason=outcome.reason,
                 detail=outcome.detail,
@@ -424,7 +429,7 @@
             return
         headers = self._headers.for_local_response(call.meta.request_id)
         if isinstance(outcome, outcomes.NotRun) and outcome.retry_after:
-            after = self._retry_after(call, routed, outcome.retry_after)
+            after = self._retry_after(call, routed, outcome)
             headers = (*headers, ('retry-after', after))
         unread = not call.body_ended
         if unread or self._draining:
@@ -438,10 +443,13 @@
         self,
         call: upstream_exchange.Call,
         routed: upstream_choice.RoutedRequest | outcomes.NotRun,
-        wanted: timedelta,
+        refusal: outcomes.NotRun,
     ) -> str:
-        if call.meta.remaining is not None and isinstance(
-            routed, upstream_choice.RoutedRequest
+        wanted = refusal.retry_after or timedelta()
+        if (
+            call.meta.remaining is not None
+            and isinstance(routed, upstream_choice.RoutedRequest)
+            and not refusal.retry_is_earliest
         ):
             spent = self._clock.elapsed() - routed.arrived
             wanted = min(
@@ -477,7 +485,7 @@
 ) -> selection.AttemptOutcome:
     match result:
         case upstream_exchange.AttemptResult(
-            failure=retries.Failure.CALLER_GONE
+            failure=(retries.Failure.CALLER_GONE | retries.Failure.WITHHELD)
         ):
             return selection.AttemptOutcome.ABANDONED
         case upstream_exchange.AttemptResult(failure=retries.Failure.CONNECT):
--- a/goldcresthaven/gateway_metrics.py
+++ b/goldcresthaven/gateway_metrics.py
@@ -5,6 +5,7 @@
 import prometheus_client as prom
 
 from goldcresthaven import outcomes
+from goldcresthaven import upstream_notices
 
 # Seconds; from the fastest response of an upstream to the longest timeout.
 BUCKETS = (0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.0, 1.5, 2.0, 4.0)
@@ -36,6 +37,19 @@
             namespace='goldcresthaven',
             registry=self._registry,
         )
+        self._leaving = prom.Counter(
+            'upstreams_leaving',
+            'Upstreams found leaving, by the source that showed it first.',
+            ('source',),
+            namespace='goldcresthaven',
+            registry=self._registry,
+        )
+        self._pauses = prom.Counter(
+            'upstream_pauses',
+            'Pauses that upstreams asked for with a 503.',
+            namespace='goldcresthaven',
+            registry=self._registry,
+        )
 
     def request(
         self, kind: str, outcome: outcomes.Outcome, elapsed: timedelta
@@ -46,9 +60,35 @@
         self._requests.labels(kind, name, reason).inc()
         self._latency.labels(kind, name).observe(elapsed.total_seconds())
 
+    def upstream_notice(self, notice: upstream_notices.Notice) -> None:
+        """Record that an upstream leaves, or that it asks for a pause."""
+        match notice:
+            case upstream_notices.LeavingFound():
+                self._leaving.labels(notice.source.value).inc()
+            case upstream_notices.PauseStarted():
+                self._pauses.inc()
+
     def retried(self) -> None:
         self._retries.inc()
 
     def render(self) -> bytes:
         """Return all metrics as text."""
         return bytes(prom.generate_latest(self._registry))
+
+    def to_markdown(self) -> str:
+        """Return the second part of docs/metrics.md."""
+        lines = [
+            '## Gateway',
+            '',
+            'Scraped over HTTP in Prometheus format.',
+            '',
+            '| name | kind | meaning |',
+            '|---|---|---|',
+        ]
+        for family in self._registry.collect():
+            suffix = '_total' if family.type == 'counter' else ''
+            lines.append(
+                f'| `{family.name}{suffix}` | {family.type} '
+                f'| {family.documentation} |'
+            )
+        return '\n'.join(lines) + '\n'
--- a/goldcresthaven/gateway_process.py
+++ b/goldcresthaven/gateway_process.py
@@ -29,6 +29,7 @@
 from goldcresthaven import store_follower
 from goldcresthaven import telemetry
 from goldcresthaven import upstream_exchange
+from goldcresthaven import upstream_notices
 from goldcresthaven import upstream_pool
 from goldcresthaven.platform import decode
 from goldcresthaven.platform import headers as platform_headers
@@ -64,9 +65,12 @@
         self._identity = f'{cfg.vm}/{secrets.token_hex(4)}'
         self._store = platform_store.PlatformStore(address=cfg.store)
         self._lease_calls = leases.PlatformLeases(clock=self._clock)
-        self._known_state = known_state_module.KnownState()
-        self._selector = selection.Selector(zone=cfg.zone, rng=self._rng)
         self._metrics = gateway_metrics.GatewayMetrics()
+        notices = upstream_notices.UpstreamNotices(
+            drain=cfg.drain, rng=self._rng, observe=self._observe_notice
+        )
+        self._known_state = known_state_module.KnownState(notices=notices)
+        self._selector = selection.Selector(zone=cfg.zone, rng=self._rng)
         headers = platform_headers.PlatformHeaders()
         self._gateway = gateway.Gateway(
             known_state=self._known_state,
@@ -75,6 +79,7 @@
                     accept_unframed=True, connect_timeout=CONNECT_TIMEOUT
                 ),
                 headers=headers,
+                notices=notices,
                 clock=self._clock,
             ),
             headers=headers,
@@ -161,11 +166,20 @@
 
     def _on_registry(self, changed: list[registry.Upstream]) -> None:
         now = self._clock.elapsed()
-        self._selector.remove_unregistered(
-            self._known_state.registry.all_upstreams()
+        table = self._known_state.registry
+        self._selector.remove_unregistered(table.all_upstreams())
+        self._known_state.notices.remove_unregistered(
+            table.all_upstreams(), now
         )
         for upstream in changed:
             self._selector.mark_cold(upstream, now)
+            since = table.registered_departure(upstream.upstream_id, now)
+            if upstream.draining and since is not None:
+                self._known_state.notices.record_draining(upstream, since, now)
+
+    def _observe_notice(self, notice: upstream_notices.Notice) -> None:
+        upstream_notices.log(notice)
+        self._metrics.upstream_notice(notice)
 
     async def _start_coordinators(self) -> None:
         """Start a coordinator for each keyed pool in the configuration."""
--- a/goldcresthaven/http_io.py
+++ b/goldcresthaven/http_io.py
@@ -554,6 +554,28 @@
         """Record whether the upstream closed and all it sent was read."""
         self.closed_in_order = not self._buf and aio.at_end(self._sock)
 
+    def unsolicited_head(self) -> http_head.ResponseHead | None:
+        """Return the head of a response that no request asked for, if any.
+
+        An upstream may send one before it closes an idle connection. The
+        connection cannot be used after this call.
+        """
+        received = aio.receive_nowait(self._sock, PIECE_BYTES) or b''
+        parser = self._new_h11()
+        parser.send(
+            h11.Request(method='GET', target='/', headers=[('host', 'none')])
+        )
+        try:
+            parser.receive_data(bytes(self._buf) + received)
+            event = parser.next_event()
+        except h11.RemoteProtocolError:
+            return None
+        if not isinstance(event, h11.Response):
+            return None
+        return http_head.ResponseHead(
+            status=event.status_code, headers=_decode(event.headers)
+        )
+
 
 def _rejected(problem: str, status: int) -> errors.RequestRejected:
     return errors.RequestRejected(
--- a/goldcresthaven/known_state.py
+++ b/goldcresthaven/known_state.py
@@ -11,6 +11,7 @@
 from goldcresthaven import routes
 from goldcresthaven import state_store
 from goldcresthaven import table_relay
+from goldcresthaven import upstream_notices
 
 # Tables that operators and upstreams write.
 FOLLOWED_TABLES = (state_store.Table.CONFIG, state_store.Table.REGISTRY)
@@ -31,12 +32,14 @@
     """The last known configuration, registry and key maps.
 
     ``positions`` holds the position up to which each table was followed.
-    ``maps_outdated`` requests a read of the key maps.
+    ``maps_outdated`` requests a read of the key maps. ``notices`` are what
+    the upstreams' responses announce.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, notices: upstream_notices.UpstreamNotices) -> None:
         self.config: routes.RouteConfig | None = None
-        self.registry = registry_module.Registry()
+        self.notices = notices
+        self.registry = registry_module.Registry(leaving=notices.leaving_since)
         self.maps: dict[ids.PoolName, key_map.KeyMap] = {}
         self.positions = {
             table: table_relay.Position() for table in FOLLOWED_TABLES
--- a/goldcresthaven/metrics.py
+++ b/goldcresthaven/metrics.py
@@ -180,7 +180,7 @@
 
 
 def to_markdown() -> str:
-    """Return the content of docs/metrics.md."""
+    """Return the first part of docs/metrics.md."""
     lines = [
         '# Metrics',
         '',
--- a/goldcresthaven/outcomes.py
+++ b/goldcresthaven/outcomes.py
@@ -35,6 +35,7 @@
     NO_OWNER = 'no-owner'
     NOT_OWNER = 'not-owner'
     NO_UPSTREAM = 'no-upstream'
+    PAUSED = 'paused'
     DEADLINE_PASSED = 'deadline-passed'
     CANNOT_MEET_DEADLINE = 'cannot-meet-deadline'
     QUEUE_FULL = 'queue-full'
@@ -65,13 +66,15 @@
     """The request is proven not to have been executed.
 
     ``status`` is the HTTP status for the caller and ``retry_after`` the
-    time after which the caller may try again, if any.
+    time after which the caller may try again, if any. With
+    ``retry_is_earliest`` an earlier retry would certainly be refused again.
     """
 
     reason: Reason
     detail: str = ''
     status: int = 503
     retry_after: timedelta | None = None
+    retry_is_earliest: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/goldcresthaven/platform/headers.py
+++ b/goldcresthaven/platform/headers.py
@@ -1,7 +1,9 @@
 """The platform's headers; implements ``request_meta.Headers``."""
 
 from datetime import timedelta
+import math
 
+from goldcresthaven import decision_log
 from goldcresthaven import http_head
 from goldcresthaven import ids
 from goldcresthaven import request_meta
@@ -12,7 +14,13 @@
 # A longer number is not a plausible duration in milliseconds.
 _MAX_DIGITS = 9
 _REPLACED = frozenset({names.DEADLINE, names.EXPECT_INSTANCE})
+# Also sent by another upstream that has taken over the address, so that its
+# headers say nothing about the upstream that the request was meant for.
 _NOT_RUN_STATUS = 421
+_PAUSE_STATUS = 503
+# Longer pauses are cut to this. An upstream that is to stay without work for
+# longer leaves the registry.
+MAX_PAUSE = timedelta(minutes=5)
 
 
 class PlatformHeaders:
@@ -54,6 +62,15 @@
                 names.NOT_EXECUTED in found or head.status == _NOT_RUN_STATUS
             ),
             load=_load(found.get(names.INSTANCE_LOAD)),
+            leaving=(
+                found.get(names.SERVER_LEAVING, '').strip() == '1'
+                and head.status != _NOT_RUN_STATUS
+            ),
+            pause=(
+                _pause(found.get(names.RETRY_AFTER))
+                if head.status == _PAUSE_STATUS
+                else None
+            ),
         )
 
     def for_local_response(
@@ -73,6 +90,29 @@
     return int(text)
 
 
+def _pause(text: str | None) -> timedelta | None:
+    """Decode the seconds of a pause; None without a usable value.
+
+    A value beyond ``MAX_PAUSE`` is cut to it, so that a faulty one cannot
+    take an upstream out of use for long.
+    """
+    if text is None:
+        return None
+    text = text.strip()
+    digits = sum(char.isdigit() for char in text)
+    try:
+        seconds = float(text) if text.isascii() and '_' not in text else -1.0
+    except ValueError:
+        seconds = -1.0
+    if digits > _MAX_DIGITS or not math.isfinite(seconds) or seconds < 0:
+        decision_log.note('pause-unreadable', detail=text[:64])
+        return None
+    if seconds > MAX_PAUSE.total_seconds():
+        decision_log.note('pause-too-long', detail=text[:64])
+        return MAX_PAUSE
+    return timedelta(seconds=seconds)
+
+
 def _load(text: str | None) -> request_meta.Load | None:
     parts = [_number(part.strip()) for part in (text or '').split(',')]
     match parts:
--- a/goldcresthaven/platform/names.py
+++ b/goldcresthaven/platform/names.py
@@ -14,6 +14,10 @@
 SERVER_STAMP = 'x-goldcresthaven-server-stamp'
 # Rises by one each time the store is restored from a copy.
 STORE_ERA = 'store-era'
+# '1' in the responses of an upstream that leaves.
+SERVER_LEAVING = 'server-leaving'
+# Seconds, in a 503 of an upstream.
+RETRY_AFTER = 'retry-after'
 SHARD_KEY = 'x-goldcresthaven-shard-key'
 HANDOVER = 'x-goldcresthaven-handover'
 
--- a/goldcresthaven/platform/settings.py
+++ b/goldcresthaven/platform/settings.py
@@ -12,6 +12,7 @@
 from goldcresthaven import ids
 from goldcresthaven import members
 from goldcresthaven import retries
+from goldcresthaven import upstream_notices
 from goldcresthaven.platform import names
 
 # Also set in deploy/system.toml; the platform assigns no port for metrics.
@@ -51,6 +52,12 @@
         store=_address(fields, 'platform-api', 'addr'),
         grace=_bound(bounds, 'grace-s'),
         longest_hold=_bound(bounds, 'hold-max-s'),
+        # Deployments without rules on draining do not set it.
+        drain=(
+            _bound(bounds, 'drain-s')
+            if 'drain-s' in bounds
+            else upstream_notices.DEFAULT_DRAIN
+        ),
         # The VM has a share of one core, which is ``cores`` times as fast
         # as a standard core.
         cpu_cores=_limit(fields, 'cpu-share') * _limit(fields, 'cores'),
--- a/goldcresthaven/registry.py
+++ b/goldcresthaven/registry.py
@@ -18,6 +18,8 @@
 Incarnation = NewType('Incarnation', int)
 """Distinguishes an upstream from earlier runs under the same id."""
 
+IncarnationKey = tuple[ids.UpstreamId, Incarnation]
+
 # Expired entries reappear within about 2 s after the store recovers.
 LAPSED_ENTRY_GRACE = timedelta(seconds=2.3)
 
@@ -56,16 +58,25 @@
     suspected: bool = False
 
 
+def incarnation_key(upstream: Upstream) -> IncarnationKey:
+    return (upstream.upstream_id, upstream.incarnation)
+
+
 class Registry:
     """The upstreams that the last applied read of the table contained.
 
     An upstream that drains or was removed stays known for
     ``DEPARTED_RETENTION``, because its keys may still have to be released.
+    ``leaving`` holds since when incarnations are leaving by their own
+    responses. They count as departed, whatever a row says.
     """
 
     DEPARTED_RETENTION = timedelta(seconds=20)
 
-    def __init__(self) -> None:
+    def __init__(
+        self, *, leaving: Mapping[IncarnationKey, timedelta] | None = None
+    ) -> None:
+        self._leaving = {} if leaving is None else leaving
         self._upstreams: dict[ids.UpstreamId, Upstream] = {}
         self._departures: dict[ids.UpstreamId, Departure] = {}
         self._lapse_grace_until = timedelta()
@@ -133,6 +144,19 @@
         Returns None if it is not leaving, or if its entry may only have
         expired during an outage.
         """
+        since = self.registered_departure(upstream_id, now)
+        known = self._upstreams.get(upstream_id) if self._leaving else None
+        if known is None:
+            return since
+        announced = self._leaving.get(incarnation_key(known))
+        if announced is None or since is None:
+            return since if announced is None else announced
+        return min(since, announced)
+
+    def registered_departure(
+        self, upstream_id: ids.UpstreamId, now: timedelta
+    ) -> timedelta | None:
+        """Return since when an upstream leaves by its entry alone."""
         departure = self._departures.get(upstream_id)
         if departure is None:
             return None
--- a/goldcresthaven/request_meta.py
+++ b/goldcresthaven/request_meta.py
@@ -39,13 +39,17 @@
     """Metadata of a response.
 
     ``signed`` says that the response carries the upstream's signature, and
-    ``not_run`` that it proves that the request was not executed.
+    ``not_run`` that it proves that the request was not executed. With
+    ``leaving``, the upstream announces that it is about to end. ``pause`` is
+    how long it wants no requests from this process.
     """
 
     request_id: ids.RequestId | None
     signed: bool
     not_run: bool
     load: Load | None
+    leaving: bool = False
+    pause: timedelta | None = None
 
 
 class Headers(Protocol):
--- a/goldcresthaven/retries.py
+++ b/goldcresthaven/retries.py
@@ -29,9 +29,14 @@
 
 
 class Failure(Enum):
-    """Why an attempt ended without a complete response."""
+    """Why an attempt ended without a complete response.
+
+    WITHHELD means that the upstream must get no request at the moment,
+    which was found just before the request would have been written.
+    """
 
     CONNECT = 'connect'
+    WITHHELD = 'withheld'
     DEADLINE = 'deadline'
     LOST = 'lost'
     TRUNCATED = 'truncated'
@@ -85,6 +90,8 @@
             return outcomes.Done(status=attempt.status)
         case Failure.CONNECT:
             return _not_run(outcomes.Reason.CONNECT_FAILED)
+        case Failure.WITHHELD if attempt.bytes_written == 0:
+            return _not_run(outcomes.Reason.NO_UPSTREAM)
         case Failure.DEADLINE if attempt.bytes_written == 0:
             return _not_run(outcomes.Reason.DEADLINE_PASSED)
         case Failure.CALLER_GONE if attempt.bytes_written == 0:
@@ -259,5 +266,7 @@
         return False
     if context.remaining <= timedelta():
         return False
-    # A failed connection puts no load on the upstream, so it needs no token.
-    return attempt.failure is Failure.CONNECT or budget.spend()
+    # These put no load on the upstream, so they need no token.
+    if attempt.failure in (Failure.CONNECT, Failure.WITHHELD):
+        return True
+    return budget.spend()
--- a/goldcresthaven/selection.py
+++ b/goldcresthaven/selection.py
@@ -179,16 +179,18 @@
         service_time = self.service_time(upstream)
         return upstream.slots * (INITIAL_SERVICE_TIME / service_time)
 
+    def pool_service_time(self, pool: ids.PoolName) -> timedelta:
+        """Return the mean observed service time of a pool."""
+        return self._mean_service_time.get(pool, INITIAL_SERVICE_TIME)
+
     def service_time(self, upstream: registry.Upstream) -> timedelta:
         """Return the observed service time, without queueing.
 
         An upstream that has not responded yet counts as fast as its pool's
         mean.
         """
-        return self.state(
-            upstream
-        ).service_time or self._mean_service_time.get(
-            upstream.pool, INITIAL_SERVICE_TIME
+        return self.state(upstream).service_time or self.pool_service_time(
+            upstream.pool
         )
 
     def estimate(self, upstream: registry.Upstream, now: timedelta) -> Choice:
--- a/goldcresthaven/upstream_choice.py
+++ b/goldcresthaven/upstream_choice.py
@@ -5,6 +5,7 @@
 in time is refused before it is sent.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
 from datetime import timedelta
@@ -19,13 +20,12 @@
 from goldcresthaven import routes
 from goldcresthaven import selection
 from goldcresthaven import upstream_exchange
+from goldcresthaven import upstream_notices
 
 # Longest wait for a key without an owner. A key that moves usually has a new
 # owner within the time that a release takes.
 OWNER_WAIT = timedelta(milliseconds=350)
 OWNER_CHECK_INTERVAL = timedelta(milliseconds=15)
-# A draining owner still gets keyed requests for this long.
-DRAIN_GRACE = timedelta(milliseconds=1100)
 # Share of the remaining time within which the upstream is expected to
 # respond, by priority. Less urgent requests are refused earlier.
 DEADLINE_SHARE = (1.0, 0.85, 0.7)
@@ -85,31 +85,131 @@
     async def choose(
         self, routed: RoutedRequest
     ) -> selection.Choice | outcomes.NotRun:
+        if routed.call.meta.key is not None and routed.keyed:
+            return await self._choose_owner(routed, routed.call.meta.key)
+        now = self._clock.elapsed()
+        pool = routed.pool.name
+        usable = self._known_state.registry.usable(pool, now)
+        admitted = self._choose_among(routed, usable, now)
+        if isinstance(admitted, selection.Choice):
+            return admitted
+        leaving = self._leaving_but_serving(pool, now)
+        last_resort = self._choose_among(routed, leaving, now)
+        if isinstance(last_resort, selection.Choice):
+            return last_resort
+        end = self._known_state.notices.soonest_end([*usable, *leaving], now)
+        if end is not None:
+            return self._refuse_paused(end, now)
+        return (
+            admitted
+            or last_resort
+            or self._no_upstream(routed, outcomes.Reason.NO_UPSTREAM)
+        )
+
+    async def _choose_owner(
+        self, routed: RoutedRequest, key: int
+    ) -> selection.Choice | outcomes.NotRun:
+        owner = await self._wait_for_owner(routed, key)
+        if owner is None:
+            return self._no_upstream(routed, outcomes.Reason.NO_OWNER)
+        now = self._clock.elapsed()
+        end = self._known_state.notices.paused_until(owner, now)
+        if end is not None:
+            return self._refuse_paused(end, now)
+        return self._admit(routed, self._selector.estimate(owner, now), now)
+
+    def refusal_during_pause(
+        self, routed: RoutedRequest
+    ) -> outcomes.NotRun | None:
+        """Return a refusal if all upstreams that could serve are paused.
+
+        For a keyed request this is the owner of its key.
+        """
         now = self._clock.elapsed()
+        pool = routed.pool.name
         if routed.call.meta.key is not None and routed.keyed:
-            found = await self._wait_for_owner(routed, routed.call.meta.key)
-            now = self._clock.elapsed()
-            choice = (
-                None if found is None else self._selector.estimate(found, now)
-            )
-            reason = outcomes.Reason.NO_OWNER
+            owner = self._current_owner(routed, routed.call.meta.key)
+            serving = [] if owner is None else [owner]
         else:
-            tried = {attempt.upstream for attempt in routed.past_attempts}
-            usable = self._known_state.registry.usable(routed.pool.name, now)
-            choice = self._selector.choose(
-                [u for u in usable if u.upstream_id not in tried],
-                now,
-                other_zone_penalty=self._zone_penalty(routed.route),
-            )
-            reason = outcomes.Reason.NO_UPSTREAM
-        if choice is None:
-            return outcomes.NotRun(
-                reason=reason,
-                detail=f'map {self.map_version(routed.pool.name)}, registry '
-                f'{self._known_state.registry.version}',
-                retry_after=NO_OWNER_RETRY_AFTER,
-            )
-        return self._admit(routed, choice, now)
+            serving = [
+                *self._known_state.registry.usable(pool, now),
+                *self._leaving_but_serving(pool, now),
+            ]
+        end = self._known_state.notices.soonest_end(serving, now)
+        return None if end is None else self._refuse_paused(end, now)
+
+    def _refuse_paused(
+        self, end: timedelta, now: timedelta
+    ) -> outcomes.NotRun:
+        return outcomes.NotRun(
+            reason=outcomes.Reason.PAUSED,
+            detail='the first pause ends after '
+            f'{(end - now).total_seconds():.3f} s',
+            retry_after=self._known_state.notices.retry_after(end, now),
+            retry_is_earliest=True,
+        )
+
+    def _no_upstream(
+        self, routed: RoutedRequest, reason: outcomes.Reason
+    ) -> outcomes.NotRun:
+        return outcomes.NotRun(
+            reason=reason,
+            detail=f'map {self.map_version(routed.pool.name)}, registry '
+            f'{self._known_state.registry.version}',
+            retry_after=NO_OWNER_RETRY_AFTER,
+        )
+
+    def _choose_among(
+        self,
+        routed: RoutedRequest,
+        upstreams: Sequence[registry.Upstream],
+        now: timedelta,
+    ) -> selection.Choice | outcomes.NotRun | None:
+        """Return None if all of the upstreams were tried or are paused."""
+        tried = {attempt.upstream for attempt in routed.past_attempts}
+        choice = self._selector.choose(
+            [
+                upstream
+                for upstream in self._known_state.notices.unpaused(
+                    upstreams, now
+                )
+                if upstream.upstream_id not in tried
+            ],
+            now,
+            other_zone_penalty=self._zone_penalty(routed.route),
+        )
+        return None if choice is None else self._admit(routed, choice, now)
+
+    def _leaving_but_serving(
+        self, pool: ids.PoolName, now: timedelta
+    ) -> list[registry.Upstream]:
+        """Return the upstreams that leave, but may still get requests.
+
+        One whose entry is missing without an announcement has probably
+        crashed.
+        """
+        return [
+            upstream
+            for upstream in self._known_state.registry.in_pool(pool)
+            if self._is_leaving(upstream)
+            and not self._has_departed(upstream, now)
+        ]
+
+    def _is_leaving(self, upstream: registry.Upstream) -> bool:
+        return upstream.draining or self._known_state.notices.is_leaving(
+            upstream
+        )
+
+    def _has_departed(
+        self, upstream: registry.Upstream, now: timedelta
+    ) -> bool:
+        """Return whether an upstream left too long ago for a request."""
+        since = self._known_state.registry.registered_departure(
+            upstream.upstream_id, now
+        )
+        if since is not None and now - since > upstream_notices.REGISTRY_GRACE:
+            return True
+        return self._known_state.notices.has_left(upstream, now)
 
     def _admit(
         self, routed: RoutedRequest, choice: selection.Choice, now: timedelta
@@ -158,8 +258,14 @@
     async def _wait_for_owner(
         self, routed: RoutedRequest, key: int
     ) -> registry.Upstream | None:
-        """Return the key's owner; waits briefly while the key has none."""
-        give_up_at = min(self._clock.elapsed() + OWNER_WAIT, routed.deadline)
+        """Return the key's owner; waits briefly while the key has none.
+
+        It does not wait longer than an owner could still serve in time.
+        """
+        latest_start = routed.deadline - self._selector.pool_service_time(
+            routed.pool.name
+        )
+        give_up_at = min(self._clock.elapsed() + OWNER_WAIT, latest_start)
         while True:
             found = self._current_owner(routed, key)
             if found is not None or self._clock.elapsed() >= give_up_at:
@@ -183,9 +289,4 @@
         known = self._known_state.registry.get(owner.upstream_id)
         if known is None or known.incarnation != owner.incarnation:
             return None
-        draining_since = self._known_state.registry.departure(
-            owner.upstream_id, now
-        )
-        if draining_since is not None and now - draining_since > DRAIN_GRACE:
-            return None
-        return known
+        return None if self._has_departed(known, now) else known
--- a/goldcresthaven/upstream_exchange.py
+++ b/goldcresthaven/upstream_exchange.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from datetime import timedelta
+import weakref
 
 from goldcresthaven import aio
 from goldcresthaven import clock as clock_module
@@ -20,6 +21,7 @@
 from goldcresthaven import registry
 from goldcresthaven import request_meta
 from goldcresthaven import retries
+from goldcresthaven import upstream_notices
 from goldcresthaven import upstream_pool
 
 # How often an attempt that waits for its response checks whether the caller
@@ -49,6 +51,10 @@
     """The caller closed its connection or violated the protocol."""
 
 
+class Withheld(Exception):
+    """The upstream leaves or pauses, so that nothing may be sent to it."""
+
+
 @dataclass(kw_only=True)
 class Call:
     """A caller's request while this process handles it.
@@ -161,11 +167,18 @@
         *,
         conns: upstream_pool.UpstreamPool,
         headers: request_meta.Headers,
+        notices: upstream_notices.UpstreamNotices,
         clock: clock_module.Clock,
     ) -> None:
         self._conns = conns
+        self._notices = notices
         self._headers = headers
         self._clock = clock
+        # The address may have gone to another incarnation since then.
+        self._opened_for: weakref.WeakKeyDictionary[
+            http_io.UpstreamConn, registry.Upstream
+        ] = weakref.WeakKeyDictionary()
+        conns.on_unsolicited(self._record_unsolicited)
 
     async def attempt(
         self,
@@ -194,6 +207,9 @@
             result.notes.append(exc.problem)
         except CallerGone:
             result.failure = retries.Failure.CALLER_GONE
+        except Withheld as exc:
+            result.failure = retries.Failure.WITHHELD
+            result.notes.append(str(exc))
         return result
 
     async def _run(
@@ -204,10 +220,12 @@
         connections: int,
         result: AttemptResult,
     ) -> None:
+        self._check_sending(upstream)
         async with aio.timeout(deadline - self._clock.elapsed()):
             conn = await self._conns.take(
                 upstream.address, limit=connections, excluded=call.refused_on
             )
+        self._opened_for.setdefault(conn, upstream)
         try:
             await self._exchange(call, upstream, deadline, conn, result)
         except BaseException:
@@ -239,13 +257,15 @@
         conn.limit_unacknowledged(
             UNACKNOWLEDGED_TIMEOUT if call.idempotent else timedelta()
         )
-        # Nothing may block between this check and the first write.
+        # Nothing may block between these checks and the first write.
+        self._check_sending(upstream)
         request = self._request(call, upstream, remaining)
         async with aio.timeout(remaining + RESPONSE_SLACK):
             await conn.send_head(request, call.buffered_body)
             sent_whole = await self._send_body(call, conn)
-            head = await self._read_matching_head(call, conn, request)
-            result.meta = self._headers.from_upstream(head)
+            head, result.meta = await self._read_matching_head(
+                call, upstream, conn, request
+            )
             result.status = head.status
             result.first_byte = self._clock.elapsed()
             if result.meta.not_run:
@@ -285,25 +305,45 @@
             return False
         return True
 
+    def _check_sending(self, upstream: registry.Upstream) -> None:
+        if not self._notices.may_send(upstream, self._clock.elapsed()):
+            raise Withheld('the upstream leaves or has asked for a pause')
+
+    def _record_unsolicited(
+        self, conn: http_io.UpstreamConn, head: http_head.ResponseHead
+    ) -> None:
+        upstream = self._opened_for.get(conn)
+        if upstream is not None:
+            self._notices.record_response(
+                upstream,
+                self._headers.from_upstream(head),
+                self._clock.elapsed(),
+            )
+
     async def _read_matching_head(
         self,
         call: Call,
+        upstream: registry.Upstream,
         conn: http_io.UpstreamConn,
         request: http_head.RequestHead,
-    ) -> http_head.ResponseHead:
+    ) -> tuple[http_head.ResponseHead, request_meta.UpstreamMeta]:
         """Return the head of the response to this request.
 
         Late second responses to earlier requests on the connection are
-        skipped; they carry a different request id.
+        skipped; they carry a different request id. What a skipped response
+        announces about its upstream holds too.
         """
         for _ in range(MAX_LATE_RESPONSES + 1):
             head = await self._read_head(call, conn)
             meta = self._headers.from_upstream(head)
+            self._notices.record_response(
+                upstream, meta, self._clock.elapsed()
+            )
             if meta.request_id is None:
                 _check_first_response(conn, meta, call)
-                return head
+                return head, meta
             if meta.request_id == call.meta.request_id:
-                return head
+                return head, meta
             await conn.skip_response(request, limit=MAX_LATE_RESPONSE_BYTES)
         raise errors.ProtocolError(
             'the upstream only sent responses to other requests',
--- a/goldcresthaven/upstream_pool.py
+++ b/goldcresthaven/upstream_pool.py
@@ -4,6 +4,7 @@
 """
 
 from collections import deque
+from collections.abc import Callable
 from collections.abc import Container
 from dataclasses import dataclass
 from dataclasses import field
@@ -11,12 +12,18 @@
 
 from goldcresthaven import aio
 from goldcresthaven import errors
+from goldcresthaven import http_head
 from goldcresthaven import http_io
 from goldcresthaven import members
 
 CONNECT_TIMEOUT = timedelta(seconds=1)
 
 
+UnsolicitedHandler = Callable[
+    [http_io.UpstreamConn, http_head.ResponseHead], None
+]
+
+
 @dataclass(kw_only=True, slots=True)
 class _Endpoint:
     idle: deque[http_io.UpstreamConn] = field(default_factory=deque)
@@ -42,6 +49,11 @@
         self._accept_unframed = accept_unframed
         self._endpoints: dict[members.Address, _Endpoint] = {}
         self.opened = 0
+        self._on_unsolicited: UnsolicitedHandler | None = None
+
+    def on_unsolicited(self, handler: UnsolicitedHandler) -> None:
+        """Pass on heads of responses that end idle connections."""
+        self._on_unsolicited = handler
 
     def open_count(self, address: members.Address) -> int:
         endpoint = self._endpoints.get(address)
@@ -65,6 +77,9 @@
             if conn.is_idle():
                 conn.begin()
                 return conn
+            head = conn.unsolicited_head() if self._on_unsolicited else None
+            if self._on_unsolicited is not None and head is not None:
+                self._on_unsolicited(conn, head)
             await self._close(endpoint, conn)
         if endpoint.idle and endpoint.open_count >= limit:
             await self._close(endpoint, endpoint.idle.popleft())
--- a/tests/test_fleet_link.py
+++ b/tests/test_fleet_link.py
@@ -19,9 +19,11 @@
 from goldcresthaven import key_map
 from goldcresthaven import known_state as known_state_module
 from goldcresthaven import members
+from goldcresthaven import request_meta
 from goldcresthaven import selection
 from goldcresthaven import state_store
 from goldcresthaven import table_relay
+from goldcresthaven import upstream_notices
 from tests import fake_platform
 
 HOST = '127.0.0.1'
@@ -75,7 +77,9 @@
         link_bytes_per_s: float = FAST_LINK,
     ) -> None:
         self.clock = clock.SystemClock()
-        self.known_state = known_state_module.KnownState()
+        self.known_state = known_state_module.KnownState(
+            notices=upstream_notices.UpstreamNotices(rng=random.Random(3))
+        )
         self.tables = RecordingFollower()
         self.selector = selection.Selector(
             zone=ids.ZoneId('a'), rng=random.Random(1)
@@ -272,6 +276,62 @@
 
         aio.run(main)
 
+    def test_leaving_upstream_is_known_to_all_within_two_reports(
+        self,
+    ) -> None:
+        """Guards against a fleet that finds out one request at a time.
+
+        The coordinator counts the upstream as departed, so that its keys
+        move. A row that says ready does not take this back.
+        """
+
+        async def main() -> None:
+            await self.connect()
+            finder = Process()
+            processes = [
+                self.coordinator_process,
+                self.reporting_process,
+                finder,
+            ]
+            await finder.start(self.coordinator_process)
+            for process in processes:
+                process.register_with_load('u1')
+            await aio.sleep(fleet_link.REPORT_INTERVAL * 2)
+            upstream = fake_platform.upstream('u1')
+            found_at = finder.clock.elapsed()
+            finder.known_state.notices.record_response(
+                upstream,
+                request_meta.UpstreamMeta(
+                    request_id=None,
+                    signed=True,
+                    not_run=False,
+                    load=None,
+                    leaving=True,
+                ),
+                found_at,
+            )
+            await aio.sleep(
+                fleet_link.REPORT_INTERVAL * 2 + timedelta(milliseconds=200)
+            )
+            for process in processes:
+                process.register_with_load('u1')
+                now = process.clock.elapsed()
+                table = process.known_state.registry
+                since = table.departure(upstream.upstream_id, now)
+                assert since is not None
+                self.assertLess(
+                    now - since, now - found_at + timedelta(milliseconds=100)
+                )
+                self.assertEqual(table.usable(fake_platform.POOL, now), [])
+
+        aio.run(main)
+
+    def test_message_of_a_later_version_is_only_logged(self) -> None:
+        """Guards against a process that a newer neighbour ends."""
+        for data in ([99, 'p', 1], [10, 'p', [['u1', 1, -5]]], [10, 'p']):
+            with self.assertRaises(errors.ProtocolError):
+                fleet_messages.decode(cbor2.dumps(data))
+
     def test_loads_go_to_the_processes_in_turn(self) -> None:
         """Guards against bursts that fill the queue of a coordinator's link.
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -23,6 +23,7 @@
 from goldcresthaven import routes
 from goldcresthaven import selection
 from goldcresthaven import upstream_exchange
+from goldcresthaven import upstream_notices
 from goldcresthaven import upstream_pool
 from goldcresthaven.platform import headers as platform_headers
 from tests import fake_platform
@@ -104,9 +105,14 @@
         kind: routes.RouteKind = routes.RouteKind.SAFE,
         pool: ids.PoolName = UNKEYED,
         attempts: int = 2,
+        drain: timedelta = upstream_notices.DEFAULT_DRAIN,
     ) -> None:
         self.clock = clock.SystemClock()
-        self.known_state = known_state_module.KnownState()
+        self.known_state = known_state_module.KnownState(
+            notices=upstream_notices.UpstreamNotices(
+                drain=drain, rng=random.Random(3)
+            )
+        )
         route = fake_platform.route(kind=kind, pool=pool, attempts=attempts)
         self.config = routes.RouteConfig(
             version=ids.ConfigVersion(3),
@@ -129,6 +135,7 @@
             exchanger=upstream_exchange.Exchanger(
                 conns=self.connections,
                 headers=headers,
+                notices=self.known_state.notices,
                 clock=self.clock,
             ),
             headers=headers,
@@ -157,7 +164,7 @@
     async def add(self, name: str, upstream: Upstream) -> None:
         self.register(name, await upstream.start())
 
-    def register(self, name: str, port: int) -> None:
+    def register(self, name: str, port: int, *, incarnation: int = 1) -> None:
         entry = registry.Upstream(
             upstream_id=ids.UpstreamId(name),
             pool=self.pool,
@@ -165,7 +172,7 @@
             zone=ids.ZoneId('a'),
             slots=4,
             draining=False,
-            incarnation=registry.Incarnation(1),
+            incarnation=registry.Incarnation(incarnation),
         )
         self.known_state.registry.apply(
             {entry.upstream_id: entry},
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -23,6 +23,7 @@
 from goldcresthaven import routes
 from goldcresthaven import state_store
 from goldcresthaven import table_relay
+from goldcresthaven import upstream_notices
 from goldcresthaven.platform import decode
 from goldcresthaven.platform import headers
 from goldcresthaven.platform import leases
@@ -225,6 +226,11 @@
         self.assertEqual(str(cfg.peers), '10.1.0.18:7200')
         self.assertEqual(cfg.longest_hold, timedelta(seconds=10))
         self.assertEqual(cfg.grace, timedelta(seconds=6))
+        self.assertEqual(cfg.drain, upstream_notices.DEFAULT_DRAIN)
+        found = settings.load(
+            SETTINGS.replace('drain-whole=true', 'drain-s=3')
+        )
+        self.assertEqual(found.drain, timedelta(seconds=3))
         self.assertEqual(cfg.cpu_cores, 0.75)
         self.assertEqual(cfg.link_bytes_per_s, 1_000_000)
 
@@ -235,6 +241,7 @@
             ('[7200, 7215]', '["x"]', 'internal-ports'),
             ('hold-max-s=10', 'hold-max-s=much', 'hold-max-s'),
             ('grace-s=6', 'grace-s=-1', 'grace-s'),
+            ('drain-whole=true', 'drain-s=soon', 'drain-s'),
             ('10.200.1.7:8384', '10.200.1.7:port', 'platform-api.addr'),
             ('[listen]', '[other]', 'listen'),
             ('cpu-share = 0.25', 'cpu-share = "much"', 'limits.cpu-share'),
@@ -740,7 +747,8 @@
 class PackageBoundaryTest(unittest.TestCase):
     NAMES = re.compile(
         r'X-Goldcresthaven-|rows-(tx|get|feed|parts)|blob-(put|get)|'
-        r'route-kind|hold-s|cold-left-s|GOLDCRESTHAVEN_SETTINGS|now-s',
+        r'route-kind|hold-s|cold-left-s|GOLDCRESTHAVEN_SETTINGS|now-s|'
+        r'Server-Leaving|drain-s',
         re.IGNORECASE,
     )
 
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -21,6 +21,7 @@
 from goldcresthaven import state_store
 from goldcresthaven import store_follower
 from goldcresthaven import table_relay
+from goldcresthaven import upstream_notices
 from goldcresthaven.platform import decode
 from goldcresthaven.platform import store as platform_store
 from standins import server
@@ -50,7 +51,9 @@
         relay_rows: Callable[[table_relay.RowChanges], None],
     ) -> None:
         self.clock = clock.SystemClock()
-        self.known_state = known_state_module.KnownState()
+        self.known_state = known_state_module.KnownState(
+            notices=upstream_notices.UpstreamNotices(rng=random.Random(3))
+        )
         self.client = platform_store.PlatformStore(address=address)
         self.follower = store_follower.Follower(
             store=self.client,
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -17,6 +17,7 @@
 from goldcresthaven import state_store
 from goldcresthaven import store_follower
 from goldcresthaven import table_relay
+from goldcresthaven import upstream_notices
 from tests import fake_platform
 
 CONFIG = state_store.Table.CONFIG
@@ -54,7 +55,9 @@
 class FollowerTest(unittest.TestCase):
     def setUp(self) -> None:
         self.store = fake_platform.FakeStore()
-        self.known_state = known_state_module.KnownState()
+        self.known_state = known_state_module.KnownState(
+            notices=upstream_notices.UpstreamNotices(rng=random.Random(3))
+        )
         self.relay = False
         self.relayed: list[table_relay.RowChanges] = []
         self.clock = clock.SystemClock()
@@ -391,7 +394,9 @@
 
 class KnownStateTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.known_state = known_state_module.KnownState()
+        self.known_state = known_state_module.KnownState(
+            notices=upstream_notices.UpstreamNotices(rng=random.Random(3))
+        )
         self.known_state.maps[fake_platform.POOL] = key_map.empty().at_version(
             5
         )
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -18,6 +18,7 @@
 
 from goldcresthaven import aio
 from goldcresthaven import clock
+from goldcresthaven import gateway_metrics
 from goldcresthaven import metrics
 from goldcresthaven import telemetry
 
@@ -172,7 +173,8 @@
     def test_metrics_are_documented(self) -> None:
         """Guards against an outdated table in the documentation."""
         text = (DOCS / 'metrics.md').read_text()
-        self.assertEqual(text, metrics.to_markdown())
+        gateway = gateway_metrics.GatewayMetrics().to_markdown()
+        self.assertEqual(text, f'{metrics.to_markdown()}\n{gateway}')
 
     def test_names_are_checked(self) -> None:
         """Guards against undocumented metrics."""
