--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -38,7 +38,8 @@
     """The violations found in the run of one seed, and its counts.
 
     ``requests`` counts all requests sent, and ``served`` those with status
-    200.
+    200. ``arrived`` counts those that reached leaving upstreams, and
+    ``turned_away`` those that were refused with a pause.
     """
 
     seed: int
@@ -46,6 +47,8 @@
     requests: int
     served: int
     faults: int
+    arrived: int
+    turned_away: int
 
 
 async def run_seed(
@@ -55,8 +58,12 @@
     cluster: fleet.Fleet,
     results: list[SeedResult],
     restore_rng: random.Random | None,
+    together: faults.Together | None,
 ) -> None:
-    """Run one seed and append its result to ``results``."""
+    """Run one seed and append its result to ``results``.
+
+    With ``together``, the upstreams without keys all do this at the start.
+    """
     injector = faults.FaultInjector(
         cluster=cluster, rng=cluster.rng, restore_rng=restore_rng
     )
@@ -66,6 +73,8 @@
     )
     tasks = await caller_group.run()
     await aio.sleep(WARM_UP)
+    if together is not None:
+        await injector.signal_together(fleet.PLAIN_POOL, together)
     await injector.run(seconds)
     await aio.sleep(RECOVERY)
     steady_since = time.monotonic()
@@ -78,6 +87,12 @@
     events = checks.read_events(cluster.upstreams)
     problems += checks.check_requests(caller_group.sent, events)
     problems += checks.check_owners(events)
+    problems += checks.check_leaving(
+        caller_group.sent, events, injector.disturbances
+    )
+    problems += checks.check_pauses(
+        caller_group.sent, events, injector.disturbances
+    )
     problems += checks.check_recovery(caller_group.sent, steady_since)
     _write_report(folder / 'story.json', caller_group, injector)
     results.append(
@@ -87,6 +102,8 @@
             requests=len(caller_group.sent),
             served=sum(req.status == 200 for req in caller_group.sent),
             faults=len(injector.log_entries),
+            arrived=len(events.arrivals),
+            turned_away=len(events.turned_away),
         )
     )
 
@@ -110,7 +127,12 @@
 
 
 def soak_seed(
-    seed: int, seconds: float, *, restores: bool = False
+    seed: int,
+    seconds: float,
+    *,
+    restores: bool = False,
+    plain_count: int = fleet.PLAIN_COUNT,
+    together: faults.Together | None = None,
 ) -> SeedResult:
     """Run one seed and print its result.
 
@@ -119,16 +141,28 @@
     """
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
     results: list[SeedResult] = []
-    cluster = fleet.Fleet(folder=folder, rng=random.Random(seed))
+    cluster = fleet.Fleet(
+        folder=folder, rng=random.Random(seed), plain_count=plain_count
+    )
     restore_rng = random.Random(f'restores {seed}') if restores else None
     try:
-        aio.run(run_seed, seed, seconds, folder, cluster, results, restore_rng)
+        aio.run(
+            run_seed,
+            seed,
+            seconds,
+            folder,
+            cluster,
+            results,
+            restore_rng,
+            together,
+        )
     finally:
         cluster.kill_all()
     result = results[0]
     print(
         f'seed {seed}: {result.served} of {result.requests} served, '
-        f'{result.faults} faults, {len(result.problems)} problems',
+        f'{result.faults} faults, {result.arrived} at leaving upstreams, '
+        f'{result.turned_away} turned away, {len(result.problems)} problems',
         flush=True,
     )
     if result.problems:
@@ -148,6 +182,12 @@
     restores: bool = typer.Option(
         True, help='also restore the store from older copies'
     ),
+    plain: int = typer.Option(
+        fleet.PLAIN_COUNT, help='how many upstreams without keys'
+    ),
+    together: faults.Together | None = typer.Option(
+        None, help='what the upstreams without keys all do at the start'
+    ),
 ) -> None:
     """Run seeds one after the other; without a seed, fresh ones."""
     # Raises KeyboardInterrupt on SIGTERM, so that the ``finally`` clause ends
@@ -157,7 +197,13 @@
     failed_seeds = [
         number
         for number in range(first, first + count)
-        if soak_seed(number, seconds, restores=restores).problems
+        if soak_seed(
+            number,
+            seconds,
+            restores=restores,
+            plain_count=plain,
+            together=together,
+        ).problems
     ]
     print(
         f'{count - len(failed_seeds)} passed, {len(failed_seeds)} failed',
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -30,7 +30,8 @@
 class SentRequest:
     """One request; ``status`` is None if no complete answer arrived.
 
-    ``stamped`` says whether the answer had a server stamp, ``echoed`` is the
+    ``leaving`` says whether the answer had the mark of an upstream that
+    leaves, and ``stamped`` whether it had a server stamp. ``echoed`` is the
     attempt id in the answer, and ``problem`` is the error of a request
     without a complete answer. ``at`` and ``ended`` are monotonic times.
     """
@@ -42,6 +43,7 @@
     key: int
     status: int | None = None
     stamped: bool = False
+    leaving: bool = False
     echoed: str | None = None
     body: bytes = b''
     retry_after: str | None = None
@@ -112,6 +114,9 @@
         sent.stamped = bool(
             http_head.find(response.headers, HEADER_PREFIX + 'server-stamp')
         )
+        sent.leaving = (
+            http_head.find(response.headers, 'server-leaving') == '1'
+        )
         sent.echoed = http_head.find(
             response.headers, HEADER_PREFIX + 'attempt-id'
         )
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 from dataclasses import dataclass
+from dataclasses import field
 import itertools
 import json
 from typing import Any
@@ -19,6 +20,10 @@
 MIN_SERVED_SHARE = 0.95
 # The platform kills a stopping process after the grace period.
 MAX_STOP_S = fleet.GRACE_S + 0.5
+# Requests may still arrive for this long after an upstream has asked for a
+# pause, and this many until its end.
+PAUSE_NOTICE_S = 0.5
+MAX_ARRIVALS_IN_PAUSE = 2
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -43,12 +48,33 @@
     at: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class Arrival:
+    """A request that reached an upstream while it was leaving."""
+
+    holder: str
+    request: str
+    at: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class TurnedAway:
+    """A request that an upstream refused, with a pause up to ``until``."""
+
+    holder: str
+    request: str
+    at: float
+    until: float
+
+
 @dataclass(kw_only=True)
 class Events:
     """The events that all incarnations of all upstreams printed."""
 
     held: list[OwnedRange]
     runs: list[Execution]
+    arrivals: list[Arrival] = field(default_factory=list)
+    turned_away: list[TurnedAway] = field(default_factory=list)
 
 
 def read_events(upstreams: Iterable[fleet.Upstream]) -> Events:
@@ -102,6 +128,21 @@
                         at=line['at'],
                     )
                 )
+            case 'arrived':
+                events.arrivals.append(
+                    Arrival(
+                        holder=holder, request=line['request'], at=line['at']
+                    )
+                )
+            case 'turned-away':
+                events.turned_away.append(
+                    TurnedAway(
+                        holder=holder,
+                        request=line['request'],
+                        at=line['at'],
+                        until=line['until'],
+                    )
+                )
     events.held += open_ranges
 
 
@@ -247,6 +288,89 @@
     return problems
 
 
+def check_leaving(
+    sent: Sequence[callers.SentRequest],
+    events: Events,
+    disturbances: Sequence[faults.Disturbance],
+) -> list[str]:
+    """Return the requests that reached a leaving upstream too late.
+
+    A request is late if its caller sent it after the drain time, counted
+    from the first answer of the incarnation, with its mark, that the same
+    gateway passed on. A restart or freeze of the gateway excuses it.
+    """
+    by_request = {req.request: req for req in sent}
+    passed_on: dict[tuple[str, str], float] = {}
+    for run in events.runs:
+        req = by_request.get(run.request)
+        if req is None or not req.leaving or not _answered_by(req, run):
+            continue
+        pair = (run.holder, req.gateway)
+        passed_on[pair] = min(passed_on.get(pair, req.ended), req.ended)
+    problems = []
+    for arrival in events.arrivals:
+        req = by_request.get(arrival.request)
+        since = passed_on.get((arrival.holder, req.gateway)) if req else None
+        if req is None or since is None or req.at <= since + fleet.DRAIN_S:
+            continue
+        if not _disturbed(disturbances, {req.gateway}, since, arrival.at):
+            problems.append(
+                f'{req.request} reached {arrival.holder} by {req.gateway} '
+                f'{req.at - since:.3f} s after it was found leaving'
+            )
+    return problems
+
+
+def _answered_by(req: callers.SentRequest, run: Execution) -> bool:
+    words = req.body.split(b' ', 3)
+    return words[2:3] == [run.holder.partition('/')[0].encode()]
+
+
+def check_pauses(
+    sent: Sequence[callers.SentRequest],
+    events: Events,
+    disturbances: Sequence[faults.Disturbance],
+) -> list[str]:
+    """Return the pauses in which too many requests reached an upstream.
+
+    A fault of the gateway, of the upstream or of the path between them
+    excuses it.
+    """
+    by_request = {req.request: req.gateway for req in sent}
+    arrivals: dict[tuple[str, str, float], list[float]] = (
+        collections.defaultdict(list)
+    )
+    for each in events.turned_away:
+        gateway = by_request.get(each.request, '')
+        arrivals[(each.holder, gateway, each.until)].append(each.at)
+    problems = []
+    for (holder, gateway, until), times in arrivals.items():
+        start = min(times)
+        late = [at for at in times if at > start + PAUSE_NOTICE_S]
+        name = holder.partition('/')[0]
+        excused = {gateway, name, f'path to {name}'}
+        if len(late) > MAX_ARRIVALS_IN_PAUSE and not _disturbed(
+            disturbances, excused, start, until
+        ):
+            problems.append(
+                f'{len(late)} requests reached {holder} by {gateway} in a '
+                f'pause of {until - start:.3f} s'
+            )
+    return problems
+
+
+def _disturbed(
+    disturbances: Iterable[faults.Disturbance],
+    names: set[str],
+    start: float,
+    end: float,
+) -> bool:
+    return any(
+        d.name in names and d.start <= end and start <= d.end
+        for d in disturbances
+    )
+
+
 def check_processes(
     gateways: Iterable[fleet.Gateway], stops: Iterable[faults.GatewayStop]
 ) -> list[str]:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from datetime import timedelta
+from enum import Enum
 import random
 import signal
 import time
@@ -26,6 +27,8 @@
 AWAY_RANGE_S = (0.0, 3.0)
 COPY_AGE_RANGE_S = (0.0, 20.0)
 REWRITE_RANGE_S = (0.0, 2.0)
+# Within this time all upstreams of a pool leave or turn requests away.
+TOGETHER_S = 2.0
 # Interval at which the exit of a process is checked, and between repeated
 # reload signals. The wait for an exit has no limit: a stopping process has to
 # end by itself within the grace period.
@@ -34,6 +37,13 @@
 _Fault = Callable[['FaultInjector'], Coroutine[Any, Any, None]]
 
 
+class Together(Enum):
+    """What all upstreams of a pool can do at the same time."""
+
+    DRAIN = 'drain'
+    TURN_AWAY = 'turn-away'
+
+
 @dataclass(frozen=True, kw_only=True)
 class GatewayStop:
     """A stop of a gateway by SIGTERM, recorded for the checks.
@@ -48,15 +58,25 @@
     code: int | None
 
 
+@dataclass(frozen=True, kw_only=True)
+class Disturbance:
+    """The time in which a process or a network path had a fault."""
+
+    name: str
+    start: float
+    end: float
+
+
 @dataclass(kw_only=True)
 class FaultInjector:
     """Injects faults into a fleet.
 
     ``affected`` contains the names of the processes and network paths that
     have a fault now; they get no second one. ``log_entries`` lists the
-    faults with their times. With ``restore_rng``, the store is also restored
-    from older copies; these choices come from a source of their own, so that
-    a seed has the same other faults without restores.
+    faults with their times. ``disturbances`` lists freezes, restarts and
+    cuts, for the rules that these excuse. With ``restore_rng``, the store is
+    also restored from older copies; these choices come from a source of
+    their own, so that a seed has the same other faults without restores.
     """
 
     cluster: fleet.Fleet
@@ -65,6 +85,7 @@
     affected: set[str] = field(default_factory=set)
     stops: list[GatewayStop] = field(default_factory=list)
     log_entries: list[tuple[float, str]] = field(default_factory=list)
+    disturbances: list[Disturbance] = field(default_factory=list)
     routes_swapped: bool = False
 
     async def run(self, seconds: float) -> None:
@@ -84,6 +105,11 @@
     def record(self, text: str) -> None:
         self.log_entries.append((time.monotonic(), text))
 
+    def _record_disturbance(self, name: str, start: float) -> None:
+        self.disturbances.append(
+            Disturbance(name=name, start=start, end=time.monotonic())
+        )
+
     async def wait_duration(self) -> None:
         await aio.sleep(timedelta(seconds=self.rng.uniform(*DURATION_RANGE_S)))
 
@@ -149,6 +175,7 @@
         if name in self.affected:
             return
         self.affected.add(name)
+        start = time.monotonic()
         kind = self.rng.choice(
             ('delay', 'reset', 'refuse', 'silent', 'one-way', 'answers')
         )
@@ -170,6 +197,7 @@
         await self.wait_duration()
         target.faults = tcp_relay.RelayFaults()
         self.record(f'{name}: recovered')
+        self._record_disturbance(name, start)
         self.affected.discard(name)
 
     # Processes
@@ -179,6 +207,7 @@
         if gateway.name in self.affected:
             return
         self.affected.add(gateway.name)
+        start = time.monotonic()
         kind = self.rng.choice(('pause', 'kill', 'stop', 'reload'))
         self.record(f'{gateway.name}: {kind}')
         proc = gateway.incarnations[-1]
@@ -195,6 +224,8 @@
                 for _ in range(3):
                     proc.send(signal.SIGHUP)
                     await aio.sleep(EXIT_POLL_INTERVAL)
+        if kind != 'reload':
+            self._record_disturbance(gateway.name, start)
         self.affected.discard(gateway.name)
 
     async def kill_all_gateways(self) -> None:
@@ -204,6 +235,7 @@
             return
         self.affected |= names
         self.record('all gateways: kill')
+        start = time.monotonic()
         for gateway in self.cluster.gateways:
             gateway.incarnations[-1].stopped_by_us = True
             gateway.incarnations[-1].send(signal.SIGKILL)
@@ -211,19 +243,60 @@
         for gateway in self.cluster.gateways:
             gateway.incarnations[-1].popen.wait()
             self.cluster.start_gateway(gateway)
+            self._record_disturbance(gateway.name, start)
         self.affected -= names
 
     async def upstream_signal(self) -> None:
         upstream = self.rng.choice(self.cluster.upstreams)
         if upstream.name in self.affected:
             return
+        kind = self.rng.choice(('pause', 'kill', 'drain', 'turn-away'))
+        await self._signal_upstream(upstream, kind)
+
+    async def all_upstreams_of_a_pool(self) -> None:
+        """Let all upstreams of a pool leave, or turn requests away.
+
+        Upstreams that have a fault are left out.
+        """
+        pool = self.rng.choice((fleet.KEYED_POOL, fleet.PLAIN_POOL))
+        kind = self.rng.choice(tuple(Together))
+        await self.signal_together(pool, kind)
+
+    async def signal_together(self, pool: str, kind: Together) -> None:
+        """Signal all upstreams of a pool within ``TOGETHER_S``."""
+        self.record(f'all of {pool}: {kind.value}')
+        tasks = [
+            await aio.spawn(
+                self._signal_later(
+                    upstream, kind.value, self.rng.uniform(0, TOGETHER_S)
+                )
+            )
+            for upstream in self.cluster.upstreams
+            if upstream.pool == pool
+        ]
+        for task in tasks:
+            await task.join()
+
+    async def _signal_later(
+        self, upstream: fleet.Upstream, kind: str, delay_s: float
+    ) -> None:
+        await aio.sleep(timedelta(seconds=delay_s))
+        if upstream.name not in self.affected:
+            await self._signal_upstream(upstream, kind)
+
+    async def _signal_upstream(
+        self, upstream: fleet.Upstream, kind: str
+    ) -> None:
         self.affected.add(upstream.name)
-        kind = self.rng.choice(('pause', 'kill', 'drain'))
         self.record(f'{upstream.name}: {kind}')
         proc = upstream.incarnations[-1]
+        start = time.monotonic()
         match kind:
             case 'pause':
                 await self._pause(proc)
+                self._record_disturbance(upstream.name, start)
+            case 'turn-away':
+                proc.send(signal.SIGUSR1)
             case 'kill':
                 await self._kill(proc)
                 self.cluster.start_upstream(upstream)
@@ -286,5 +359,6 @@
     FaultInjector.upstream_signal,
     FaultInjector.upstream_signal,
     FaultInjector.kill_all_gateways,
+    FaultInjector.all_upstreams_of_a_pool,
     FaultInjector.change_config,
 )
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -35,6 +35,9 @@
 HOLD_MAX_S = 6
 GRACE_S = 6
 DRAIN_S = 2.0
+# An upstream that leaves stays for this long after the drain time, so that it
+# sees the requests that come too late.
+LINGER_S = 2.5
 # Rates of the clocks that measure grants; the platform allows 2% deviation.
 CLOCK_RATES = (1.0, 0.98, 1.01)
 MAX_LOG_BYTES = 64 << 20
@@ -88,8 +91,15 @@
 class Fleet:
     """Starts, restarts and ends the processes of the soak."""
 
-    def __init__(self, *, folder: pathlib.Path, rng: random.Random) -> None:
+    def __init__(
+        self,
+        *,
+        folder: pathlib.Path,
+        rng: random.Random,
+        plain_count: int = PLAIN_COUNT,
+    ) -> None:
         self._folder = folder
+        self._plain_count = plain_count
         self.rng = rng
         self._count = 0
         self.config_version = 0
@@ -105,7 +115,7 @@
         popen = self._launch('store', 'standins.table_store')
         self.store = members.Address.parse(self._read_address(popen))
         await self.configure(swapped=False)
-        for number in range(KEYED_COUNT + PLAIN_COUNT):
+        for number in range(KEYED_COUNT + self._plain_count):
             await self.add_upstream(
                 KEYED_POOL if number < KEYED_COUNT else PLAIN_POOL
             )
@@ -180,6 +190,8 @@
             'advertised': str(upstream.relay.address),
             'store': str(self.store),
             'born': int(time.time() * 1000),
+            'linger_s': LINGER_S,
+            'reports_draining': self.rng.random() < 0.5,
             'clock_rate': self.rng.choice(CLOCK_RATES),
             'sharded': upstream.pool == KEYED_POOL,
             'drain_s': drain_s,
@@ -196,6 +208,7 @@
             f'node = "{gateway.name}"\nzone = "{gateway.zone}"\n'
             f'ip = "{gateway.host}"\ninternal-ports = [{PEER_PORT}]\n'
             f'bounds = ["grace-s={GRACE_S}", "hold-max-s={HOLD_MAX_S}", '
+            f'"drain-s={DRAIN_S}", '
             f'"retry-budget-ratio=0.2", "budget-slack=100"]\n'
             f'[listen]\nfront = "{gateway.address}"\n'
             f'ready = "{gateway.host}:{READY_PORT}"\n'
--- a/standins/key_endpoint.py
+++ b/standins/key_endpoint.py
@@ -6,8 +6,13 @@
 ``python -m standins.key_endpoint JSON`` runs one incarnation of one
 upstream. It prints a JSON line with its address, then one for each event
 that the platform's rules apply to: a grant of keys (``hold``), their release
-(``released``), and the start of a request's execution (``run``). It also
-prints failed heartbeats (``not-registered``).
+(``released``), the start of a request's execution (``run``), a request that
+arrives while it leaves (``arrived``), and one that it turns away with a
+Retry-After (``turned-away``). It also prints failed heartbeats
+(``not-registered``).
+
+On SIGTERM it leaves: its responses say so, and it still serves for the drain
+time and a little longer. On SIGUSR1 it turns requests away for some seconds.
 """
 
 import collections
@@ -47,6 +52,8 @@
     ``advertised`` is the address that it registers. ``clock_rate`` below 1
     makes the clock that measures grants run slow. ``born`` is the start time
     in milliseconds, which tells the incarnations of an upstream apart.
+    Without ``reports_draining`` its entry stays ready while it leaves. It
+    ends ``linger_s`` after the drain time.
     """
 
     name: str
@@ -62,6 +69,9 @@
     work_ms: float = 30.0
     heartbeat_s: float = 0.9
     drain_s: float = 2.0
+    linger_s: float = 0.5
+    reports_draining: bool = True
+    pause_s: float = 3.0
     clock_rate: float = 1.0
     sharded: bool = False
 
@@ -101,6 +111,7 @@
     )
     sequence: int = 0
     draining: bool = False
+    turns_away_until: float = 0.0
     last_check: float = field(default_factory=time.monotonic)
     paused_at: float = 0.0
     resumed_at: float = -1e9
@@ -151,7 +162,7 @@
             start=applied,
             until=until,
         )
-        await exchange.reply(200, {})
+        await exchange.reply(200, {}, self._leaving_header())
 
     async def _release(self, exchange: server.Exchange) -> None:
         raw = json.loads(await exchange.read_body())
@@ -161,7 +172,7 @@
             await aio.sleep(CHECK_INTERVAL / 4)
         self.emit('released', first=first, last=last, at=time.monotonic())
         handover = ((HEADER_PREFIX + 'handover', f'{self.cfg.name}-{first}'),)
-        await exchange.reply(200, {}, handover)
+        await exchange.reply(200, {}, (*handover, *self._leaving_header()))
 
     def _remove_range(self, first: int, last: int) -> None:
         """Remove a range of keys from all grants, keeping their other keys."""
@@ -191,6 +202,13 @@
     async def _admit(self, exchange: server.Exchange) -> None:
         """Execute a request in a slot; refuse it if the queue is full."""
         await exchange.skip_body()
+        request = exchange.header(HEADER_PREFIX + 'attempt-id') or ''
+        now = time.monotonic()
+        if self.draining:
+            self.emit('arrived', request=request, at=now)
+        if now < self.turns_away_until:
+            await self._turn_away(exchange, request, now)
+            return
         key_header = exchange.header(HEADER_PREFIX + 'shard-key')
         key = (
             int(key_header)
@@ -245,9 +263,27 @@
         )
         await exchange.reply(200, body, (*self._headers(exchange), *stamp))
 
-    async def _refuse(self, exchange: server.Exchange, status: int) -> None:
-        not_executed = ((HEADER_PREFIX + 'not-executed', '1'),)
-        headers = (*self._headers(exchange), *not_executed)
+    async def _turn_away(
+        self, exchange: server.Exchange, request: str, now: float
+    ) -> None:
+        """Refuse a request and ask for a pause."""
+        left = self.turns_away_until - now
+        await self._refuse(exchange, 503, ('retry-after', f'{left:.3f}'))
+        self.emit(
+            'turned-away',
+            request=request,
+            at=now,
+            until=self.turns_away_until,
+        )
+
+    async def _refuse(
+        self,
+        exchange: server.Exchange,
+        status: int,
+        *extra: tuple[str, str],
+    ) -> None:
+        not_executed = (HEADER_PREFIX + 'not-executed', '1')
+        headers = (*self._headers(exchange), not_executed, *extra)
         await exchange.reply(status, {}, headers)
 
     def _headers(self, exchange: server.Exchange) -> http_head.Headers:
@@ -258,8 +294,12 @@
                 exchange.header(HEADER_PREFIX + 'attempt-id') or '',
             ),
             (HEADER_PREFIX + 'instance-load', load),
+            *self._leaving_header(),
         )
 
+    def _leaving_header(self) -> http_head.Headers:
+        return (('server-leaving', '1'),) if self.draining else ()
+
     # Registration
 
     async def detect_pauses(self) -> None:
@@ -297,7 +337,7 @@
                 'slots': self.cfg.slots,
             },
             'status': {
-                'state': 'draining' if self.draining else 'ready',
+                'state': self._state(),
                 'sequence': self.sequence,
                 'cold-left-s': 0,
             },
@@ -305,6 +345,15 @@
             'born': self.cfg.born,
         }
 
+    def _state(self) -> str:
+        reports = self.draining and self.cfg.reports_draining
+        return 'draining' if reports else 'ready'
+
+    async def turn_away_on(self, signals: aio.SignalWaiter) -> None:
+        while True:
+            await signals.wait()
+            self.turns_away_until = time.monotonic() + self.cfg.pause_s
+
     def emit(self, event: str, **fields: Any) -> None:
         print(json.dumps({'event': event, **fields}), flush=True)
 
@@ -325,13 +374,15 @@
     await listener.start()
     print(json.dumps({'listen': f'{cfg.host}:{listener.port}'}), flush=True)
     await aio.spawn(endpoint.detect_pauses())
+    await aio.spawn(endpoint.turn_away_on(aio.SignalWaiter(signal.SIGUSR1)))
     registration = await aio.spawn(endpoint.register())
     await stop.wait()
     # The listener still serves requests and releases during the drain.
     endpoint.draining = True
-    await registration.cancel()
-    await endpoint.send_heartbeat()
-    await aio.sleep(timedelta(seconds=cfg.drain_s + 0.5))
+    if cfg.reports_draining:
+        await registration.cancel()
+        await endpoint.send_heartbeat()
+    await aio.sleep(timedelta(seconds=cfg.drain_s + cfg.linger_s))
 
 
 if __name__ == '__main__':
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,6 +6,7 @@
 from soak import callers
 from soak import checks
 from soak import faults
+from soak import fleet
 
 # Long enough for some faults to overlap.
 SECONDS = 5.0
@@ -88,6 +89,59 @@
         found = checks.check_owners(events(*apart, holds=holds))
         self.assertEqual(found, [])
 
+    def test_late_request_to_a_leaving_upstream(self) -> None:
+        """Guards against a check that misses a late request, or excuses it.
+
+        A request that was sent in time, or by another gateway, or after a
+        freeze of the gateway, is correct.
+        """
+        first = sent()
+        first.leaving, first.ended = True, 3.0
+        for at, gateway, frozen, expected in (
+            (3.1 + fleet.DRAIN_S, 'g0', None, 1),
+            (2.9 + fleet.DRAIN_S, 'g0', None, 0),
+            (3.1 + fleet.DRAIN_S, 'g1', None, 0),
+            (3.1 + fleet.DRAIN_S, 'g0', 'g0', 0),
+            (3.1 + fleet.DRAIN_S, 'g0', 'g1', 1),
+        ):
+            with self.subTest(at=at, gateway=gateway, frozen=frozen):
+                late = sent()
+                late.request, late.at, late.gateway = 'cd34', at, gateway
+                seen = events(run())
+                seen.arrivals.append(
+                    checks.Arrival(holder='u1/0', request='cd34', at=at + 0.1)
+                )
+                found = checks.check_leaving(
+                    [first, late], seen, self.disturbed(frozen)
+                )
+                self.assertEqual(len(found), expected)
+
+    def test_requests_during_a_pause(self) -> None:
+        """Guards against a check that misses requests during a pause."""
+        for times, disturbed, expected in (
+            ((2.0, 2.4, 2.6, 2.7), None, 0),
+            ((2.0, 2.6, 2.7, 2.8), None, 1),
+            ((2.0, 2.6, 2.7, 2.8), 'path to u1', 0),
+            ((2.0, 2.6, 2.7, 2.8), 'path to u2', 1),
+        ):
+            with self.subTest(times=times, disturbed=disturbed):
+                seen = events()
+                seen.turned_away += [
+                    checks.TurnedAway(
+                        holder='u1/0', request='ab12', at=at, until=5.0
+                    )
+                    for at in times
+                ]
+                found = checks.check_pauses(
+                    [sent()], seen, self.disturbed(disturbed)
+                )
+                self.assertEqual(len(found), expected)
+
+    def disturbed(self, name: str | None) -> list[faults.Disturbance]:
+        if name is None:
+            return []
+        return [faults.Disturbance(name=name, start=3.5, end=4.0)]
+
     def test_fence_that_does_not_rise(self) -> None:
         """Guards against a fence that two incarnations of an upstream had."""
         holds = held('u1/0', 3, 1.0, 2.0), held('u1/1', 3, 4.0, 5.0)
