--- a/tests/test_key_coordinator.py
+++ b/tests/test_key_coordinator.py
@@ -52,7 +52,12 @@
             now=self.clock.elapsed(),
         )
 
-    def coordinator(self, name: str) -> key_coordinator.KeyCoordinator:
+    def coordinator(
+        self,
+        name: str,
+        *,
+        announce: Callable[[fleet_messages.Message], None] | None = None,
+    ) -> key_coordinator.KeyCoordinator:
         return key_coordinator.KeyCoordinator(
             pool=POOL,
             identity=name,
@@ -66,7 +71,7 @@
             known_map=lambda pool: None,
             cpu_cores=1.0,
             link_bytes_per_s=1e8,
-            announce=self.announced.append,
+            announce=announce or self.announced.append,
             request_step_down=lambda to, request: (
                 self.step_down_requests.append((to, request))
             ),
@@ -113,7 +118,6 @@
 
         async def main(fleet: Fleet) -> None:
             fleet.register('u1', 'u2')
-            coordinator = fleet.coordinator('n1')
             premature: list[int] = []
 
             def announce(message: fleet_messages.Message) -> None:
@@ -122,7 +126,7 @@
                     if reported is not None and reported >= message.version:
                         premature.append(message.version)
 
-            coordinator._announce = announce
+            coordinator = fleet.coordinator('n1', announce=announce)
             await aio.spawn(coordinator.run())
             await fleet.until(lambda: len(fleet.leases.held) == 2)
             await fleet.until(
