--- a/goldcresthaven/fleet_link.py
+++ b/goldcresthaven/fleet_link.py
@@ -16,6 +16,7 @@
 from goldcresthaven import clock as clock_module
 from goldcresthaven import decision_log
 from goldcresthaven import errors
+from goldcresthaven import fleet_codec
 from goldcresthaven import fleet_messages
 from goldcresthaven import ids
 from goldcresthaven import key_coordinator
@@ -101,7 +102,7 @@
             if coordinator.fresh_map_version() is None:
                 continue
             message = fleet_messages.RelayedRows(pool=pool, changes=changes)
-            data = fleet_messages.encode(message)
+            data = fleet_codec.encode(message)
             if len(data) <= MAX_ROWS_BYTES:
                 self._send_all(data)
             return
@@ -110,7 +111,7 @@
         """Announce a change of the key map, and apply it here as well."""
         if isinstance(change, fleet_messages.CoordinatorChange):
             self._adopt_peers(members.Address.parse(change.address))
-        self._send_all(fleet_messages.encode(change))
+        self._send_all(fleet_codec.encode(change))
         self._handle_announcement(change)
 
     def _adopt_peers(self, own: members.Address) -> None:
@@ -146,7 +147,7 @@
     def _send(
         self, message: fleet_messages.Message, address: members.Address
     ) -> None:
-        self._send_data(fleet_messages.encode(message), address)
+        self._send_data(fleet_codec.encode(message), address)
 
     def _send_data(self, data: bytes, address: members.Address) -> None:
         if not self._socket.send(data, address.host, address.port):
@@ -187,7 +188,7 @@
             message = fleet_messages.Leaving(
                 pool=pools[0], upstreams=upstreams
             )
-            self._send_all(fleet_messages.encode(message))
+            self._send_all(fleet_codec.encode(message))
 
     def _own_report(
         self, pool: ids.PoolName, requested: list[int], now: timedelta
@@ -227,7 +228,7 @@
             peers=self._peers_to_name(),
         )
         with_loads = self._send_loads_in_turn(report, now)
-        data = fleet_messages.encode(report)
+        data = fleet_codec.encode(report)
         for address in self._reporters:
             if address not in with_loads:
                 self._send_data(data, address)
@@ -244,7 +245,7 @@
         addresses = list(self._reporters)
         interval = REPORT_INTERVAL.total_seconds()
         self._loads_credit += self._loads_rate * interval
-        data = fleet_messages.encode(
+        data = fleet_codec.encode(
             dataclasses.replace(report, loads=self._loads(now))
         )
         count = min(len(addresses), int(self._loads_credit / len(data)))
@@ -286,11 +287,11 @@
     async def _receive(self, tables: TableFollower) -> None:
         while True:
             data, host, port = await self._socket.receive(
-                fleet_messages.MAX_BYTES
+                fleet_codec.MAX_BYTES
             )
             sender = members.Address(host=host, port=port)
             try:
-                self._handle(fleet_messages.decode(data), sender, tables)
+                self._handle(fleet_codec.decode(data), sender, tables)
             except errors.ProtocolError as exc:
                 decision_log.note(
                     'datagram-unreadable', peer=str(sender), detail=str(exc)
--- a/tests/test_fleet_link.py
+++ b/tests/test_fleet_link.py
@@ -13,6 +13,7 @@
 from goldcresthaven import aio
 from goldcresthaven import clock
 from goldcresthaven import errors
+from goldcresthaven import fleet_codec
 from goldcresthaven import fleet_link
 from goldcresthaven import fleet_messages
 from goldcresthaven import ids
@@ -225,18 +226,18 @@
                 table=REGISTRY, base=9, reached=510, rows=rows
             ),
         )
-        data = fleet_messages.encode(message)
+        data = fleet_codec.encode(message)
         self.assertLess(len(data), PACKET_BYTES)
-        self.assertEqual(fleet_messages.decode(data), message)
+        self.assertEqual(fleet_codec.decode(data), message)
 
     def test_rows_that_decompress_without_end_are_refused(self) -> None:
         """Guards against a datagram that fills the memory."""
-        endless = zlib.compress(bytes(fleet_messages.MAX_ROWS_SIZE + 1))
-        kind = fleet_messages.Kind.RELAYED_ROWS.value
+        endless = zlib.compress(bytes(fleet_codec.MAX_ROWS_SIZE + 1))
+        kind = fleet_codec.Kind.RELAYED_ROWS.value
         for blob in (endless, b'no rows', 7):
             data = cbor2.dumps([kind, 'p', 'registry', 1, 2, blob])
             with self.assertRaises(errors.ProtocolError):
-                fleet_messages.decode(data)
+                fleet_codec.decode(data)
 
     def test_new_coordinator_reaches_the_processes_of_its_predecessor(
         self,
@@ -330,7 +331,7 @@
         """Guards against a process that a newer neighbour ends."""
         for data in ([99, 'p', 1], [10, 'p', [['u1', 1, -5]]], [10, 'p']):
             with self.assertRaises(errors.ProtocolError):
-                fleet_messages.decode(cbor2.dumps(data))
+                fleet_codec.decode(cbor2.dumps(data))
 
     def test_loads_go_to_the_processes_in_turn(self) -> None:
         """Guards against bursts that fill the queue of a coordinator's link.
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -14,6 +14,7 @@
 from goldcresthaven import aio
 from goldcresthaven import clock
 from goldcresthaven import errors
+from goldcresthaven import fleet_codec
 from goldcresthaven import fleet_messages
 from goldcresthaven import http_head
 from goldcresthaven import ids
@@ -730,8 +731,8 @@
         )
         for message in messages:
             with self.subTest(message=type(message).__name__):
-                data = fleet_messages.encode(message)
-                self.assertEqual(fleet_messages.decode(data), message)
+                data = fleet_codec.encode(message)
+                self.assertEqual(fleet_codec.decode(data), message)
 
     def test_invalid_datagrams_are_rejected(self) -> None:
         """Guards against a process that crashes on an invalid datagram."""
@@ -739,7 +740,7 @@
         for _ in range(2000):
             data = rng.randbytes(rng.randrange(40))
             try:
-                fleet_messages.decode(data)
+                fleet_codec.decode(data)
             except errors.ProtocolError:
                 continue
 
--- a/tests/test_upstream_notices.py
+++ b/tests/test_upstream_notices.py
@@ -10,6 +10,7 @@
 import unittest
 
 from goldcresthaven import aio
+from goldcresthaven import fleet_codec
 from goldcresthaven import fleet_messages
 from goldcresthaven import http_head
 from goldcresthaven import http_io
@@ -811,7 +812,7 @@
                 )
             ],
         )
-        found = fleet_messages.decode(fleet_messages.encode(message))
+        found = fleet_codec.decode(fleet_codec.encode(message))
         self.assertEqual(found, message)
 
     def test_each_upstream_is_reported_twice_and_relayed_by_some(self) -> None:
