Split the caller's side from an exchange with an upstream

upstream_exchange (461 lines) held the caller's request, with its buffered body and the sending of the response to the caller, beside the exchange with the upstream. The former is caller_call (131 lines) now, which gateway, upstream_choice and local_responses use too; upstream_exchange (376 lines) keeps the attempt. upstream_choice no longer imports it.

Bodies of functions are unchanged apart from names; setting `relayed` and the response head are one method of the call.

--- a/goldcresthaven/gateway.py
+++ b/goldcresthaven/gateway.py
@@ -11,6 +11,7 @@
 import random
 
 from goldcresthaven import aio
+from goldcresthaven import caller_call
 from goldcresthaven import clock as clock_module
 from goldcresthaven import decision_log
 from goldcresthaven import errors
@@ -168,7 +169,7 @@
             await conn.close()
             return
         meta = self._headers.from_caller(head.headers)
-        call = upstream_exchange.Call(
+        call = caller_call.Call(
             conn=conn,
             head=head,
             meta=meta,
@@ -192,7 +193,7 @@
         await self._respond(call, arrived)
 
     async def _respond(
-        self, call: upstream_exchange.Call, arrived: timedelta
+        self, call: caller_call.Call, arrived: timedelta
     ) -> None:
         routed = self._route(call, arrived)
         if isinstance(routed, outcomes.NotRun):
@@ -217,7 +218,7 @@
         await self._responder.send(call, routed, outcome)
 
     def _route(
-        self, call: upstream_exchange.Call, arrived: timedelta
+        self, call: caller_call.Call, arrived: timedelta
     ) -> upstream_choice.RoutedRequest | outcomes.NotRun:
         cfg = self._known_state.config
         if cfg is None or not self._known_state.is_complete():
@@ -263,7 +264,7 @@
 
     def _log_outcome(
         self,
-        call: upstream_exchange.Call,
+        call: caller_call.Call,
         routed: upstream_choice.RoutedRequest | outcomes.NotRun,
         outcome: outcomes.Outcome,
         elapsed: timedelta,
--- a/goldcresthaven/local_responses.py
+++ b/goldcresthaven/local_responses.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 
 from goldcresthaven import aio
+from goldcresthaven import caller_call
 from goldcresthaven import clock as clock_module
 from goldcresthaven import decision_log
 from goldcresthaven import errors
@@ -15,7 +16,6 @@
 from goldcresthaven import planned_stop
 from goldcresthaven import request_meta
 from goldcresthaven import upstream_choice
-from goldcresthaven import upstream_exchange
 
 # Retry-After is kept to this share of the caller's remaining time: callers
 # wait for at most a third of it.
@@ -40,7 +40,7 @@
 
     async def send(
         self,
-        call: upstream_exchange.Call,
+        call: caller_call.Call,
         routed: upstream_choice.RoutedRequest | outcomes.NotRun,
         outcome: outcomes.Outcome,
     ) -> None:
@@ -77,7 +77,7 @@
 
     def _retry_after(
         self,
-        call: upstream_exchange.Call,
+        call: caller_call.Call,
         routed: upstream_choice.RoutedRequest | outcomes.NotRun,
         refusal: outcomes.NotRun,
     ) -> str:
--- a/goldcresthaven/upstream_choice.py
+++ b/goldcresthaven/upstream_choice.py
@@ -11,6 +11,7 @@
 from datetime import timedelta
 
 from goldcresthaven import aio
+from goldcresthaven import caller_call
 from goldcresthaven import clock as clock_module
 from goldcresthaven import ids
 from goldcresthaven import known_state as known_state_module
@@ -19,7 +20,6 @@
 from goldcresthaven import retries
 from goldcresthaven import routes
 from goldcresthaven import selection
-from goldcresthaven import upstream_exchange
 from goldcresthaven import upstream_notices
 
 # Longest wait for a key without an owner. A key that moves usually has a new
@@ -48,7 +48,7 @@
     inputs of the last choice for the log.
     """
 
-    call: upstream_exchange.Call
+    call: caller_call.Call
     route: routes.Route
     pool: routes.Pool
     deadline: timedelta
--- a/goldcresthaven/upstream_exchange.py
+++ b/goldcresthaven/upstream_exchange.py
@@ -6,14 +6,13 @@
 before the end of the body, so that the caller notices.
 """
 
-from collections.abc import Awaitable
-from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
 from datetime import timedelta
 import weakref
 
 from goldcresthaven import aio
+from goldcresthaven import caller_call
 from goldcresthaven import clock as clock_module
 from goldcresthaven import errors
 from goldcresthaven import http_head
@@ -28,7 +27,6 @@
 # is still connected. Work for a disconnected caller has to end within half a
 # second.
 CALLER_CHECK_INTERVAL = timedelta(milliseconds=150)
-BODY_TIMEOUT = timedelta(seconds=10)
 # Late responses to earlier requests that are skipped on one connection.
 MAX_LATE_RESPONSES = 3
 MAX_LATE_RESPONSE_BYTES = 1 << 20
@@ -36,8 +34,6 @@
 # packet. After it, an idempotent request is sent to another upstream. Other
 # requests have no such timeout, because they may have been received.
 UNACKNOWLEDGED_TIMEOUT = timedelta(milliseconds=700)
-# A caller that reads nothing for this long is treated as disconnected.
-CALLER_STALL_TIMEOUT = timedelta(seconds=5)
 # A response that stalls for this long is treated as truncated.
 UPSTREAM_STALL_TIMEOUT = timedelta(seconds=2)
 # Extra time after the deadline: the upstream knows the deadline too and
@@ -47,81 +43,10 @@
 _REFUSAL_STATUS = (408, 421, 429, 503)
 
 
-class CallerGone(Exception):
-    """The caller closed its connection or violated the protocol."""
-
-
 class Withheld(Exception):
     """The upstream leaves or pauses, so that nothing may be sent to it."""
 
 
-@dataclass(kw_only=True)
-class Call:
-    """A caller's request while this process handles it.
-
-    ``buffered_body`` is the beginning of the body, which is kept for a
-    retry. ``body_consumed`` is set once a later part was read; the request
-    can then no longer be sent again. ``refused_on`` has the numbers of the
-    connections on which the request was refused. A second copy of such a
-    refusal has the same id as the response to the next attempt, so that
-    attempt is made on another connection.
-    """
-
-    conn: http_io.CallerConn
-    head: http_head.RequestHead
-    meta: request_meta.CallerMeta
-    idempotent: bool
-    is_draining: Callable[[], bool]
-    max_body: int
-    buffered_body: bytes = b''
-    body_ended: bool = True
-    body_consumed: bool = False
-    body_bytes: int = 0
-    relayed: bool = False
-    refused_on: set[int] = field(default_factory=set)
-
-    async def buffer_body(self) -> None:
-        """Buffer the first 64 KiB of the body.
-
-        Raises the same errors as ``CallerConn.read_piece``.
-        """
-        if not self.head.has_body:
-            await self.conn.read_piece()
-            return
-        self.body_ended = False
-        async with aio.timeout(BODY_TIMEOUT):
-            while len(self.buffered_body) < http_io.PIECE_BYTES:
-                piece = await self._read()
-                if not piece:
-                    self.body_ended = True
-                    return
-                self.buffered_body += piece
-
-    async def next_piece(self) -> bytes:
-        """Return the next piece after the buffered ones, empty at the end."""
-        if self.body_ended:
-            return b''
-        self.body_consumed = True
-        try:
-            async with aio.timeout(BODY_TIMEOUT):
-                piece = await self._read()
-        except errors.Error as exc:
-            raise CallerGone(str(exc)) from exc
-        self.body_ended = not piece
-        return piece
-
-    async def _read(self) -> bytes:
-        piece = await self.conn.read_piece()
-        self.body_bytes += len(piece)
-        if self.body_bytes > self.max_body:
-            raise errors.RequestRejected(
-                f'the body is longer than {self.max_body} bytes',
-                remedy='send it in parts',
-                status=413,
-            )
-        return piece
-
-
 @dataclass(kw_only=True)
 class AttemptResult:
     """What is known about an attempt so far.
@@ -137,7 +62,10 @@
     notes: list[str] = field(default_factory=list)
 
     def to_attempt(
-        self, upstream: registry.Upstream, call: Call, elapsed: timedelta
+        self,
+        upstream: registry.Upstream,
+        call: caller_call.Call,
+        elapsed: timedelta,
     ) -> retries.Attempt:
         """Convert to the form that ``retries.classify`` takes.
 
@@ -182,7 +110,7 @@
 
     async def attempt(
         self,
-        call: Call,
+        call: caller_call.Call,
         upstream: registry.Upstream,
         *,
         deadline: timedelta,
@@ -205,7 +133,7 @@
             lost, truncated = retries.Failure.LOST, retries.Failure.TRUNCATED
             result.failure = lost if before_head else truncated
             result.notes.append(exc.problem)
-        except CallerGone:
+        except caller_call.CallerGone:
             result.failure = retries.Failure.CALLER_GONE
         except Withheld as exc:
             result.failure = retries.Failure.WITHHELD
@@ -214,7 +142,7 @@
 
     async def _run(
         self,
-        call: Call,
+        call: caller_call.Call,
         upstream: registry.Upstream,
         deadline: timedelta,
         connections: int,
@@ -237,14 +165,14 @@
 
     async def _exchange(
         self,
-        call: Call,
+        call: caller_call.Call,
         upstream: registry.Upstream,
         deadline: timedelta,
         conn: http_io.UpstreamConn,
         result: AttemptResult,
     ) -> None:
         if call.conn.peer_closed():
-            raise CallerGone(
+            raise caller_call.CallerGone(
                 'the caller disconnected before the request was sent'
             )
         remaining = deadline - self._clock.elapsed()
@@ -277,7 +205,10 @@
         await self._relay(call, conn, head, closing=not sent_whole)
 
     def _request(
-        self, call: Call, upstream: registry.Upstream, remaining: timedelta
+        self,
+        call: caller_call.Call,
+        upstream: registry.Upstream,
+        remaining: timedelta,
     ) -> http_head.RequestHead:
         headers = self._headers.to_upstream(
             http_head.end_to_end(call.head.headers),
@@ -290,7 +221,9 @@
             method=call.head.method, target=call.head.target, headers=headers
         )
 
-    async def _send_body(self, call: Call, conn: http_io.UpstreamConn) -> bool:
+    async def _send_body(
+        self, call: caller_call.Call, conn: http_io.UpstreamConn
+    ) -> bool:
         """Send the rest of the body; False if the upstream stopped reading."""
         while piece := await call.next_piece():
             if conn.has_input():
@@ -322,7 +255,7 @@
 
     async def _read_matching_head(
         self,
-        call: Call,
+        call: caller_call.Call,
         upstream: registry.Upstream,
         conn: http_io.UpstreamConn,
         request: http_head.RequestHead,
@@ -351,7 +284,7 @@
         )
 
     async def _read_head(
-        self, call: Call, conn: http_io.UpstreamConn
+        self, call: caller_call.Call, conn: http_io.UpstreamConn
     ) -> http_head.ResponseHead:
         while True:
             try:
@@ -359,11 +292,13 @@
                     return await conn.read_head()
             except errors.DeadlineExceeded:
                 if call.conn.peer_closed():
-                    raise CallerGone('the caller disconnected') from None
+                    raise caller_call.CallerGone(
+                        'the caller disconnected'
+                    ) from None
 
     async def _relay(
         self,
-        call: Call,
+        call: caller_call.Call,
         conn: http_io.UpstreamConn,
         head: http_head.ResponseHead,
         *,
@@ -375,13 +310,11 @@
         response that breaks off before that can still be replaced.
         """
         piece = await _next_piece(conn)
-        call.relayed = True
-        response = _response_head(call, head, closing or not call.body_ended)
-        await _send_to_caller(call.conn.send_head(response))
+        await call.begin_response(head, closing=closing)
         while piece:
-            await _send_to_caller(call.conn.send_piece(piece))
+            await call.send_piece(piece)
             piece = await _next_piece(conn)
-        await _send_to_caller(call.conn.finish())
+        await call.finish_response()
 
 
 async def _next_piece(conn: http_io.UpstreamConn) -> bytes:
@@ -395,18 +328,10 @@
         ) from exc
 
 
-async def _send_to_caller(step: Awaitable[None]) -> None:
-    try:
-        async with aio.timeout(CALLER_STALL_TIMEOUT):
-            await step
-    except (errors.ConnectionLost, errors.DeadlineExceeded) as exc:
-        raise CallerGone('the caller stopped reading') from exc
-
-
 def _check_first_response(
     conn: http_io.UpstreamConn,
     meta: request_meta.UpstreamMeta,
-    call: Call,
+    call: caller_call.Call,
 ) -> None:
     """Check that a response without an id can only belong to this request.
 
@@ -421,7 +346,9 @@
 
 
 def _check_response(
-    head: http_head.ResponseHead, meta: request_meta.UpstreamMeta, call: Call
+    head: http_head.ResponseHead,
+    meta: request_meta.UpstreamMeta,
+    call: caller_call.Call,
 ) -> None:
     if head.status in _SUCCESS and not meta.signed:
         raise errors.ProtocolError(
@@ -437,18 +364,6 @@
         )
 
 
-def _response_head(
-    call: Call, head: http_head.ResponseHead, closing: bool
-) -> http_head.ResponseHead:
-    kept = http_head.end_to_end(head.headers)
-    added: list[tuple[str, str]] = []
-    if http_head.find(head.headers, 'content-length') is None:
-        added.append(('transfer-encoding', 'chunked'))
-    if closing or call.is_draining():
-        added.append(('connection', 'close'))
-    return http_head.ResponseHead(status=head.status, headers=(*kept, *added))
-
-
 async def _discard_body(conn: http_io.UpstreamConn) -> None:
     """Read the body of a refusal so that the connection can be reused."""
     size = 0
