Read in responses to grants and releases that an upstream leaves

What callers saw: nothing yet. An upstream that got grants, but no requests, and whose row stayed ready, kept its keys until it ended. After a restore of the store its address, which may then be another upstream's, got two POST /grant.

Cause: Server-Leaving was read in responses to requests only.

Change: GrantReply and ReleaseReply say whether the response announced it, in acceptances and in rejections, except a 421. The holder of the claim records it for the incarnation that it called, moves the keys and tells the others.

--- a/goldcresthaven/gateway_process.py
+++ b/goldcresthaven/gateway_process.py
@@ -199,6 +199,7 @@
             store=self._store,
             calls=self._lease_calls,
             upstreams=self._known_state.registry,
+            notices=self._known_state.notices,
             address=str(self._cfg.peers),
             capacity=self._selector.capacity,
             report_age=self._known_state.coordinator_report_age,
--- a/goldcresthaven/key_coordinator.py
+++ b/goldcresthaven/key_coordinator.py
@@ -40,6 +40,7 @@
 from goldcresthaven import key_renewal
 from goldcresthaven import registry as registry_module
 from goldcresthaven import state_store
+from goldcresthaven import upstream_notices
 
 # An eighth of the interval at which owners are renewed.
 LOOP_INTERVAL = timedelta(milliseconds=100)
@@ -75,14 +76,15 @@
 class KeyCoordinator:
     """Watches the claim of one pool, and grants its keys while holding it.
 
-    ``address`` is the address to which other processes report keys and
-    loads. ``capacity`` returns the relative capacity of an upstream.
-    ``report_age`` returns the time since the last report of a pool's
-    coordinator, ``fleet_size`` the number of processes, and ``known_map``
-    the newest map of a pool that this process knows. ``announce`` and
-    ``request_step_down`` send datagrams. ``longest_hold`` is the longest
-    hold that an upstream accepts. ``cpu_cores`` is the VM's share of CPU
-    cores, and ``link_bytes_per_s`` the bandwidth of its network link.
+    ``notices`` records what the owners' responses announce. ``address`` is the
+    address to which other processes report keys and loads. ``capacity``
+    returns the relative capacity of an upstream. ``report_age`` returns the
+    time since the last report of a pool's coordinator, ``fleet_size`` the
+    number of processes, and ``known_map`` the newest map of a pool that this
+    process knows. ``announce`` and ``request_step_down`` send datagrams.
+    ``longest_hold`` is the longest hold that an upstream accepts.
+    ``cpu_cores`` is the VM's share of CPU cores, and ``link_bytes_per_s`` the
+    bandwidth of its network link.
     """
 
     def __init__(
@@ -93,6 +95,7 @@
         store: state_store.StateStore,
         calls: key_grants.LeaseCalls,
         upstreams: registry_module.Registry,
+        notices: upstream_notices.UpstreamNotices,
         address: str,
         capacity: Callable[[registry_module.Upstream], float],
         report_age: Callable[[ids.PoolName, timedelta], timedelta],
@@ -131,7 +134,7 @@
         self._map_key = state_store.Key(
             table=state_store.Table.ASSIGNMENTS, key=pool
         )
-        self._owners = key_coordinator_state.OwnerStatus(upstreams)
+        self._owners = key_coordinator_state.OwnerStatus(upstreams, notices)
         self._releaser = key_release.Releaser(
             pool=pool,
             calls=calls,
--- a/goldcresthaven/key_coordinator_state.py
+++ b/goldcresthaven/key_coordinator_state.py
@@ -14,6 +14,7 @@
 from goldcresthaven import members
 from goldcresthaven import registry as registry_module
 from goldcresthaven import state_store
+from goldcresthaven import upstream_notices
 
 # Fences reserved with each write of the map. The holder may use them before
 # it has to write the map again.
@@ -228,10 +229,18 @@
 
 
 class OwnerStatus:
-    """Looks up the owners of a key map in the registry."""
+    """Looks up the owners of a key map in the registry.
 
-    def __init__(self, upstreams: registry_module.Registry) -> None:
+    ``notices`` records what they announce in their responses.
+    """
+
+    def __init__(
+        self,
+        upstreams: registry_module.Registry,
+        notices: upstream_notices.UpstreamNotices,
+    ) -> None:
         self._upstreams = upstreams
+        self._notices = notices
         self._addresses: dict[key_map.Owner, members.Address] = {}
 
     def address(self, owner: key_map.Owner) -> members.Address | None:
@@ -250,6 +259,12 @@
             return True
         return self._upstreams.departure(owner.upstream_id, now) is not None
 
+    def record_leaving(self, owner: key_map.Owner, now: timedelta) -> None:
+        """Record that a response of the owner announced that it leaves."""
+        self._notices.record_leaving(
+            (owner.upstream_id, owner.incarnation), now
+        )
+
     def _same_incarnation(
         self, owner: key_map.Owner
     ) -> registry_module.Upstream | None:
--- a/goldcresthaven/key_grants.py
+++ b/goldcresthaven/key_grants.py
@@ -97,11 +97,15 @@
     A connection that was opened later may lead to the upstream after a
     restart. ``kept`` is the connection of an acceptance that may be a second
     copy of the response to an earlier call on it; None if it cannot be one.
+    ``leaving`` says that the response announced that the upstream leaves. An
+    earlier response announces it of the same incarnation, so a copy is as
+    good.
     """
 
     result: GrantResult
     connections: Connections = NO_CONNECTIONS
     kept: KeptConnection | None = None
+    leaving: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -111,6 +115,18 @@
     handover: str | None
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReleaseReply:
+    """The outcome of a release.
+
+    ``released`` is None if the upstream did not confirm it. ``leaving`` says
+    that the response announced that the upstream leaves.
+    """
+
+    released: Released | None
+    leaving: bool = False
+
+
 class LeaseCalls(Protocol):
     """Calls to upstreams, implemented by ``platform``."""
 
@@ -154,11 +170,8 @@
         grant: Grant,
         *,
         timeout: timedelta,
-    ) -> Released | None:
-        """Ask the owner to release keys.
-
-        Returns None if it does not confirm the release.
-        """
+    ) -> ReleaseReply:
+        """Ask the owner to release keys."""
 
 
 def hold_end(arrived_by: timedelta, hold: timedelta) -> timedelta:
--- a/goldcresthaven/key_release.py
+++ b/goldcresthaven/key_release.py
@@ -104,7 +104,7 @@
                             last=source.last,
                         )
                     )
-                    released = await self._calls.release(
+                    reply = await self._calls.release(
                         owner.upstream_id,
                         address,
                         key_grants.Grant(
@@ -112,8 +112,12 @@
                         ),
                         timeout=key_grants.RELEASE_TIMEOUT,
                     )
-                    if released is not None:
-                        return released
+                    if reply.leaving:
+                        self._owners.record_leaving(
+                            owner, self._clock.elapsed()
+                        )
+                    if reply.released is not None:
+                        return reply.released
             if fence is None:
                 await self._reset_unsettled(term, owner, source.fence)
             free_at = _free_at(term, source, owner, accepted_at, raised)
@@ -197,6 +201,8 @@
             may_send=may_send,
         )
         now = self._clock.elapsed()
+        if reply.leaving:
+            self._owners.record_leaving(owner, now)
         match reply.result:
             case key_grants.GrantResult.GRANTED:
                 term.holds.record_answered(grant, now)
--- a/goldcresthaven/key_renewal.py
+++ b/goldcresthaven/key_renewal.py
@@ -208,6 +208,8 @@
             may_send=may_send,
         )
         now = self._clock.elapsed()
+        if reply.leaving:
+            self._owners.record_leaving(owner, now)
         result = reply.result
         if result is key_grants.GrantResult.GRANTED:
             if reply.kept is None:
--- a/goldcresthaven/platform/headers.py
+++ b/goldcresthaven/platform/headers.py
@@ -62,10 +62,7 @@
                 names.NOT_EXECUTED in found or head.status == _NOT_RUN_STATUS
             ),
             load=_load(found.get(names.INSTANCE_LOAD)),
-            leaving=(
-                found.get(names.SERVER_LEAVING, '').strip() == '1'
-                and head.status != _NOT_RUN_STATUS
-            ),
+            leaving=announces_leaving(head),
             pause=(
                 _pause(found.get(names.RETRY_AFTER))
                 if head.status == _PAUSE_STATUS
@@ -82,6 +79,12 @@
         return target.partition('?')[0] == names.READY_PATH
 
 
+def announces_leaving(head: http_head.ResponseHead) -> bool:
+    """Return whether a response says that its upstream leaves."""
+    value = http_head.find(head.headers, names.SERVER_LEAVING) or ''
+    return value.strip() == '1' and head.status != _NOT_RUN_STATUS
+
+
 def _number(text: str | None) -> int | None:
     if text is None or len(text) > _MAX_DIGITS:
         return None
--- a/goldcresthaven/platform/leases.py
+++ b/goldcresthaven/platform/leases.py
@@ -24,6 +24,7 @@
 from goldcresthaven import key_grants
 from goldcresthaven import members
 from goldcresthaven import upstream_pool
+from goldcresthaven.platform import headers as platform_headers
 from goldcresthaven.platform import names
 
 MAX_RESPONSE_BYTES = 64 << 10
@@ -123,7 +124,10 @@
             self._note_ends(address)
         if response.status != 200:
             _note_failure(upstream, grant, conn, f'status {response.status}')
-            return _reply(_rejection(response.status, kept=conn is not None))
+            return key_grants.GrantReply(
+                result=_rejection(response.status, kept=conn is not None),
+                leaving=platform_headers.announces_leaving(response),
+            )
         carrier = self._carrier(address, used)
         return key_grants.GrantReply(
             result=key_grants.GrantResult.GRANTED,
@@ -131,6 +135,7 @@
                 opened_before_call, key_grants.Connections(used.number)
             ),
             kept=None if conn is None else carrier,
+            leaving=platform_headers.announces_leaving(response),
         )
 
     async def reset(self, address: members.Address, number: int) -> None:
@@ -175,7 +180,7 @@
         grant: key_grants.Grant,
         *,
         timeout: timedelta,
-    ) -> key_grants.Released | None:
+    ) -> key_grants.ReleaseReply:
         body = {'from': grant.first, 'to': grant.last, 'fence': grant.fence}
         try:
             response, _ = await self._call(
@@ -188,11 +193,15 @@
                 reuse=False,
             )
         except errors.Error:
-            return None
-        if response.status != 200:
-            return None
-        return key_grants.Released(
-            handover=http_head.find(response.headers, names.HANDOVER)
+            return key_grants.ReleaseReply(released=None)
+        released: key_grants.Released | None = None
+        if response.status == 200:
+            released = key_grants.Released(
+                handover=http_head.find(response.headers, names.HANDOVER)
+            )
+        return key_grants.ReleaseReply(
+            released=released,
+            leaving=platform_headers.announces_leaving(response),
         )
 
     async def _call(
--- a/goldcresthaven/upstream_notices.py
+++ b/goldcresthaven/upstream_notices.py
@@ -144,6 +144,12 @@
         if meta.pause is not None:
             self._record_pause(key, meta.pause, now)
 
+    def record_leaving(
+        self, key: registry.IncarnationKey, now: timedelta
+    ) -> None:
+        """Record that a response to a grant or release announced leaving."""
+        self._record_leaving(key, Source.RESPONSE, now, now)
+
     def record_draining(
         self, upstream: registry.Upstream, since: timedelta, now: timedelta
     ) -> None:
--- a/proofs/coordinator_sim.py
+++ b/proofs/coordinator_sim.py
@@ -28,6 +28,7 @@
 from goldcresthaven import members
 from goldcresthaven import registry
 from goldcresthaven import state_store
+from goldcresthaven import upstream_notices
 from goldcresthaven import upstream_pool
 from goldcresthaven.platform import leases
 from proofs import coordinator_store
@@ -72,7 +73,8 @@
         rate = loop.rng.uniform(0.9999, 1.0001)
         self.process = virtual_loop.Process(loop, self.name, rate=rate)
         world.processes.append(self.process)
-        self.registry = registry.Registry()
+        notices = upstream_notices.UpstreamNotices(rng=random.Random(1))
+        self.registry = registry.Registry(leaving=notices.leaving_since)
         for upstream in world.network.by_address.values():
             self.learn(upstream)
         pools = (
@@ -89,6 +91,7 @@
             store=world.store.client(self.name),
             calls=_StallingCalls(calls, world),
             upstreams=self.registry,
+            notices=notices,
             address=f'{self.name}:7200',
             capacity=lambda upstream: float(upstream.slots),
             report_age=lambda pool, now: timedelta(seconds=60),
@@ -178,7 +181,7 @@
 
     async def release(
         self, *args: Any, **kwargs: Any
-    ) -> key_grants.Released | None:
+    ) -> key_grants.ReleaseReply:
         await self._world.stall_current()
         return await self._calls.release(*args, **kwargs)
 
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -226,7 +226,8 @@
     the calls in order. Hosts in ``unresponsive`` do not answer, those in
     ``late_grants`` answer releases but no grants, those in ``unreachable``
     cannot be connected to, and those in ``disconnected`` have lost the
-    connections of their last grants.
+    connections of their last grants. Hosts in ``leaving`` announce in all
+    responses that they leave, those in ``leaving_in_releases`` in some.
     """
 
     def __init__(self) -> None:
@@ -237,6 +238,8 @@
         self.unreachable: set[str] = set()
         self.disconnected: set[str] = set()
         self.all_disconnected: set[str] = set()
+        self.leaving: set[str] = set()
+        self.leaving_in_releases: set[str] = set()
         self.log: list[tuple[str, str, key_grants.Grant]] = []
         self.holds: list[timedelta] = []
 
@@ -252,8 +255,14 @@
         may_send: Callable[[], bool],
     ) -> key_grants.GrantReply:
         result = await self._grant_result(address, grant, renewal, hold)
+        answered = result in (
+            key_grants.GrantResult.GRANTED,
+            key_grants.GrantResult.FENCED_OFF,
+        )
         return key_grants.GrantReply(
-            result=result, connections=key_grants.Connections(1)
+            result=result,
+            connections=key_grants.Connections(1),
+            leaving=answered and address.host in self.leaving,
         )
 
     async def _grant_result(
@@ -296,11 +305,14 @@
         grant: key_grants.Grant,
         *,
         timeout: timedelta,
-    ) -> key_grants.Released | None:
+    ) -> key_grants.ReleaseReply:
         self.log.append(('release', address.host, grant))
         if address.host in self.unresponsive | self.unreachable:
-            return None
-        return key_grants.Released(handover=f'from-{address.host}')
+            return key_grants.ReleaseReply(released=None)
+        return key_grants.ReleaseReply(
+            released=key_grants.Released(handover=f'from-{address.host}'),
+            leaving=address.host in self.leaving | self.leaving_in_releases,
+        )
 
     def calls(self, kind: str, host: str) -> list[key_grants.Grant]:
         return [g for k, h, g in self.log if (k, h) == (kind, host)]
--- a/tests/test_key_coordinator.py
+++ b/tests/test_key_coordinator.py
@@ -19,6 +19,7 @@
 from goldcresthaven import key_map
 from goldcresthaven import registry
 from goldcresthaven import state_store
+from goldcresthaven import upstream_notices
 from tests import fake_platform
 
 POOL = fake_platform.POOL
@@ -35,15 +36,18 @@
         self.clock = clock.SystemClock()
         self.store = fake_platform.FakeStore()
         self.leases = fake_platform.FakeLeases()
-        self.registry = registry.Registry()
+        self.notices = upstream_notices.UpstreamNotices(rng=random.Random(1))
+        self.registry = registry.Registry(leaving=self.notices.leaving_since)
         self.announced: list[fleet_messages.Message] = []
         self.step_down_requests: list[tuple[str, fleet_messages.StepDown]] = []
 
-    def register(self, *names: str, draining: bool = False) -> None:
+    def register(
+        self, *names: str, draining: bool = False, incarnation: int = 1
+    ) -> None:
         self.registry.apply(
             {
                 ids.UpstreamId(name): fake_platform.upstream(
-                    name, draining=draining
+                    name, draining=draining, incarnation=incarnation
                 )
                 for name in names
             },
@@ -59,6 +63,7 @@
             store=self.store,
             calls=self.leases,
             upstreams=self.registry,
+            notices=self.notices,
             address=f'{name}:7200',
             capacity=lambda upstream: float(upstream.slots),
             report_age=lambda pool, now: timedelta(seconds=60),
@@ -181,6 +186,60 @@
 
         run(main)
 
+    def test_keys_move_when_a_grant_is_answered_with_leaving(self) -> None:
+        """Guards against keys that stay with an upstream until it ends.
+
+        Its row stays ready and it gets no requests, so that only responses
+        to grants announce that it leaves. Its next incarnation gets keys.
+        """
+
+        async def main(fleet: Fleet) -> None:
+            fleet.register('u1', 'u2')
+            await aio.spawn(fleet.coordinator('n1').run())
+            await fleet.until(lambda: len(fleet.leases.held) == 2)
+            fleet.leases.leaving.add('u1')
+            await fleet.until(lambda: fleet.owners() == {'u2'})
+            self.assertEqual(len(fleet.leases.calls('release', 'u1')), 1)
+            self.assertEqual(
+                list(fleet.notices.leaving_since),
+                [(ids.UpstreamId('u1'), registry.Incarnation(1))],
+            )
+            calls = len(fleet.leases.calls('grant', 'u1'))
+            fleet.register('u1')
+            await aio.sleep(key_grants.RENEW_INTERVAL * 1.5)
+            self.assertEqual(fleet.owners(), {'u2'})
+            self.assertEqual(len(fleet.leases.calls('grant', 'u1')), calls)
+            fleet.leases.leaving.clear()
+            fleet.register('u1', incarnation=2)
+            await fleet.until(lambda: fleet.owners() == {'u1', 'u2'})
+
+        run(main)
+
+    def test_leaving_is_read_in_a_refusal_and_a_release(self) -> None:
+        """Guards against a notice that is read in acceptances only."""
+
+        async def main(fleet: Fleet) -> None:
+            fleet.register('u1', 'u2')
+            await aio.spawn(fleet.coordinator('n1').run())
+            await fleet.until(lambda: len(fleet.leases.held) == 2)
+            key = (ids.UpstreamId('u1'), registry.Incarnation(1))
+            fleet.leases.fences['u1'] = 1 << 60
+            fleet.leases.leaving.add('u1')
+            await fleet.until(lambda: key in fleet.notices.leaving_since)
+
+        run(main)
+
+        async def release(fleet: Fleet) -> None:
+            fleet.register('u1', 'u2')
+            await aio.spawn(fleet.coordinator('n1').run())
+            await fleet.until(lambda: len(fleet.leases.held) == 2)
+            fleet.leases.leaving_in_releases.add('u1')
+            fleet.register('u1', draining=True)
+            key = (ids.UpstreamId('u1'), registry.Incarnation(1))
+            await fleet.until(lambda: key in fleet.notices.leaving_since)
+
+        run(release)
+
     def test_unresponsive_owner_keeps_its_keys_until_its_hold_ends(
         self,
     ) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -642,6 +642,51 @@
 
         run(main)
 
+    def test_leaving_is_decoded_from_responses_to_grants(self) -> None:
+        """Guards against a notice that only requests' responses announce.
+
+        A 421 may come from another upstream at the same address.
+        """
+        expected = {200: True, 409: True, 421: False, 503: True}
+        leaving = [
+            reply(status).replace(
+                b'\r\n\r\n', b'\r\nServer-Leaving: 1\r\n\r\n'
+            )
+            for status in (*expected, 200, *expected)
+        ]
+        scripted = ScriptedServer(reply(200), reply(200), *leaving)
+
+        async def release(
+            calls: leases.PlatformLeases, address: members.Address
+        ) -> key_grants.ReleaseReply:
+            return await calls.release(
+                ids.UpstreamId('i-1'),
+                address,
+                key_grants.Grant(first=0, last=9, fence=4),
+                timeout=timedelta(seconds=1),
+            )
+
+        async def main() -> None:
+            calls = leases.PlatformLeases(clock=clock.SystemClock())
+            address = await scripted.start()
+            first = await self.grant(calls, address, None)
+            self.assertFalse(first.leaving)
+            self.assertFalse((await release(calls, address)).leaving)
+            for status, says_so in expected.items():
+                with self.subTest(grant=status):
+                    found = await self.grant(calls, address, None, fence=5)
+                    self.assertEqual(found.leaving, says_so)
+            kept = await self.grant(calls, address, first.connections)
+            self.assertEqual(kept.result.name, 'GRANTED')
+            self.assertTrue(kept.leaving)
+            for status, says_so in expected.items():
+                with self.subTest(release=status):
+                    released = await release(calls, address)
+                    self.assertEqual(released.leaving, says_so)
+                    self.assertEqual(released.released is None, status != 200)
+
+        run(main)
+
     def test_renewal_is_not_sent_over_a_later_connection(self) -> None:
         """Guards against renewing an old fence over a newer connection.
 
