Send no grant or release to an upstream after its drain time

What callers saw: nothing yet. While the holder of a claim waited for the release of a leaving upstream's keys, it repeated its calls until the holds ended, which may be 1.2 s after the drain time. The address may then be another upstream's.

Change: after the drain time the holder only waits for the end of the holds. Round trips, which open a connection and serve only to shorten bounds, are made to owners that neither leave nor pause.

--- a/goldcresthaven/key_coordinator_state.py
+++ b/goldcresthaven/key_coordinator_state.py
@@ -261,9 +261,18 @@
 
     def record_leaving(self, owner: key_map.Owner, now: timedelta) -> None:
         """Record that a response of the owner announced that it leaves."""
-        self._notices.record_leaving(
-            (owner.upstream_id, owner.incarnation), now
-        )
+        self._notices.record_leaving(_incarnation_key(owner), now)
+
+    def may_call(self, owner: key_map.Owner, now: timedelta) -> bool:
+        """Return whether grants and releases may be sent to an owner.
+
+        Another upstream may have the address of one that has left.
+        """
+        return self._notices.may_call(_incarnation_key(owner), now)
+
+    def is_paused(self, owner: key_map.Owner, now: timedelta) -> bool:
+        """Return whether the owner wants no new connections now."""
+        return self._notices.is_paused(_incarnation_key(owner), now)
 
     def _same_incarnation(
         self, owner: key_map.Owner
@@ -274,6 +283,10 @@
         return known
 
 
+def _incarnation_key(owner: key_map.Owner) -> registry_module.IncarnationKey:
+    return (owner.upstream_id, owner.incarnation)
+
+
 def owner_of(upstream: registry_module.Upstream) -> key_map.Owner:
     return key_map.Owner(
         upstream_id=ids.UpstreamId(upstream.upstream_id),
--- a/goldcresthaven/key_release.py
+++ b/goldcresthaven/key_release.py
@@ -89,7 +89,11 @@
                 self._note_bound(term, source, owner, now - started)
                 return None
             address = self._owners.address(owner)
-            if address is not None and term.may_renew(now):
+            if (
+                address is not None
+                and term.may_renew(now)
+                and self._owners.may_call(owner, now)
+            ):
                 if raised is None:
                     fence, raised = await self._raise_fence(
                         term, source, owner, address
--- a/goldcresthaven/key_renewal.py
+++ b/goldcresthaven/key_renewal.py
@@ -105,8 +105,18 @@
     def _reachable_owners(
         self, term: key_coordinator_state.ClaimTerm
     ) -> list[key_map.Owner]:
-        """Return the owners that answer, those renewed last first."""
-        answering = [o for o in term.owners() if o not in term.failing_since]
+        """Return the owners that answer, those renewed last first.
+
+        Owners that leave or have asked for a pause get no new connections.
+        """
+        now = self._clock.elapsed()
+        answering = [
+            owner
+            for owner in term.owners()
+            if owner not in term.failing_since
+            and not self._owners.has_left(owner, now)
+            and not self._owners.is_paused(owner, now)
+        ]
         return sorted(
             answering,
             key=lambda o: term.renewal_due.get(o, timedelta()),
--- a/goldcresthaven/upstream_notices.py
+++ b/goldcresthaven/upstream_notices.py
@@ -116,6 +116,7 @@
         rng: random.Random,
         observe: Observer = log,
     ) -> None:
+        self._drain = drain
         self._allowed = max(timedelta(), drain - DRAIN_MARGIN)
         self._rng = rng
         self._observe = observe
@@ -213,18 +214,23 @@
         last_send = self._last_send.get(registry.incarnation_key(upstream))
         return last_send is not None and now >= last_send
 
+    def may_call(self, key: registry.IncarnationKey, now: timedelta) -> bool:
+        """Return whether the holder of its claim may call an upstream.
+
+        A pause does not end grants, without which the upstream's keys would
+        have no owner, and releases may use all of the drain time.
+        """
+        since = self._leaving_since.get(key)
+        return since is None or now - since < self._drain
+
     def paused_until(
         self, upstream: registry.Upstream, now: timedelta
     ) -> timedelta | None:
         """Return the end of an upstream's pause, or None without one."""
-        key = registry.incarnation_key(upstream)
-        until = self._paused_until.get(key)
-        if until is None:
-            return None
-        if until <= now:
-            del self._paused_until[key]
-            return None
-        return until
+        return self._pause_end(registry.incarnation_key(upstream), now)
+
+    def is_paused(self, key: registry.IncarnationKey, now: timedelta) -> bool:
+        return self._pause_end(key, now) is not None
 
     def unpaused(
         self, upstreams: Sequence[registry.Upstream], now: timedelta
@@ -267,6 +273,17 @@
             if until <= now:
                 del self._paused_until[key]
 
+    def _pause_end(
+        self, key: registry.IncarnationKey, now: timedelta
+    ) -> timedelta | None:
+        until = self._paused_until.get(key)
+        if until is None:
+            return None
+        if until <= now:
+            del self._paused_until[key]
+            return None
+        return until
+
     def _record_leaving(
         self,
         key: registry.IncarnationKey,
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -227,7 +227,8 @@
     ``late_grants`` answer releases but no grants, those in ``unreachable``
     cannot be connected to, and those in ``disconnected`` have lost the
     connections of their last grants. Hosts in ``leaving`` announce in all
-    responses that they leave, those in ``leaving_in_releases`` in some.
+    responses that they leave, those in ``leaving_in_releases`` only when they
+    release keys. Hosts in ``keeping`` do not confirm releases.
     """
 
     def __init__(self) -> None:
@@ -240,8 +241,10 @@
         self.all_disconnected: set[str] = set()
         self.leaving: set[str] = set()
         self.leaving_in_releases: set[str] = set()
+        self.keeping: set[str] = set()
         self.log: list[tuple[str, str, key_grants.Grant]] = []
         self.holds: list[timedelta] = []
+        self.round_trips: list[str] = []
 
     async def grant(
         self,
@@ -296,6 +299,7 @@
         pass
 
     async def round_trip(self, address: members.Address) -> bool:
+        self.round_trips.append(address.host)
         return address.host not in self.unreachable | self.unresponsive
 
     async def release(
@@ -307,7 +311,8 @@
         timeout: timedelta,
     ) -> key_grants.ReleaseReply:
         self.log.append(('release', address.host, grant))
-        if address.host in self.unresponsive | self.unreachable:
+        silent = self.unresponsive | self.unreachable | self.keeping
+        if address.host in silent:
             return key_grants.ReleaseReply(released=None)
         return key_grants.ReleaseReply(
             released=key_grants.Released(handover=f'from-{address.host}'),
--- a/tests/test_key_coordinator.py
+++ b/tests/test_key_coordinator.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
 from datetime import timedelta
 import json
 import random
@@ -17,7 +18,9 @@
 from goldcresthaven import key_coordinator_state
 from goldcresthaven import key_grants
 from goldcresthaven import key_map
+from goldcresthaven import key_renewal
 from goldcresthaven import registry
+from goldcresthaven import request_meta
 from goldcresthaven import state_store
 from goldcresthaven import upstream_notices
 from tests import fake_platform
@@ -240,6 +243,89 @@
 
         run(release)
 
+    def test_no_calls_to_an_owner_after_its_drain_time(self) -> None:
+        """Guards against releases at the address of an ended upstream.
+
+        Its hold ends after the drain time, and then its keys move.
+        """
+
+        async def main(fleet: Fleet) -> None:
+            fleet.register('u1', 'u2')
+            await aio.spawn(fleet.coordinator('n1').run())
+            await fleet.until(lambda: len(fleet.leases.held) == 2)
+            fleet.leases.keeping.add('u1')
+            fleet.leases.leaving.add('u1')
+            await fleet.until(lambda: bool(fleet.notices.leaving_since))
+            (since,) = fleet.notices.leaving_since.values()
+            end = since + upstream_notices.DEFAULT_DRAIN
+            await fleet.until(lambda: fleet.clock.elapsed() > end)
+            calls = [host for _, host, _ in fleet.leases.log].count('u1')
+            self.assertNotEqual(fleet.owners(), {'u2'})
+            await fleet.until(lambda: fleet.owners() == {'u2'})
+            hosts = [host for _, host, _ in fleet.leases.log]
+            self.assertEqual(hosts.count('u1'), calls)
+
+        run(main)
+
+    def test_round_trip_spares_owners_that_leave_or_pause(self) -> None:
+        """Guards against a new connection to an upstream in a pause."""
+
+        async def main(fleet: Fleet) -> None:
+            fleet.register('u1', 'u2', 'u3', 'u4')
+            now = fleet.clock.elapsed()
+            fleet.register('u1', draining=True)
+            leaving = request_meta.UpstreamMeta(
+                request_id=None,
+                signed=True,
+                not_run=False,
+                load=None,
+                leaving=True,
+            )
+            paused = dataclasses.replace(
+                leaving, leaving=False, pause=timedelta(seconds=5)
+            )
+            for name, notice in (('u2', leaving), ('u3', paused)):
+                fleet.notices.record_response(
+                    fake_platform.upstream(name), notice, now
+                )
+            keys = key_map.empty().replace(
+                [
+                    key_map.KeyRange(
+                        first=number,
+                        last=number,
+                        owner=fake_platform.owner(f'u{number}'),
+                        fence=number,
+                    )
+                    for number in range(1, 5)
+                ],
+                next_fence=9,
+            )
+            term = key_coordinator_state.ClaimTerm(
+                address='n1:7200',
+                history=state_store.FIRST_HISTORY,
+                claim_version=1,
+                acquired_version=1,
+                map_row_version=0,
+                renewed_at=now,
+                store_clock_offset=timedelta(),
+                keys=keys,
+                holds=hold_bounds.HoldBounds(inherited=timedelta()),
+                fence=8,
+            )
+            renewer = key_renewal.Renewer(
+                pool=POOL,
+                calls=fleet.leases,
+                owners=key_coordinator_state.OwnerStatus(
+                    fleet.registry, fleet.notices
+                ),
+                longest_hold=LONGEST_HOLD,
+                clock=fleet.clock,
+            )
+            await renewer.settle(term)
+            self.assertEqual(fleet.leases.round_trips, ['u4'])
+
+        run(main)
+
     def test_unresponsive_owner_keeps_its_keys_until_its_hold_ends(
         self,
     ) -> None:
