Test that malformed pauses are logged and do not end the work

Also that a late row of an upstream that left has no effect, and that another upstream at its address is used.

--- a/tests/test_upstream_notices.py
+++ b/tests/test_upstream_notices.py
@@ -8,8 +8,10 @@
 from typing import Any
 from typing import cast
 import unittest
+from unittest import mock
 
 from goldcresthaven import aio
+from goldcresthaven import decision_log
 from goldcresthaven import fleet_messages
 from goldcresthaven import http_head
 from goldcresthaven import http_io
@@ -229,7 +231,10 @@
         self.assertIsNone(self.decode(503).pause)
 
     def test_malformed_pauses(self) -> None:
-        """Guards against an upstream without work after a faulty value."""
+        """Guards against an upstream without work after a faulty value.
+
+        Each faulty value gets a line in the log.
+        """
         longest = platform_headers.MAX_PAUSE
         for text, expected in (
             ('-1', None),
@@ -249,8 +254,15 @@
             (' 2 ', timedelta(seconds=2)),
         ):
             with self.subTest(text=text):
-                found = self.decode(503, ('retry-after', text)).pause
+                with mock.patch.object(decision_log, 'note') as note:
+                    found = self.decode(503, ('retry-after', text)).pause
                 self.assertEqual(found, expected)
+                lines = []
+                if expected is None:
+                    lines = [mock.call('pause-unreadable', detail=text)]
+                elif expected == longest:
+                    lines = [mock.call('pause-too-long', detail=text)]
+                self.assertEqual(note.mock_calls, lines)
 
 
 def slow(delay: timedelta, script: test_gateway.Script) -> test_gateway.Script:
@@ -592,20 +604,30 @@
         self.run_with(main)
 
     def test_reused_address_is_used_at_once(self) -> None:
-        """Guards against a notice that is kept for an address."""
+        """Guards against a notice that is kept for an address.
 
-        async def main() -> None:
-            upstream = test_gateway.Upstream(leaving_response())
-            router = self.router()
-            await router.start(upstream)
-            await router.ask()
-            await aio.sleep(AFTER_DRAIN)
-            port = router_port(router)
-            router.register('u0', port, incarnation=2)
-            reply = await router.ask()
-            self.assertTrue(reply.startswith('HTTP/1.1 200'), reply)
+        The next upstream there may have another id or be the same one after
+        a restart. A late row of the one that left stays without effect.
+        """
+        for name, incarnation in (('u0', 2), ('u5', 1)):
 
-        self.run_with(main)
+            async def main() -> None:
+                upstream = test_gateway.Upstream(leaving_response())
+                router = self.router()
+                await router.start(upstream)
+                await router.ask()
+                await aio.sleep(AFTER_DRAIN)
+                port = router_port(router)
+                router.register('u0', port)
+                reply = await router.ask()
+                self.assertTrue(reply.startswith('HTTP/1.1 503'), reply)
+                self.assertEqual(len(upstream.requests), 1)
+                router.register(name, port, incarnation=incarnation)
+                reply = await router.ask()
+                self.assertTrue(reply.startswith('HTTP/1.1 200'), reply)
+
+            with self.subTest(name=name):
+                self.run_with(main)
 
     def test_another_upstream_at_the_address_is_not_taken_for_it(self) -> None:
         """Guards against a notice of an upstream that answers with 421."""
@@ -663,6 +685,28 @@
 
         self.run_with(main)
 
+    def test_malformed_pause_does_not_end_the_work(self) -> None:
+        """Guards against refusals by a pool after a faulty value."""
+        for text in ('soon', '-1', 'nan', '1e400', '9' * 400):
+
+            async def main() -> None:
+                shed = test_gateway.respond(
+                    '',
+                    status='503 Busy',
+                    extra=f'{NOT_RUN}Retry-After: {text}\r\n',
+                )
+                upstream = test_gateway.Upstream(shed)
+                router = self.router()
+                await router.start(upstream)
+                reply = await router.ask()
+                self.assertTrue(reply.startswith('HTTP/1.1 503'), reply)
+                self.assertLess(retry_after(reply), 2)
+                reply = await router.ask()
+                self.assertTrue(reply.startswith('HTTP/1.1 200'), reply)
+
+            with self.subTest(text=text):
+                self.run_with(main)
+
     def test_pool_with_all_paused_rejects_at_once(self) -> None:
         """Guards against requests and early returns during all pauses.
 
