--- a/goldcresthaven/key_release.py
+++ b/goldcresthaven/key_release.py
@@ -89,7 +89,11 @@
                 self._note_bound(term, source, owner, now - started)
                 return None
             address = self._owners.address(owner)
-            if address is not None and term.may_renew(now):
+            if (
+                address is not None
+                and term.may_renew(now)
+                and self._owners.may_call(owner, now)
+            ):
                 if raised is None:
                     fence, raised = await self._raise_fence(
                         term, source, owner, address
@@ -104,7 +108,7 @@
                             last=source.last,
                         )
                     )
-                    released = await self._calls.release(
+                    reply = await self._calls.release(
                         owner.upstream_id,
                         address,
                         key_grants.Grant(
@@ -112,8 +116,12 @@
                         ),
                         timeout=key_grants.RELEASE_TIMEOUT,
                     )
-                    if released is not None:
-                        return released
+                    if reply.leaving:
+                        self._owners.record_leaving(
+                            owner, self._clock.elapsed()
+                        )
+                    if reply.released is not None:
+                        return reply.released
             if fence is None:
                 await self._reset_unsettled(term, owner, source.fence)
             free_at = _free_at(term, source, owner, accepted_at, raised)
@@ -197,6 +205,8 @@
             may_send=may_send,
         )
         now = self._clock.elapsed()
+        if reply.leaving:
+            self._owners.record_leaving(owner, now)
         match reply.result:
             case key_grants.GrantResult.GRANTED:
                 term.holds.record_answered(grant, now)
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -226,7 +226,9 @@
     the calls in order. Hosts in ``unresponsive`` do not answer, those in
     ``late_grants`` answer releases but no grants, those in ``unreachable``
     cannot be connected to, and those in ``disconnected`` have lost the
-    connections of their last grants.
+    connections of their last grants. Hosts in ``leaving`` announce in all
+    responses that they leave, those in ``leaving_in_releases`` only when they
+    release keys. Hosts in ``keeping`` do not confirm releases.
     """
 
     def __init__(self) -> None:
@@ -237,8 +239,12 @@
         self.unreachable: set[str] = set()
         self.disconnected: set[str] = set()
         self.all_disconnected: set[str] = set()
+        self.leaving: set[str] = set()
+        self.leaving_in_releases: set[str] = set()
+        self.keeping: set[str] = set()
         self.log: list[tuple[str, str, key_grants.Grant]] = []
         self.holds: list[timedelta] = []
+        self.round_trips: list[str] = []
 
     async def grant(
         self,
@@ -252,8 +258,14 @@
         may_send: Callable[[], bool],
     ) -> key_grants.GrantReply:
         result = await self._grant_result(address, grant, renewal, hold)
+        answered = result in (
+            key_grants.GrantResult.GRANTED,
+            key_grants.GrantResult.FENCED_OFF,
+        )
         return key_grants.GrantReply(
-            result=result, connections=key_grants.Connections(1)
+            result=result,
+            connections=key_grants.Connections(1),
+            leaving=answered and address.host in self.leaving,
         )
 
     async def _grant_result(
@@ -287,6 +299,7 @@
         pass
 
     async def round_trip(self, address: members.Address) -> bool:
+        self.round_trips.append(address.host)
         return address.host not in self.unreachable | self.unresponsive
 
     async def release(
@@ -296,11 +309,15 @@
         grant: key_grants.Grant,
         *,
         timeout: timedelta,
-    ) -> key_grants.Released | None:
+    ) -> key_grants.ReleaseReply:
         self.log.append(('release', address.host, grant))
-        if address.host in self.unresponsive | self.unreachable:
-            return None
-        return key_grants.Released(handover=f'from-{address.host}')
+        silent = self.unresponsive | self.unreachable | self.keeping
+        if address.host in silent:
+            return key_grants.ReleaseReply(released=None)
+        return key_grants.ReleaseReply(
+            released=key_grants.Released(handover=f'from-{address.host}'),
+            leaving=address.host in self.leaving | self.leaving_in_releases,
+        )
 
     def calls(self, kind: str, host: str) -> list[key_grants.Grant]:
         return [g for k, h, g in self.log if (k, h) == (kind, host)]
--- a/tests/test_key_coordinator.py
+++ b/tests/test_key_coordinator.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
 from datetime import timedelta
 import json
 import random
@@ -17,8 +18,11 @@
 from goldcresthaven import key_coordinator_state
 from goldcresthaven import key_grants
 from goldcresthaven import key_map
+from goldcresthaven import key_renewal
 from goldcresthaven import registry
+from goldcresthaven import request_meta
 from goldcresthaven import state_store
+from goldcresthaven import upstream_notices
 from tests import fake_platform
 
 POOL = fake_platform.POOL
@@ -35,15 +39,18 @@
         self.clock = clock.SystemClock()
         self.store = fake_platform.FakeStore()
         self.leases = fake_platform.FakeLeases()
-        self.registry = registry.Registry()
+        self.notices = upstream_notices.UpstreamNotices(rng=random.Random(1))
+        self.registry = registry.Registry(leaving=self.notices.leaving_since)
         self.announced: list[fleet_messages.Message] = []
         self.step_down_requests: list[tuple[str, fleet_messages.StepDown]] = []
 
-    def register(self, *names: str, draining: bool = False) -> None:
+    def register(
+        self, *names: str, draining: bool = False, incarnation: int = 1
+    ) -> None:
         self.registry.apply(
             {
                 ids.UpstreamId(name): fake_platform.upstream(
-                    name, draining=draining
+                    name, draining=draining, incarnation=incarnation
                 )
                 for name in names
             },
@@ -64,6 +71,7 @@
             store=self.store,
             calls=self.leases,
             upstreams=self.registry,
+            notices=self.notices,
             address=f'{name}:7200',
             capacity=lambda upstream: float(upstream.slots),
             report_age=lambda pool, now: timedelta(seconds=60),
@@ -185,6 +193,143 @@
 
         run(main)
 
+    def test_keys_move_when_a_grant_is_answered_with_leaving(self) -> None:
+        """Guards against keys that stay with an upstream until it ends.
+
+        Its row stays ready and it gets no requests, so that only responses
+        to grants announce that it leaves. Its next incarnation gets keys.
+        """
+
+        async def main(fleet: Fleet) -> None:
+            fleet.register('u1', 'u2')
+            await aio.spawn(fleet.coordinator('n1').run())
+            await fleet.until(lambda: len(fleet.leases.held) == 2)
+            fleet.leases.leaving.add('u1')
+            await fleet.until(lambda: fleet.owners() == {'u2'})
+            self.assertEqual(len(fleet.leases.calls('release', 'u1')), 1)
+            self.assertEqual(
+                list(fleet.notices.leaving_since),
+                [(ids.UpstreamId('u1'), registry.Incarnation(1))],
+            )
+            calls = len(fleet.leases.calls('grant', 'u1'))
+            fleet.register('u1')
+            await aio.sleep(key_grants.RENEW_INTERVAL * 1.5)
+            self.assertEqual(fleet.owners(), {'u2'})
+            self.assertEqual(len(fleet.leases.calls('grant', 'u1')), calls)
+            fleet.leases.leaving.clear()
+            fleet.register('u1', incarnation=2)
+            await fleet.until(lambda: fleet.owners() == {'u1', 'u2'})
+
+        run(main)
+
+    def test_leaving_is_read_in_a_refusal_and_a_release(self) -> None:
+        """Guards against a notice that is read in acceptances only."""
+
+        async def main(fleet: Fleet) -> None:
+            fleet.register('u1', 'u2')
+            await aio.spawn(fleet.coordinator('n1').run())
+            await fleet.until(lambda: len(fleet.leases.held) == 2)
+            key = (ids.UpstreamId('u1'), registry.Incarnation(1))
+            fleet.leases.fences['u1'] = 1 << 60
+            fleet.leases.leaving.add('u1')
+            await fleet.until(lambda: key in fleet.notices.leaving_since)
+
+        run(main)
+
+        async def release(fleet: Fleet) -> None:
+            fleet.register('u1', 'u2')
+            await aio.spawn(fleet.coordinator('n1').run())
+            await fleet.until(lambda: len(fleet.leases.held) == 2)
+            fleet.leases.leaving_in_releases.add('u1')
+            fleet.register('u1', draining=True)
+            key = (ids.UpstreamId('u1'), registry.Incarnation(1))
+            await fleet.until(lambda: key in fleet.notices.leaving_since)
+
+        run(release)
+
+    def test_no_calls_to_an_owner_after_its_drain_time(self) -> None:
+        """Guards against releases at the address of an ended upstream.
+
+        Its hold ends after the drain time, and then its keys move.
+        """
+
+        async def main(fleet: Fleet) -> None:
+            fleet.register('u1', 'u2')
+            await aio.spawn(fleet.coordinator('n1').run())
+            await fleet.until(lambda: len(fleet.leases.held) == 2)
+            fleet.leases.keeping.add('u1')
+            fleet.leases.leaving.add('u1')
+            await fleet.until(lambda: bool(fleet.notices.leaving_since))
+            (since,) = fleet.notices.leaving_since.values()
+            end = since + upstream_notices.DEFAULT_DRAIN
+            await fleet.until(lambda: fleet.clock.elapsed() > end)
+            calls = [host for _, host, _ in fleet.leases.log].count('u1')
+            self.assertNotEqual(fleet.owners(), {'u2'})
+            await fleet.until(lambda: fleet.owners() == {'u2'})
+            hosts = [host for _, host, _ in fleet.leases.log]
+            self.assertEqual(hosts.count('u1'), calls)
+
+        run(main)
+
+    def test_round_trip_spares_owners_that_leave_or_pause(self) -> None:
+        """Guards against a new connection to an upstream in a pause."""
+
+        async def main(fleet: Fleet) -> None:
+            fleet.register('u1', 'u2', 'u3', 'u4')
+            now = fleet.clock.elapsed()
+            fleet.register('u1', draining=True)
+            leaving = request_meta.UpstreamMeta(
+                request_id=None,
+                signed=True,
+                not_run=False,
+                load=None,
+                leaving=True,
+            )
+            paused = dataclasses.replace(
+                leaving, leaving=False, pause=timedelta(seconds=5)
+            )
+            for name, notice in (('u2', leaving), ('u3', paused)):
+                fleet.notices.record_response(
+                    fake_platform.upstream(name), notice, now
+                )
+            keys = key_map.empty().replace(
+                [
+                    key_map.KeyRange(
+                        first=number,
+                        last=number,
+                        owner=fake_platform.owner(f'u{number}'),
+                        fence=number,
+                    )
+                    for number in range(1, 5)
+                ],
+                next_fence=9,
+            )
+            term = key_coordinator_state.ClaimTerm(
+                address='n1:7200',
+                history=state_store.FIRST_HISTORY,
+                claim_version=1,
+                acquired_version=1,
+                map_row_version=0,
+                renewed_at=now,
+                store_clock_offset=timedelta(),
+                keys=keys,
+                holds=hold_bounds.HoldBounds(inherited=timedelta()),
+                fence=8,
+            )
+            renewer = key_renewal.Renewer(
+                pool=POOL,
+                calls=fleet.leases,
+                owners=key_coordinator_state.OwnerStatus(
+                    fleet.registry, fleet.notices
+                ),
+                longest_hold=LONGEST_HOLD,
+                clock=fleet.clock,
+            )
+            await renewer.settle(term)
+            self.assertEqual(fleet.leases.round_trips, ['u4'])
+
+        run(main)
+
     def test_unresponsive_owner_keeps_its_keys_until_its_hold_ends(
         self,
     ) -> None:
