Reproduce a late answer that ends the bounds of a resumed term

Cause: after a restore a holder resumes its term with the same version of acquisition. A predecessor that was frozen, or whose answer was late, answers the request to step down that was sent before the restore. Its bounds replace those of the resumed term, which cover what the term itself granted.

Evidence: the test. An owner with a hold of 10 s that cannot be connected to loses its keys to another upstream within 3 s.

--- a/tests/test_key_coordinator.py
+++ b/tests/test_key_coordinator.py
@@ -623,6 +623,44 @@
 
         run(main)
 
+    def test_late_answer_to_an_earlier_term_shortens_no_bound(self) -> None:
+        """Guards against keys that move while their owner still holds them.
+
+        A predecessor that had been frozen answered a request to step down
+        that was sent before a restore. Its bounds replaced those of the term
+        that was resumed after it.
+        """
+
+        async def main(fleet: Fleet) -> None:
+            fleet.register('u1', 'u2')
+            first = await aio.spawn(fleet.coordinator('n1').run())
+            await fleet.until(lambda: len(fleet.leases.held) == 2)
+            await first.cancel()
+            fleet.advance_store_clock(5.0)
+            successor = fleet.coordinator('n2')
+            await aio.spawn(successor.run())
+            await fleet.until(lambda: fleet.keys().coordinator == 'n2:7200')
+            fleet.store.down = True
+            await fleet.until(
+                lambda: fleet.leases.holds[-2:] == [LONGEST_HOLD] * 2
+            )
+            fleet.leases.unreachable.add('u1')
+            fleet.store.restore(fleet.store.copy())
+            fleet.store.down = False
+            history = state_store.history_of(fleet.store.version)
+            await fleet.until(lambda: fleet.keys().history == history)
+            self.assertTrue(successor.holds_claim)
+            request = fleet.step_down_requests[0][1]
+            successor.predecessor_stepped_down(
+                fleet_messages.SteppedDown(
+                    pool=POOL, claim_version=request.claim_version, bounds=[]
+                )
+            )
+            await aio.sleep(timedelta(seconds=3))
+            self.assertEqual(fleet.owners(), {'u1', 'u2'})
+
+        run(main)
+
 
 if __name__ == '__main__':
     unittest.main()
