Use a step-down answer only in the term that asked for it

What callers would see: two upstreams serve the same keys (rule OWNER) after a restore of the store.

Cause: a resumed term keeps its version of acquisition, so a late answer to its request from before the restore replaced the bound on what it had granted itself by the bounds of its predecessor.

Evidence: test_late_answer_to_an_earlier_term_shortens_no_bound fails without the change and passes with it.

Change: an answer counts only in a term that has a predecessor, the only one that asks. A resumed term and one with an unproven map have none, so their inherited bounds stay.

--- a/goldcresthaven/key_coordinator.py
+++ b/goldcresthaven/key_coordinator.py
@@ -241,9 +241,16 @@
     def predecessor_stepped_down(
         self, answer: fleet_messages.SteppedDown
     ) -> None:
-        """Use the reported bounds on the predecessor's holds."""
+        """Use the reported bounds on the predecessor's holds.
+
+        A resumed term has asked no one. Its version of acquisition is that
+        of the term before, whose predecessor may still answer; the bounds of
+        that answer do not cover what the earlier term granted itself.
+        """
         term = self._term
-        if term is None or answer.claim_version != term.acquired_version:
+        if term is None or not term.predecessor:
+            return
+        if answer.claim_version != term.acquired_version:
             return
         now = self._clock.elapsed()
         term.holds.set_predecessor_bounds(
