Reproduce a holder that resumes with a map older than its successor's

What callers would see: two upstreams serve the same keys (rule OWNER) for up to 3 s after a restore of the store.

Cause: a term that ended because its claim was not renewed in time is resumed in a new history of the store. It may have had a successor in the history that was lost: the holder was cut off from the store and from the successor, so no request to step down reached it. The successor's claim is not in the copy. The holder then writes its own map, which lacks the successor's moves. The owners reject its fences, which it raises with a write of the map every 12 ms, until it releases the claim. The next holder takes the map for proven and grants by it with fences above all others.

--- a/proofs/coordinator_sim.py
+++ b/proofs/coordinator_sim.py
@@ -7,7 +7,9 @@
 choices derive from the seed. Extended runs add more second copies of
 responses, rejections, short partitions and a slow holder with a full link.
 Runs with copies aim at one case: the last renewals of a holder that loses its
-claim are held back, and copies of earlier responses answer them.
+claim are held back, and copies of earlier responses answer them. So do runs
+with a missed successor: a holder that was cut off from the store and from its
+successor finds a copy of the store that does not know the successor.
 """
 
 from collections.abc import Iterator
@@ -44,6 +46,8 @@
 # A split may outlast the holds that a predecessor can have granted.
 SPLIT_DURATION = 40.0  # seconds
 SPLIT_SHARE = 0.15  # of all runs
+# Covers the longest holds that the successor granted.
+MISSED_SUCCESSOR_DURATION = 30.0  # seconds
 STALLS = (0.05, 0.2, 0.6, 1.2, 3.0)  # seconds
 # Largest ages of the copies from which the store comes back. Most runs are
 # shorter than the last one, so that the copy has no rows.
@@ -204,6 +208,7 @@
         takeover: bool = False,
         copies: bool = False,
         restores: bool = False,
+        missed_successor: bool = False,
     ) -> None:
         rng = random.Random(seed)
         self.loop = virtual_loop.Loop(rng)
@@ -225,6 +230,8 @@
         self.members = [_Member(self, f'n{i}') for i in range(3)]
         if copies:
             self._plan_copies(random.Random(f'copies {seed}'))
+        elif missed_successor:
+            self._plan_missed_successor(random.Random(f'missed {seed}'))
         else:
             self._plan_faults()
         if extended:
@@ -528,6 +535,46 @@
                 self._restore_store(rng, at + rng.uniform(0.1, 4.0))
             self._plan_beside_restore(rng, at)
 
+    def _plan_missed_successor(self, rng: random.Random) -> None:
+        """Let a store without the successor's rows return to its predecessor.
+
+        The successor has moved keys, and is cut off when the store comes
+        back.
+        """
+        self.store.history = state_store.History(1)
+        self.duration = MISSED_SUCCESSOR_DURATION
+        self.loop.at(rng.uniform(5.0, 6.0), lambda: self._miss(rng))
+
+    def _miss(self, rng: random.Random) -> None:
+        holders = [m.name for m in self.members if m.coordinator.holds_claim]
+        if not holders:
+            return
+        holder = holders[0]
+        seconds = rng.uniform(4.2, 6.8)
+        self.isolated = holder
+        self._cut_for([(holder, 'store')], seconds)
+        if rng.random() < 0.5:
+            self.loop.after(rng.uniform(0.0, 1.0), self._add_upstream)
+        else:
+            self.loop.after(rng.uniform(2.2, 3.5), self._drain_upstream)
+
+        def leave() -> None:
+            self.store.outages += 1
+
+        def come_back() -> None:
+            for member in self.members:
+                if member.name != holder and member.coordinator.holds_claim:
+                    self.isolated = member.name
+                    self._cut_for(
+                        [(member.name, 'store')], rng.uniform(3.0, 10.0)
+                    )
+            self.store.restore(seconds + 0.2)
+            self.store.outages -= 1
+
+        outage = rng.choice((0.0, rng.uniform(0.0, 2.5)))
+        self.loop.after(seconds - outage, leave)
+        self.loop.after(seconds, come_back)
+
     def _keep_entry(
         self,
         name: str,
@@ -636,6 +683,7 @@
     takeover: bool = False,
     copies: bool = False,
     restores: bool = False,
+    missed_successor: bool = False,
     log: bool = False,
 ) -> Outcome:
     """Run one schedule and return its violations.
@@ -663,6 +711,7 @@
             takeover=takeover,
             copies=copies,
             restores=restores,
+            missed_successor=missed_successor,
         )
         loops.append(world.loop)
         world.loop.run(world.duration)
--- a/tests/test_coordinator_sim.py
+++ b/tests/test_coordinator_sim.py
@@ -26,6 +26,7 @@
     'unread input or a reset is no orderly close': 7,
     'connections are reset before a bound on their last grants': 13,
 }
+MISSED_SUCCESSOR_SEEDS = (19, 53, 61, 82, 92, 114, 119, 152, 154, 172, 193)
 COPIES_SEEDS = (*range(30), 93, 100, 110, 116, 123, 127, 137, 169)
 
 
@@ -106,6 +107,12 @@
         second = coordinator_sim.run(7, log=True, restores=True)
         self.assertEqual(first.log, second.log)
 
+    def test_missed_successor_leaves_one_owner(self) -> None:
+        """Guards against a holder that resumes with its successor's keys."""
+        for seed in MISSED_SUCCESSOR_SEEDS:
+            outcome = coordinator_sim.run(seed, missed_successor=True)
+            self.assertEqual(outcome.violations, [], seed)
+
     def test_restore_gives_versions_out_again(self) -> None:
         """Guards against a restore that keeps rows or versions."""
         loop = virtual_loop.Loop(random.Random(1))
