Reproduce grants that a killed process still sends

What callers would see: two upstreams serve the same keys (rule OWNER) after a holder of the claim was killed while it was cut off from an upstream.

Cause: a connection is reset only by the process itself. If the process is killed, the operating system closes its connections in order, and goes on sending what was written to them. A renewal that a partition holds back then arrives whenever the partition ends, while the successor's bound covers 3.5 s after the claim. PlatformLeases.close, used at a planned stop, also closed the idle connections in order.

The test fails on this commit.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,6 +8,9 @@
 import pathlib
 import random
 import re
+import select
+import subprocess
+import sys
 from typing import Any
 import unittest
 
@@ -32,6 +35,34 @@
 from tests import fake_platform
 
 ROOT = pathlib.Path(__file__).parent.parent
+# Grants keys over a connection, reports this and keeps the connection.
+GRANT_AND_WAIT = """
+from datetime import timedelta
+import sys
+from goldcresthaven import aio
+from goldcresthaven import clock
+from goldcresthaven import ids
+from goldcresthaven import key_grants
+from goldcresthaven import members
+from goldcresthaven.platform import leases
+
+async def main():
+    calls = leases.PlatformLeases(clock=clock.SystemClock())
+    reply = await calls.grant(
+        ids.UpstreamId('i-1'),
+        members.Address(host='127.0.0.1', port=int(sys.argv[1])),
+        key_grants.Grant(first=0, last=9, fence=4),
+        renewal=None,
+        hold=timedelta(seconds=3),
+        timeout=timedelta(seconds=1),
+        may_send=lambda: True,
+    )
+    assert reply.result is key_grants.GrantResult.GRANTED
+    print('.', end='', flush=True)
+    await aio.sleep(timedelta(seconds=30))
+
+aio.run(main)
+"""
 HOST = '127.0.0.1'
 ENTRY = {
     'addr': '10.128.0.9:8080',
@@ -499,6 +530,44 @@
 
         run(main)
 
+    def test_killed_process_resets_its_connections(self) -> None:
+        """Guards against a grant that arrives long after its sender ended.
+
+        The operating system goes on sending what a process wrote to a
+        connection, for as long as a partition lasts, unless it is reset.
+        """
+        ends: list[str] = []
+
+        async def serve(sock: aio.Socket) -> None:
+            try:
+                while await sock.recv(65536):
+                    await sock.sendall(reply(200))
+                ends.append('closed in order')
+            except ConnectionResetError:
+                ends.append('reset')
+
+        async def main() -> None:
+            listener = aio.Listener(host=HOST, port=0, handler=serve)
+            await listener.start()
+            process = subprocess.Popen(
+                [sys.executable, '-c', GRANT_AND_WAIT, str(listener.port)],
+                stdout=subprocess.PIPE,
+            )
+            assert process.stdout is not None
+            pipe = process.stdout
+            with process:
+                async with aio.timeout(timedelta(seconds=10)):
+                    while not select.select([pipe], [], [], 0)[0]:
+                        await aio.sleep(timedelta(milliseconds=10))
+                process.kill()
+                async with aio.timeout(timedelta(seconds=5)):
+                    while not ends:
+                        await aio.sleep(timedelta(milliseconds=10))
+                self.assertEqual(pipe.read(), b'.')
+
+        run(main)
+        self.assertEqual(ends, ['reset'])
+
     def test_orderly_close_is_told_from_a_reset(self) -> None:
         """Guards against longer bounds after each loss of an upstream."""
 
