Reset connections for grants also when their process is killed

What callers would see: two upstreams serve the same keys (rule OWNER) after a holder of the claim was killed while it was cut off from an upstream.

Cause: the operating system closes the connections of a killed process in order and goes on sending a renewal that a partition holds back.

Change: closing resets a connection for grants or releases from the moment at which it is opened. The operating system then drops what it has not sent, however the connection ends.

--- a/goldcresthaven/http_io.py
+++ b/goldcresthaven/http_io.py
@@ -383,6 +383,10 @@
         self._next_exchange()
         self.exchanges += 1
 
+    def reset_on_close(self) -> None:
+        """Reset the connection at its end, also if the process is killed."""
+        aio.reset_on_close(self._sock)
+
     def limit_unacknowledged(self, duration: timedelta) -> None:
         """Fail if sent bytes stay unacknowledged for longer; 0 disables."""
         if duration != self._unacknowledged:
--- a/goldcresthaven/platform/leases.py
+++ b/goldcresthaven/platform/leases.py
@@ -6,7 +6,8 @@
 Only the first response on a connection is certainly the response to its
 call; each later one may be a second copy of an earlier response. Connections
 for grants are always reset and not closed in order, for the same reason: a
-grant that seems to be answered may still be held back.
+grant that seems to be answered may still be held back. This is set when they
+are opened, so that they are also reset if the process is killed.
 """
 
 from collections.abc import Callable
@@ -264,12 +265,14 @@
     ) -> http_io.UpstreamConn:
         try:
             async with aio.timeout(CONNECT_TIMEOUT):
-                return await conns.take_new(address, limit=MAX_CONNECTIONS)
+                conn = await conns.take_new(address, limit=MAX_CONNECTIONS)
         except errors.DeadlineExceeded as exc:
             raise errors.ConnectionFailed(
                 f'connecting to {address} timed out',
                 remedy='check that the upstream is up and reachable',
             ) from exc
+        conn.reset_on_close()
+        return conn
 
 
 def _may_keep(conn: http_io.UpstreamConn, status: int) -> bool:
--- a/proofs/coordinator_world.py
+++ b/proofs/coordinator_world.py
@@ -188,6 +188,9 @@
     def is_reusable(self) -> bool:
         return not self.stray_input and not self.closed_by_upstream
 
+    def reset_on_close(self) -> None:
+        """Does nothing: bytes of an ended process arrive as without it."""
+
     def note_end(self) -> None:
         self.closed_in_order = not self.stray_input
 
