--- a/proofs/coordinator_sim.py
+++ b/proofs/coordinator_sim.py
@@ -6,6 +6,10 @@
 slows the store, and ends and starts processes and upstreams. All random
 choices derive from the seed. Extended runs add more second copies of
 responses, rejections, short partitions and a slow holder with a full link.
+Runs with copies aim at one case: the last renewals of a holder that loses its
+claim are held back, and copies of earlier responses answer them. So do runs
+with a missed successor: a holder that was cut off from the store and from its
+successor finds a copy of the store that does not know the successor.
 """
 
 from collections.abc import Iterator
@@ -31,6 +35,7 @@
 from goldcresthaven import upstream_notices
 from goldcresthaven import upstream_pool
 from goldcresthaven.platform import leases
+from goldcresthaven.platform import names
 from proofs import coordinator_store
 from proofs import coordinator_world
 from proofs import virtual_loop
@@ -42,6 +47,8 @@
 # A split may outlast the holds that a predecessor can have granted.
 SPLIT_DURATION = 40.0  # seconds
 SPLIT_SHARE = 0.15  # of all runs
+# Covers the longest holds that the successor granted.
+MISSED_SUCCESSOR_DURATION = 30.0  # seconds
 STALLS = (0.05, 0.2, 0.6, 1.2, 3.0)  # seconds
 # Largest ages of the copies from which the store comes back. Most runs are
 # shorter than the last one, so that the copy has no rows.
@@ -202,7 +209,9 @@
         *,
         extended: bool = False,
         takeover: bool = False,
+        copies: bool = False,
         restores: bool = False,
+        missed_successor: bool = False,
     ) -> None:
         rng = random.Random(seed)
         self.loop = virtual_loop.Loop(rng)
@@ -222,7 +231,12 @@
         for i in range(rng.randint(2, 4)):
             self._keep_entry(f'u{i}', self.network.start_upstream(f'u{i}'))
         self.members = [_Member(self, f'n{i}') for i in range(3)]
-        self._plan_faults()
+        if copies:
+            self._plan_copies(random.Random(f'copies {seed}'))
+        elif missed_successor:
+            self._plan_missed_successor(random.Random(f'missed {seed}'))
+        else:
+            self._plan_faults()
         if extended:
             self._plan_extra_faults(random.Random(f'extended {seed}'))
         if takeover:
@@ -337,6 +351,45 @@
                 ),
             )
 
+    def _plan_copies(self, rng: random.Random) -> None:
+        """Answer renewals that are held back by copies of other responses.
+
+        It begins when the holder loses the store. The others cannot reach
+        the upstream, so that the successor relies on the holder's bounds.
+        """
+        self.faults.copies_are_read = True
+        status = rng.choice((200, 200, 409))
+        self.loop.at(
+            rng.uniform(5.0, 7.0), lambda: self._answer_by_copies(rng, status)
+        )
+
+    def _answer_by_copies(self, rng: random.Random, status: int) -> None:
+        holders = [m.name for m in self.members if m.coordinator.holds_claim]
+        if not holders:
+            return
+        holder = holders[0]
+        host = rng.choice(list(self.network.by_address))
+        others = [m.name for m in self.members if m.name != holder]
+        self._cut_for([(name, host) for name in others], 9.0)
+        self._cut_for([(holder, 'store')], 6.0)
+        end = self.loop.now + 4.0
+
+        def hold_back(
+            process: str, conn: coordinator_world.Conn, path: str
+        ) -> None:
+            if (process, conn.upstream.name) != (holder, host):
+                return
+            renewal = path == names.GRANT_PATH and conn.exchanges > 1
+            if not renewal or self.loop.now > end or rng.random() < 0.2:
+                return
+            self._cut_for([(holder, host)], rng.uniform(0.3, 1.25))
+            self.loop.after(
+                rng.uniform(0.005, 0.3),
+                lambda: self.network.send_copy(conn, status),
+            )
+
+        self.network.before_call = hold_back
+
     def _cut_for(self, links: list[tuple[str, str]], seconds: float) -> None:
         self.faults.cut |= set(links)
         self.loop.after(
@@ -485,6 +538,46 @@
                 self._restore_store(rng, at + rng.uniform(0.1, 4.0))
             self._plan_beside_restore(rng, at)
 
+    def _plan_missed_successor(self, rng: random.Random) -> None:
+        """Let a store without the successor's rows return to its predecessor.
+
+        The successor has moved keys, and is cut off when the store comes
+        back.
+        """
+        self.store.history = state_store.History(1)
+        self.duration = MISSED_SUCCESSOR_DURATION
+        self.loop.at(rng.uniform(5.0, 6.0), lambda: self._miss(rng))
+
+    def _miss(self, rng: random.Random) -> None:
+        holders = [m.name for m in self.members if m.coordinator.holds_claim]
+        if not holders:
+            return
+        holder = holders[0]
+        seconds = rng.uniform(4.2, 6.8)
+        self.isolated = holder
+        self._cut_for([(holder, 'store')], seconds)
+        if rng.random() < 0.5:
+            self.loop.after(rng.uniform(0.0, 1.0), self._add_upstream)
+        else:
+            self.loop.after(rng.uniform(2.2, 3.5), self._drain_upstream)
+
+        def leave() -> None:
+            self.store.outages += 1
+
+        def come_back() -> None:
+            for member in self.members:
+                if member.name != holder and member.coordinator.holds_claim:
+                    self.isolated = member.name
+                    self._cut_for(
+                        [(member.name, 'store')], rng.uniform(3.0, 10.0)
+                    )
+            self.store.restore(seconds + 0.2)
+            self.store.outages -= 1
+
+        outage = rng.choice((0.0, rng.uniform(0.0, 2.5)))
+        self.loop.after(seconds - outage, leave)
+        self.loop.after(seconds, come_back)
+
     def _keep_entry(
         self,
         name: str,
@@ -591,7 +684,9 @@
     *,
     extended: bool = False,
     takeover: bool = False,
+    copies: bool = False,
     restores: bool = False,
+    missed_successor: bool = False,
     log: bool = False,
 ) -> Outcome:
     """Run one schedule and return its violations.
@@ -614,7 +709,12 @@
         mock.patch.object(decision_log, 'note', note),
     ):
         world = World(
-            seed, extended=extended, takeover=takeover, restores=restores
+            seed,
+            extended=extended,
+            takeover=takeover,
+            copies=copies,
+            restores=restores,
+            missed_successor=missed_successor,
         )
         loops.append(world.loop)
         world.loop.run(world.duration)
