Add a failing test of a resumption whose answer is lost

What callers would see: when the store comes back from an older copy and the answer to the write with which the holder resumes its claim is lost, no upstream gets a grant for about 18 s. Holds last 3 s, so keyed requests are refused for about 15 s.

Cause: the holder reads its own claim, with the version at which it acquired it, and takes this for the claim of a process that knows more.

Evidence: test_lost_answer_does_not_undo_the_resumption fails; the log has 'claim-taken ... unproven ... inherited holds end in 17.804 s'.

--- a/tests/test_key_coordinator.py
+++ b/tests/test_key_coordinator.py
@@ -623,6 +623,29 @@
 
         run(main)
 
+    def test_lost_answer_does_not_undo_the_resumption(self) -> None:
+        """Guards against owners without grants after a lost answer.
+
+        The answer to the write with which the holder resumes is lost.
+        """
+
+        async def main(fleet: Fleet) -> None:
+            _, copy = await self._move_after_copy(fleet)
+            sent = len(fleet.leases.log)
+            fleet.store.restore(copy)
+            fleet.store.lost_answers = 1
+            await fleet.until(lambda: not fleet.store.lost_answers)
+            # A hold lasts for 3 s, and was renewed at most 0.8 s ago.
+            await aio.sleep(timedelta(seconds=2))
+            granted = {
+                host
+                for kind, host, _ in fleet.leases.log[sent:]
+                if kind == 'grant'
+            }
+            self.assertEqual(granted, {'u1', 'u2', 'u3'})
+
+        run(main)
+
 
 if __name__ == '__main__':
     unittest.main()
