Recognize the claim that a resuming holder wrote without an answer

What callers would see: after a restore of the store, and one lost answer, no upstream gets a grant for about 18 s.

Cause: a resumed claim has the version at which its term acquired it. The holder resumed only if the stored claim was acquired earlier, so that its own write stopped it. It then took the claim as a process that knows only the copy.

Evidence: test_lost_answer_does_not_undo_the_resumption failed before this change and passes with it.

Why it works: only the holder's own resumption can have written a claim of the new history with that version. Nothing is granted before the answer, so the map of the term is still the newest one.

--- a/goldcresthaven/key_coordinator_state.py
+++ b/goldcresthaven/key_coordinator_state.py
@@ -95,13 +95,14 @@
         """Return whether this term may go on in a new history of the store.
 
         ``claim`` is the stored claim. Its holder knows a newer map if it
-        acquired the claim later.
+        acquired the claim later. A claim that was acquired with the version
+        of this term was written to resume it, and the answer was lost.
         """
         if history <= self.history or not self.fences_reserved:
             return False
         if claim is None or claim.history != history:
             return True
-        return claim.acquired < self.acquired_version
+        return claim.acquired <= self.acquired_version
 
     def is_map_proven(self, now: timedelta) -> bool:
         """Return whether no hold under a map that was lost can last."""
