Add failing tests of conflicts before a resumed map is written

What callers would see: after a restore of the store, two upstreams hold the same keys, or no upstream gets keys.

Cause: if the answer to a renewal is lost before the first map of the term is stored, the next write conflicts. The holder then takes the copy's map for its own, with the holder's address and fences, and the version that it has in the older history.

Evidence: test_conflict_after_a_lost_answer_does_not_bring_the_copy_back fails ("u2 gets Grant(first=32768, last=65535, fence=3)" while u3 holds 32768 to 54066), and test_lost_answer_while_waiting_keeps_the_row_writable fails ("0 != 1": the client of the store does not send a write that expects a version of an earlier history).

--- a/tests/test_key_coordinator.py
+++ b/tests/test_key_coordinator.py
@@ -5,10 +5,13 @@
 from datetime import timedelta
 import json
 import random
+from typing import Any
 import unittest
+from unittest import mock
 
 from goldcresthaven import aio
 from goldcresthaven import clock
+from goldcresthaven import errors
 from goldcresthaven import fleet_messages
 from goldcresthaven import hold_bounds
 from goldcresthaven import ids
@@ -646,6 +649,67 @@
 
         run(main)
 
+    def test_conflict_after_a_lost_answer_does_not_bring_the_copy_back(
+        self,
+    ) -> None:
+        """Guards against grants by the copy's map after a resumption.
+
+        The first map of the resumed term is not written, and the answer to
+        the renewal after it is lost. The next write conflicts.
+        """
+
+        async def main(fleet: Fleet) -> None:
+            _, copy = await self._move_after_copy(fleet)
+            moved = fleet.keys()
+            sent = len(fleet.leases.log)
+            fleet.store.restore(copy)
+            write = fleet.store.write
+            maps: list[bool] = []
+
+            async def fail_first_map(**call: Any) -> state_store.WriteResult:
+                with_map = len(call['puts']) > 1
+                if not maps and with_map:
+                    maps.append(True)
+                    fleet.store.lost_answers = 1
+                    raise errors.StoreUnavailable('lost', remedy='none')
+                return await write(**call)
+
+            with mock.patch.object(fleet.store, 'write', fail_first_map):
+                await self._check_moved_keys(fleet, moved, sent)
+            self.assertTrue(maps)
+            for key in range(0, key_map.KEY_COUNT, 1000):
+                self.assertEqual(
+                    fleet.keys().find(key).owner, moved.find(key).owner
+                )
+
+        run(main)
+
+    def test_lost_answer_while_waiting_keeps_the_row_writable(self) -> None:
+        """Guards against a map that a successor can never write.
+
+        A conflict made the successor expect a version of the older history,
+        which the client of the store does not send.
+        """
+
+        async def main(fleet: Fleet) -> None:
+            first, copy = await self._move_after_copy(fleet)
+            await first.cancel()
+            fleet.store.restore(copy)
+            fleet.advance_store_clock(5.0)
+            coordinator = fleet.coordinator('n2')
+            await aio.spawn(coordinator.run())
+            await fleet.until(lambda: coordinator.holds_claim)
+            fleet.store.lost_answers = 1
+            await fleet.until(lambda: not fleet.store.lost_answers)
+            await aio.sleep(timedelta(seconds=1))
+            term = coordinator._term
+            assert term is not None
+            self.assertEqual(
+                state_store.history_of(term.map_row_version), term.history
+            )
+
+        run(main)
+
 
 if __name__ == '__main__':
     unittest.main()
