Keep a resumed map after a conflict with the copy's map

What callers would see: after a restore of the store, two upstreams hold the same keys, or no upstream gets keys until the claim has expired again.

Cause: after a conflict, the holder of a claim took the stored map for its own. Before the first map of a resumed term is stored, that is the copy's map. It names the holder and a limit above its fences, so that grants by it began. Its version is decoded as one of the older history, which the client of the store does not send.

Why it works: all maps are written together with the claim. While the claim is this holder's, a map of another history can therefore only be a copy, and the map of the term stays. The row's own version is expected, and the next write raises all fences as at the begin of a term.

--- a/goldcresthaven/key_coordinator.py
+++ b/goldcresthaven/key_coordinator.py
@@ -310,7 +310,6 @@
                 detail='the store was restored meanwhile',
             )
             return None
-        map_row = _find(maps, self._pool)
         keys = _map_of(maps, self._pool)
         proven = proven and self._is_map_proven(keys, history)
         age = timedelta()
@@ -336,7 +335,7 @@
             history=history,
             claim_version=result.version,
             acquired_version=result.version,
-            map_row_version=map_row.version if map_row else 0,
+            map_row_version=_version_of(maps, self._pool),
             renewed_at=sent,
             store_clock_offset=result.clock - sent,
             keys=keys,
@@ -587,7 +586,12 @@
             return
         term.claim_version = row.version
         term.write_unconfirmed = False
-        self._apply_stored_map(term, _map_of(maps, self._pool))
+        keys = _map_of(maps, self._pool)
+        if keys.history != term.history:
+            # It is not this holder's map, which has to be written first.
+            term.expect_other_map(_version_of(maps, self._pool))
+            return
+        self._apply_stored_map(term, keys)
         term.announced_version = term.keys.version
 
     def _announce_coordinator(
@@ -746,6 +750,11 @@
     return next((row for row in reading.rows if row.key == key), None)
 
 
+def _version_of(reading: state_store.Reading, key: str) -> int:
+    row = _find(reading, key)
+    return state_store.ABSENT if row is None else row.version
+
+
 def _map_of(reading: state_store.Reading, pool: str) -> key_map.KeyMap:
     row = _find(reading, pool)
     if row is None or row.value is None:
--- a/goldcresthaven/key_coordinator_state.py
+++ b/goldcresthaven/key_coordinator_state.py
@@ -189,6 +189,15 @@
             self.renewal_due.pop(transfer.move.target, None)
         return done
 
+    def expect_other_map(self, version: int) -> None:
+        """Keep this term's map although the store has another one.
+
+        That is the one of a copy. It has the row's version ``version``, and
+        is replaced by the next write.
+        """
+        self.map_row_version = version
+        self.fences_reserved = False
+
     def _reassigned(self, transfer: Transfer) -> key_map.KeyRange:
         source = transfer.move.source
         target = transfer.move.target
