Add failing tests of a late reply to a request to step down

Cause: a resumed term keeps the version with which its claim was acquired. A reply of the predecessor to a request from before the restore therefore replaces the bound on the holds that the holder itself has granted since.

--- a/tests/test_coordinator_sim.py
+++ b/tests/test_coordinator_sim.py
@@ -78,6 +78,11 @@
             outcome = coordinator_sim.run(seed, restores=True)
             self.assertEqual(outcome.violations, [], seed)
 
+    def test_late_bounds_do_not_end_the_holds_of_a_resumed_term(self) -> None:
+        """Guards against two owners after a late reply of a predecessor."""
+        outcome = coordinator_sim.run(5840, restores=True)
+        self.assertEqual(outcome.violations, [])
+
     def test_runs_repeat(self) -> None:
         """Guards against a seed that does not reproduce its violation."""
         first = coordinator_sim.run(7, log=True, restores=True)
--- a/tests/test_key_coordinator.py
+++ b/tests/test_key_coordinator.py
@@ -710,6 +710,42 @@
 
         run(main)
 
+    def test_late_bounds_do_not_shorten_the_waits_of_a_resumed_term(
+        self,
+    ) -> None:
+        """Guards against moves while holds from before the restore last.
+
+        A predecessor answers a request to step down from before the restore.
+        It does not know what the holder has granted since.
+        """
+
+        async def main(fleet: Fleet) -> None:
+            fleet.register('u1', 'u2')
+            first = await aio.spawn(fleet.coordinator('n1').run())
+            await fleet.until(lambda: len(fleet.leases.held) == 2)
+            await first.cancel()
+            fleet.advance_store_clock(5.0)
+            holder = fleet.coordinator('n2')
+            await aio.spawn(holder.run())
+            await fleet.until(lambda: bool(fleet.step_down_requests))
+            _, request = fleet.step_down_requests[0]
+            copy = fleet.store.copy()
+            await aio.sleep(timedelta(milliseconds=800))
+            fleet.store.restore(copy)
+            await fleet.until(lambda: not holder.holds_claim)
+            await fleet.until(lambda: holder.holds_claim)
+            term = holder._term
+            assert term is not None
+            before = term.holds.last_end()
+            holder.predecessor_stepped_down(
+                fleet_messages.SteppedDown(
+                    pool=POOL, claim_version=request.claim_version, bounds=[]
+                )
+            )
+            self.assertGreaterEqual(term.holds.last_end(), before)
+
+        run(main)
+
 
 if __name__ == '__main__':
     unittest.main()
