Ignore bounds that were asked for before a term was resumed

What callers would see: after a restore of the store, two upstreams hold the same keys.

Cause: a reply of the predecessor to the term before the restore replaced the bound on the holds that this process has granted itself, because a resumed term keeps the version with which its claim was acquired.

Why it works: a term uses the bounds of a predecessor only if it has one to ask. A resumed or unproven term has none.

--- a/goldcresthaven/key_coordinator.py
+++ b/goldcresthaven/key_coordinator.py
@@ -245,6 +245,10 @@
         term = self._term
         if term is None or answer.claim_version != term.acquired_version:
             return
+        if not term.predecessor:
+            # The term asked nobody. A resumed one inherits this process's own
+            # holds, which a reply to its earlier term does not cover.
+            return
         now = self._clock.elapsed()
         term.holds.set_predecessor_bounds(
             {bound.upstream_id: now + bound.left for bound in answer.bounds}
