Add failing tests of a coordinator without histories

What callers would see: while a release replaces the program and the coordinator is still of the version before, processes of this version apply no change of the configuration or the registry, and read the key map every 30 s.

Cause: the store states an era at all times, so that the versions here contain a history and are above all versions that the other program states. Its reports prove by them that nothing has changed.

--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -298,6 +298,43 @@
 
         entry_harness.run(test)
 
+    def test_reports_without_histories_prove_nothing(self) -> None:
+        """Guards against trust in a coordinator of the version before.
+
+        Its versions have no history, and are below those of this process.
+        """
+
+        async def test() -> None:
+            await self.start()
+            states = self.relay.states
+            self.relay.states = lambda: [  # type: ignore[method-assign]
+                replace(
+                    state,
+                    changed=state_store.number_of(state.changed),
+                    reached=state_store.number_of(state.reached),
+                )
+                for state in states()
+            ]
+            send = self.send
+            self.send = lambda rows: send(  # type: ignore[method-assign]
+                replace(
+                    rows,
+                    base=state_store.number_of(rows.base),
+                    reached=state_store.number_of(rows.reached),
+                    rows=tuple(
+                        replace(
+                            row, version=state_store.number_of(row.version)
+                        )
+                        for row in rows.rows
+                    ),
+                )
+            )
+            await aio.sleep(timedelta(seconds=1))
+            await self.write_config(6)
+            await self.until(lambda p: p.config_version() == 6)
+
+        entry_harness.run(test)
+
 
 class EntryTest(FollowerCase):
     def test_draining_upstream_does_not_become_ready_again(self) -> None:
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -425,6 +425,29 @@
         self.assertIsNone(keys.find(100).owner)
         self.assertFalse(self.known_state.maps_outdated)
 
+    def test_map_versions_without_histories_make_the_map_outdated(
+        self,
+    ) -> None:
+        """Guards against a map that lacks moves by the version before.
+
+        A coordinator of that version states and announces versions without
+        histories, which are below that of the known map.
+        """
+        pool = fake_platform.POOL
+        history = state_store.History(1)
+        version = state_store.version_in(history, 5)
+        self.known_state.maps[pool] = key_map.empty().at_version(version)
+        for stated, outdated in ((5, False), (0, False), (6, True)):
+            self.known_state.maps_outdated = False
+            self.known_state.record_coordinator_report(
+                pool, stated, timedelta()
+            )
+            self.assertEqual(self.known_state.maps_outdated, outdated, stated)
+        self.known_state.maps_outdated = False
+        self.known_state.apply_map_change(self.change(5, 6))
+        self.assertTrue(self.known_state.maps_outdated)
+        self.assertEqual(self.known_state.maps[pool].version, version)
+
     def test_fleet_size_is_estimated_before_the_first_report(self) -> None:
         """Guards against claim reads by every process of a new fleet."""
         self.assertEqual(self.known_state.fleet_size, 1)
