Compare no versions with those of a coordinator without histories

What callers would see: while a release replaces the program and the coordinator is still of the version before, processes of this version apply no change of the configuration or the registry, and learn of moves of keys up to 30 s late.

Cause: their versions contain the store's era and are above all versions that the other program states, so that its reports seemed to prove that they know everything.

Evidence: test_reports_without_histories_prove_nothing and test_map_versions_without_histories_make_the_map_outdated failed before this change and pass with it.

Why it works: a report of an earlier history than the known one replaces no poll, which also holds for a coordinator that has not seen a restore yet. A map version without a history makes a process read the map unless its number is that of the known map.

--- a/goldcresthaven/known_state.py
+++ b/goldcresthaven/known_state.py
@@ -84,6 +84,11 @@
         self._coordinator_reported_at[pool] = now
         if known is None or known.version < map_version:
             self.maps_outdated = True
+        elif (
+            _lacks_history(map_version, known.version)
+            and state_store.number_of(known.version) != map_version
+        ):
+            self.maps_outdated = True
 
     def record_moving(
         self, moving: fleet_messages.Moving, now: timedelta
@@ -143,7 +148,11 @@
         If earlier changes are missing, the follower has to read the map.
         """
         known = self.maps.get(pool)
-        if known is None or known.version < base:
+        if (
+            known is None
+            or known.version < base
+            or _lacks_history(base, known.version)
+        ):
             self.maps_outdated = True
             return None
         return known if known.version == base else None
@@ -164,3 +173,16 @@
             count=len(change.ranges),
             detail='announced',
         )
+
+
+def _lacks_history(stated: int, known: int) -> bool:
+    """Return whether only the known version of a map contains a history.
+
+    The other one was stated by a program of the version before. It is not
+    comparable, even if the known version is higher.
+    """
+    return (
+        stated != state_store.ABSENT
+        and state_store.history_of(stated) == state_store.FIRST_HISTORY
+        and state_store.history_of(known) != state_store.FIRST_HISTORY
+    )
--- a/goldcresthaven/table_relay.py
+++ b/goldcresthaven/table_relay.py
@@ -121,6 +121,12 @@
         """Apply a coordinator's report."""
         if state.age > MAX_ANSWER_AGE or self.reached is None:
             return
+        if state_store.history_of(state.reached) < state_store.history_of(
+            self.reached
+        ):
+            # The coordinator has not seen the last restore, or its program
+            # does not know of restores. The versions cannot be compared.
+            return
         trusted = min(REPORT_TIMEOUT, MAX_ANSWER_AGE - state.age)
         self._trusted_until = max(self._trusted_until, now + trusted)
         if self.reached < state.changed:
