Add a failing test of a map that becomes older after a restore

What callers would see: after a restore of the store, requests are sent to owners from before the last moves and answered with 421, until the holder of the claim has resumed and announced its map. A successor without a map of its own also moves these keys back.

Cause: the row of the copy has a version of the new history, which is above that of the known map. Only the decoded map has the version of the history in which it was written.

Evidence: test_map_of_an_older_copy_does_not_replace_a_newer_one fails ("10 != 20").

--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -377,6 +377,44 @@
 
         aio.run(main)
 
+    def test_map_of_an_older_copy_does_not_replace_a_newer_one(self) -> None:
+        """Guards against requests to owners that the copy still names."""
+
+        def write(fence: int, history: int | None) -> None:
+            stated = None if history is None else state_store.History(history)
+            keys = key_map.empty().replace(
+                (), next_fence=fence, history=stated
+            )
+            self.store.put(
+                state_store.Table.ASSIGNMENTS,
+                fake_platform.POOL,
+                keys.encode(),
+            )
+
+        def limit() -> int:
+            keys = self.known_state.maps.get(fake_platform.POOL)
+            return keys.next_fence if keys is not None else 0
+
+        async def main() -> None:
+            write(10, 0)
+            copy = self.store.copy()
+            write(20, 0)
+            await self.start()
+            await until(lambda: limit() == 20)
+            self.store.restore(copy)
+            reads = self.store.reads
+            await aio.sleep(timedelta(milliseconds=400))
+            self.known_state.maps_outdated = True
+            await until(lambda: not self.known_state.maps_outdated)
+            await until(lambda: self.store.reads > reads)
+            self.assertEqual(limit(), 20)
+            for fence, history in ((30, 1), (40, None)):
+                write(fence, history)
+                self.known_state.maps_outdated = True
+                await until(lambda: limit() == fence)
+
+        aio.run(main)
+
     def test_relay_sends_its_changes(self) -> None:
         """Guards against a coordinator that does not relay a change."""
 
