Keep the known map while the store has an older one

What callers would see: after a restore of the store, requests are sent to owners from before the last moves.

Cause: the version of the copy's row was compared with that of the known map, and not the version that the map has in the history in which it was written.

Evidence: test_map_of_an_older_copy_does_not_replace_a_newer_one failed before this change and passes with it.

Why it works: the decoded version orders maps across a restore.

--- a/goldcresthaven/store_follower.py
+++ b/goldcresthaven/store_follower.py
@@ -444,11 +444,14 @@
             except errors.ProtocolError as exc:
                 decision_log.note('map-unreadable', detail=str(exc))
                 continue
+            if known is not None and known.version >= keys.version:
+                # The store was restored from a copy that has an older map.
+                continue
             self._known_state.maps[pool] = keys
             decision_log.note(
                 'map-applied',
                 pool=pool,
-                map_version=row.version,
+                map_version=keys.version,
                 count=len(keys.ranges),
             )
 
