Add failing tests of two holders that resume in turn

Cause: a holder that was cut off had a successor, which the restore undid, and resumed before that successor did. The successor then took over with its own map, because it had acquired the claim later. Its map lacks what the other one has moved since the restore.

Evidence: the two tests fail.

--- a/tests/test_coordinator_sim.py
+++ b/tests/test_coordinator_sim.py
@@ -78,6 +78,11 @@
             outcome = coordinator_sim.run(seed, restores=True)
             self.assertEqual(outcome.violations, [], seed)
 
+    def test_earlier_holder_that_resumes_first_is_not_ignored(self) -> None:
+        """Guards against two owners after two holders resumed in turn."""
+        outcome = coordinator_sim.run(1254, restores=True)
+        self.assertEqual(outcome.violations, [])
+
     def test_late_bounds_do_not_end_the_holds_of_a_resumed_term(self) -> None:
         """Guards against two owners after a late reply of a predecessor."""
         outcome = coordinator_sim.run(5840, restores=True)
--- a/tests/test_key_coordinator.py
+++ b/tests/test_key_coordinator.py
@@ -746,6 +746,42 @@
 
         run(main)
 
+    def test_holder_waits_if_an_earlier_holder_resumed_first(self) -> None:
+        """Guards against grants by a map that lacks another holder's moves.
+
+        A holder that was cut off, and whose successor the restore undid,
+        resumed before that successor.
+        """
+
+        async def main(fleet: Fleet) -> None:
+            for number in range(5):
+                fleet.store.put(CLAIMS, 'other', b'%d' % number)
+            _, copy = await self._move_after_copy(fleet)
+            fleet.store.restore(copy)
+            history = state_store.history_of(fleet.store.version)
+            earlier = key_claims.Claim(
+                holder='n0',
+                renewed_at=timedelta(seconds=fleet.store.clock),
+                history=history,
+                acquired=1,
+            )
+            fleet.store.put(CLAIMS, POOL, earlier.encode())
+            keys = fleet.keys().replace(
+                (), next_fence=20000, coordinator='n0:7200', history=history
+            )
+            fleet.store.put(MAPS, POOL, keys.encode())
+            await aio.sleep(timedelta(milliseconds=900))
+            sent = len(fleet.leases.log)
+            await aio.sleep(timedelta(seconds=2))
+            self.assertEqual(fleet.leases.log[sent:], [])
+            row = fleet.store.rows[(CLAIMS, POOL)]
+            claim = key_claims.decode(row)
+            assert claim is not None
+            # Other processes still see which holder has granted keys.
+            self.assertEqual((claim.holder, claim.acquired), ('n1', 1))
+
+        run(main)
+
 
 if __name__ == '__main__':
     unittest.main()
