Wait before granting if an earlier holder resumed first

What callers would see: after a restore of the store, two upstreams hold the same keys.

Cause: a holder with a later acquisition took over from one that had resumed with an earlier one, and granted by its own map at once. That map lacks what the other holder has moved since the restore.

Why it works: a term resumes only while nobody has granted keys in the new history. Otherwise the holder with the later acquisition takes the claim, waits until all holds have ended, and uses the fences of the history. Claims state the acquisition of the last holder that has granted keys, so that a holder that only waits hides it from no other process.

--- a/goldcresthaven/key_claims.py
+++ b/goldcresthaven/key_claims.py
@@ -27,7 +27,7 @@
     store's clock. A holder that releases its claim writes zero. ``history``
     is the store's history in which it was written, and None if the program
     that wrote it knew none. ``acquired`` is the version with which the
-    holder took the claim over.
+    last holder that may have granted keys in it took the claim over.
     """
 
     holder: str
@@ -67,6 +67,19 @@
         return None
 
 
+def last_acquisition(claim: Claim | None, row: state_store.Row | None) -> int:
+    """Return with which version the last granting holder took the claim.
+
+    ``claim`` is what the row contains, if it was written in the current
+    history of the store. The result is 0 if nobody granted keys in it.
+    Programs that know no histories do not state the version; it is then at
+    most that of the row.
+    """
+    if claim is not None and claim.history is not None:
+        return claim.acquired
+    return row.version if row else state_store.ABSENT
+
+
 def is_stale(claim: Claim | None, reader: str, clock: timedelta) -> bool:
     """Return whether ``reader`` may take over a claim.
 
--- a/goldcresthaven/key_coordinator.py
+++ b/goldcresthaven/key_coordinator.py
@@ -274,10 +274,15 @@
         self._record_history(history, now)
         proven = self._is_claim_proven(claim, history)
         resumed = self._resumable_term(now)
+        superseded = resumed is not None and resumed.supersedes(claim, history)
         if resumed is not None and not resumed.may_resume(claim, history):
             resumed = None
         if resumed is not None:
             acquired = resumed.acquired_version
+        elif claim is not None and superseded:
+            # Neither map is complete. Its holder stops with its next write.
+            acquired = claim.acquired
+            proven = False
         elif not proven:
             # Its holder may still be granting, and resumes.
             takeover_at = self._history_seen_at + key_claims.STALE_TIMEOUT
@@ -286,7 +291,7 @@
                 return None
             acquired = 0
         elif key_claims.is_stale(claim, self._identity, reading.clock):
-            acquired = row.version if row else 0
+            acquired = key_claims.last_acquisition(claim, row)
         else:
             self._watch.record_claim(claim, reading.clock, now)
             return None
@@ -351,6 +356,7 @@
             term.fence = resumed.fence
         elif not proven:
             term.map_proven_at = inherited
+            term.stated_acquired = acquired
             floor = history * key_coordinator_state.FENCES_PER_HISTORY
             term.fence = max(term.fence, floor)
         elif keys.coordinator != self._address_text:
@@ -521,7 +527,7 @@
             self._claim_key: self._encode_claim(
                 sent + term.store_clock_offset,
                 term.history,
-                term.acquired_version if term.is_map_proven(sent) else 0,
+                term.acquisition(sent),
             )
         }
         if changed:
@@ -637,7 +643,9 @@
                 expected={self._claim_key: term.claim_version},
                 puts={
                     self._claim_key: self._encode_claim(
-                        timedelta(), term.history, term.acquired_version
+                        timedelta(),
+                        term.history,
+                        term.acquisition(self._clock.elapsed()),
                     )
                 },
             )
--- a/goldcresthaven/key_coordinator_state.py
+++ b/goldcresthaven/key_coordinator_state.py
@@ -58,7 +58,9 @@
     and ``map_row_version`` the version of the map's row in it. The map may
     be older than one that the store has lost until ``map_proven_at``; until
     then it is not written and no key is granted. ``is_resumable`` is set if
-    the term ended although no successor is known.
+    the term ended although no successor is known. ``stated_acquired`` is what
+    the claim states as its acquisition until the map is proven: that of a
+    holder which has granted keys in ``history``, or 0.
     """
 
     address: str
@@ -82,6 +84,7 @@
     )
     predecessor: str = ''
     map_proven_at: timedelta = timedelta()
+    stated_acquired: int = 0
     is_resumable: bool = False
     announced_version: int = 0
     fences_reserved: bool = False
@@ -94,20 +97,40 @@
     ) -> bool:
         """Return whether this term may go on in a new history of the store.
 
-        ``claim`` is the stored claim. Its holder knows a newer map if it
-        acquired the claim later. A claim that was acquired with the version
-        of this term was written to resume it, and the answer was lost.
+        ``claim`` is the stored claim. A holder that may have granted keys in
+        the new history has a map that is unknown here. A claim that was
+        acquired with the version of this term was written to resume it, and
+        the answer was lost.
         """
         if history <= self.history or not self.fences_reserved:
             return False
         if claim is None or claim.history != history:
             return True
-        return claim.acquired <= self.acquired_version
+        return claim.acquired in (0, self.acquired_version)
+
+    def supersedes(
+        self, claim: key_claims.Claim | None, history: state_store.History
+    ) -> bool:
+        """Return whether the stored claim's holder grants by an older map.
+
+        It acquired the claim before this term did, and resumed first. This
+        term does not know what that holder has moved in the new history.
+        """
+        if claim is None or claim.history != history:
+            return False
+        known = history > self.history and self.fences_reserved
+        return known and 0 < claim.acquired < self.acquired_version
 
     def is_map_proven(self, now: timedelta) -> bool:
         """Return whether no hold under a map that was lost can last."""
         return now >= self.map_proven_at
 
+    def acquisition(self, now: timedelta) -> int:
+        """Return the version of the acquisition that the claim states."""
+        if self.is_map_proven(now):
+            return self.acquired_version
+        return self.stated_acquired
+
     def is_valid(self, now: timedelta) -> bool:
         """Return whether the claim was renewed recently enough to grant."""
         return now - self.renewed_at < key_claims.CLAIM_VALIDITY
