Add a failing test of two restores before a resumed map is written

What callers would see: when the store is restored twice, and is away again before the holder has stored the map of its resumed term, no upstream gets a grant for about 18 s.

Cause: the resumed term has granted nothing and cannot be resumed itself, but replaces the term before it, which could.

Evidence: test_second_restore_before_the_first_map_is_resumed_too fails; the log has 'resumed', 'claim-lost ... the store was restored' and 'claim-taken ... unproven ... inherited holds end in 17.804 s'.

--- a/tests/test_key_coordinator.py
+++ b/tests/test_key_coordinator.py
@@ -782,6 +782,37 @@
 
         run(main)
 
+    def test_second_restore_before_the_first_map_is_resumed_too(self) -> None:
+        """Guards against owners without grants after two restores.
+
+        The resumed term is ended before it has stored a map.
+        """
+
+        async def main(fleet: Fleet) -> None:
+            _, copy = await self._move_after_copy(fleet)
+            fleet.store.restore(copy)
+            write = fleet.store.write
+
+            async def fail_maps(**call: Any) -> state_store.WriteResult:
+                if len(call['puts']) > 1:
+                    raise errors.StoreUnavailable('lost', remedy='none')
+                return await write(**call)
+
+            with mock.patch.object(fleet.store, 'write', fail_maps):
+                await aio.sleep(timedelta(milliseconds=1200))
+            sent = len(fleet.leases.log)
+            fleet.store.restore(copy)
+            # The term before the first restore was renewed 1.9 s ago.
+            await aio.sleep(timedelta(seconds=2))
+            granted = {
+                host
+                for kind, host, _ in fleet.leases.log[sent:]
+                if kind == 'grant'
+            }
+            self.assertEqual(granted, {'u1', 'u2', 'u3'})
+
+        run(main)
+
 
 if __name__ == '__main__':
     unittest.main()
