Add a failing test of a refused process after a restore

What callers would see: a process that the store refuses does not use upstreams that register, nor notice those that leave, although a coordinator relays both.

Cause: the full read that is due 2.3 s after a restore drops the known position in the registry before it has succeeded. Without a position, a process accepts no relayed rows.

Evidence: test_refused_process_still_applies_relayed_entries fails ("other: not reached" after 2 s).

--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -415,6 +415,34 @@
 
         entry_harness.run(test)
 
+    def test_refused_process_still_applies_relayed_entries(self) -> None:
+        """Guards against a process that drops what a coordinator relays.
+
+        The store refuses it when the full read after a restore is due.
+        """
+
+        async def test() -> None:
+            await self.start()
+            await self.restore()
+            await self.until(
+                lambda p: (
+                    state_store.history_of(p.known_state.registry.version)
+                    == self.store.era
+                )
+            )
+            listener = await entry_harness.listen(server.serve_with(refuse))
+            self.other.client._address = members.Address(
+                host=entry_harness.HOST, port=listener.port
+            )
+            await aio.sleep(registry.LAPSED_ENTRY_GRACE + LIMIT)
+            await self.register('new')
+            await self.until(lambda p: p.uses('new'))
+
+        async def refuse(exchange: server.Exchange) -> None:
+            await exchange.conn.abort()
+
+        entry_harness.run(test)
+
 
 class ClientTest(EraCase):
     def test_expected_version_of_the_older_era_does_not_match(self) -> None:
