Accept relayed rows until a scheduled full read succeeds

What callers would see: after a restore, a process that the store refuses neither uses upstreams that register nor notices those that leave.

Cause: the full read at the end of the grace period dropped the known position before it succeeded, and without a position no relayed rows are accepted.

Evidence: test_refused_process_still_applies_relayed_entries failed before this change and passes with it.

Why it works: the position stays, and the full read stays due until it was applied. One that is older than the relayed rows is repeated.

--- a/goldcresthaven/store_follower.py
+++ b/goldcresthaven/store_follower.py
@@ -200,8 +200,8 @@
                     # process did not reach it.
                     failed_since = None
             started = self._clock.elapsed()
-            position.start_due_full_read(started)
-            full = position.reached is None or failed_since is not None
+            due = position.is_full_read_due(started)
+            full = due or position.reached is None or failed_since is not None
             base, answered_at = position.reached, position.answered_at
             try:
                 reading = await self._read_or_watch(
@@ -241,6 +241,8 @@
                 if changes.rows:
                     self._relay_rows(changes)
             rows = position.accept_reading(reading, now, full=full)
+            if due and rows is not None:
+                position.end_full_read()
             if rows or (full and rows is not None):
                 self._apply(table, rows, reading.version, full, changed_since)
             if not rows:
--- a/goldcresthaven/table_relay.py
+++ b/goldcresthaven/table_relay.py
@@ -98,11 +98,16 @@
         """Require a full read from ``at`` on."""
         self._full_read_at = at
 
-    def start_due_full_read(self, now: timedelta) -> None:
-        """Require the scheduled full read if it is due."""
-        if self._full_read_at is not None and now >= self._full_read_at:
-            self._full_read_at = None
-            self.require_full_read()
+    def is_full_read_due(self, now: timedelta) -> bool:
+        """Return whether a scheduled full read has to start.
+
+        Until it has succeeded, relayed rows are accepted as before.
+        """
+        return self._full_read_at is not None and now >= self._full_read_at
+
+    def end_full_read(self) -> None:
+        """Record that the scheduled full read has succeeded."""
+        self._full_read_at = None
 
     def state(
         self, table: state_store.Table, now: timedelta
@@ -163,9 +168,10 @@
         arrive. It differs between processes, so that those that missed the
         same change do not poll at the same time.
         """
-        self.start_due_full_read(now)
         if self.reached is None or now > self._trusted_until:
             return True
+        if self.is_full_read_due(now):
+            return True
         behind = self._behind_since
         return behind is not None and now - behind > ROWS_GRACE + extra_grace
 
