--- a/goldcresthaven/claim_taker.py
+++ b/goldcresthaven/claim_taker.py
@@ -143,10 +143,15 @@
         self._history.record(history, now)
         proven = self._history.is_claim_proven(claim, history)
         resumed = resumable(last, now)
+        superseded = resumed is not None and resumed.supersedes(claim, history)
         if resumed is not None and not resumed.may_resume(claim, history):
             resumed = None
         if resumed is not None:
             acquired = resumed.acquired_version
+        elif claim is not None and superseded:
+            # Neither map is complete. Its holder stops with its next write.
+            acquired = claim.acquired
+            proven = False
         elif not proven:
             # Its holder may still be granting, and resumes.
             takeover_at = self._history.seen_at + key_claims.STALE_TIMEOUT
@@ -155,7 +160,7 @@
                 return None
             acquired = 0
         elif key_claims.is_stale(claim, self._identity, reading.clock):
-            acquired = row.version if row else 0
+            acquired = key_claims.last_acquisition(claim, row)
         else:
             self._watch.record_claim(claim, reading.clock, now)
             return None
@@ -180,7 +185,6 @@
     ) -> key_coordinator_state.ClaimTerm:
         claim = basis.claim
         resumed = basis.resumed
-        map_row = self._rows.find(maps)
         keys = self._rows.map_in(maps)
         proven = basis.proven and self._history.is_map_proven(
             keys, basis.history
@@ -208,7 +212,7 @@
             history=basis.history,
             claim_version=written.version,
             acquired_version=written.version,
-            map_row_version=map_row.version if map_row else 0,
+            map_row_version=self._rows.version_in(maps),
             renewed_at=renewed_at,
             store_clock_offset=written.clock - renewed_at,
             keys=keys,
@@ -220,6 +224,7 @@
             term.fence = resumed.fence
         elif not proven:
             term.map_proven_at = inherited
+            term.stated_acquired = basis.acquired
             floor = basis.history * key_coordinator_state.FENCES_PER_HISTORY
             term.fence = max(term.fence, floor)
         elif keys.coordinator != self._address:
--- a/goldcresthaven/claim_writer.py
+++ b/goldcresthaven/claim_writer.py
@@ -86,7 +86,9 @@
         """End the term, so that another process can take the claim at once."""
         term.end_reason = why
         claim = self._claim(
-            term, renewed_at=timedelta(), acquired=term.acquired_version
+            term,
+            renewed_at=timedelta(),
+            acquired=term.acquisition(self._clock.elapsed()),
         )
         try:
             await self._rows.write_claim(claim, expected=term.claim_version)
@@ -130,7 +132,7 @@
         claim = self._claim(
             term,
             renewed_at=sent + term.store_clock_offset,
-            acquired=term.acquired_version if term.is_map_proven(sent) else 0,
+            acquired=term.acquisition(sent),
         )
         if changed:
             result = await self._rows.write_claim_and_map(
@@ -205,7 +207,12 @@
             return
         term.claim_version = row.version
         term.write_unconfirmed = False
-        self._apply_stored_map(term, self._rows.map_in(maps))
+        keys = self._rows.map_in(maps)
+        if keys.history != term.history:
+            # It is not this holder's map, which has to be written first.
+            term.expect_other_map(self._rows.version_in(maps))
+            return
+        self._apply_stored_map(term, keys)
         term.announced_version = term.keys.version
 
     def _announce_coordinator(
--- a/goldcresthaven/key_rows.py
+++ b/goldcresthaven/key_rows.py
@@ -37,6 +37,11 @@
             (row for row in reading.rows if row.key == self._pool), None
         )
 
+    def version_in(self, reading: state_store.Reading) -> int:
+        """Return the version of the pool's row in one of the tables."""
+        row = self.find(reading)
+        return state_store.ABSENT if row is None else row.version
+
     def map_in(self, maps: state_store.Reading) -> key_map.KeyMap:
         """Decode the pool's map; raises ProtocolError if it is malformed."""
         row = self.find(maps)
--- a/tests/test_key_coordinator.py
+++ b/tests/test_key_coordinator.py
@@ -6,10 +6,13 @@
 from datetime import timedelta
 import json
 import random
+from typing import Any
 import unittest
+from unittest import mock
 
 from goldcresthaven import aio
 from goldcresthaven import clock
+from goldcresthaven import errors
 from goldcresthaven import fleet_messages
 from goldcresthaven import hold_bounds
 from goldcresthaven import ids
@@ -810,6 +813,193 @@
 
         run(main)
 
+    def test_lost_answer_does_not_undo_the_resumption(self) -> None:
+        """Guards against owners without grants after a lost answer.
+
+        The answer to the write with which the holder resumes is lost.
+        """
+
+        async def main(fleet: Fleet) -> None:
+            _, copy = await self._move_after_copy(fleet)
+            sent = len(fleet.leases.log)
+            fleet.store.restore(copy)
+            fleet.store.lost_answers = 1
+            await fleet.until(lambda: not fleet.store.lost_answers)
+            # A hold lasts for 3 s, and was renewed at most 0.8 s ago.
+            await aio.sleep(timedelta(seconds=2))
+            granted = {
+                host
+                for kind, host, _ in fleet.leases.log[sent:]
+                if kind == 'grant'
+            }
+            self.assertEqual(granted, {'u1', 'u2', 'u3'})
+
+        run(main)
+
+    def test_conflict_after_a_lost_answer_does_not_bring_the_copy_back(
+        self,
+    ) -> None:
+        """Guards against grants by the copy's map after a resumption.
+
+        The first map of the resumed term is not written, and the answer to
+        the renewal after it is lost. The next write conflicts.
+        """
+
+        async def main(fleet: Fleet) -> None:
+            _, copy = await self._move_after_copy(fleet)
+            moved = fleet.keys()
+            sent = len(fleet.leases.log)
+            fleet.store.restore(copy)
+            write = fleet.store.write
+            maps: list[bool] = []
+
+            async def fail_first_map(**call: Any) -> state_store.WriteResult:
+                with_map = len(call['puts']) > 1
+                if not maps and with_map:
+                    maps.append(True)
+                    fleet.store.lost_answers = 1
+                    raise errors.StoreUnavailable('lost', remedy='none')
+                return await write(**call)
+
+            with mock.patch.object(fleet.store, 'write', fail_first_map):
+                await self._check_moved_keys(fleet, moved, sent)
+            self.assertTrue(maps)
+            for key in range(0, key_map.KEY_COUNT, 1000):
+                self.assertEqual(
+                    fleet.keys().find(key).owner, moved.find(key).owner
+                )
+
+        run(main)
+
+    def test_lost_answer_while_waiting_keeps_the_row_writable(self) -> None:
+        """Guards against a map that a successor can never write.
+
+        A conflict made the successor expect a version of the older history,
+        which the client of the store does not send.
+        """
+
+        async def main(fleet: Fleet) -> None:
+            first, copy = await self._move_after_copy(fleet)
+            await first.cancel()
+            fleet.store.restore(copy)
+            fleet.advance_store_clock(5.0)
+            coordinator = fleet.coordinator('n2')
+            await aio.spawn(coordinator.run())
+            await fleet.until(lambda: coordinator.holds_claim)
+            fleet.store.lost_answers = 1
+            await fleet.until(lambda: not fleet.store.lost_answers)
+            await aio.sleep(timedelta(seconds=1))
+            term = coordinator._term
+            assert term is not None
+            self.assertEqual(
+                state_store.history_of(term.map_row_version), term.history
+            )
+
+        run(main)
+
+    def test_late_bounds_do_not_shorten_the_waits_of_a_resumed_term(
+        self,
+    ) -> None:
+        """Guards against moves while holds from before the restore last.
+
+        A predecessor answers a request to step down from before the restore.
+        It does not know what the holder has granted since.
+        """
+
+        async def main(fleet: Fleet) -> None:
+            fleet.register('u1', 'u2')
+            first = await aio.spawn(fleet.coordinator('n1').run())
+            await fleet.until(lambda: len(fleet.leases.held) == 2)
+            await first.cancel()
+            fleet.advance_store_clock(5.0)
+            holder = fleet.coordinator('n2')
+            await aio.spawn(holder.run())
+            await fleet.until(lambda: bool(fleet.step_down_requests))
+            _, request = fleet.step_down_requests[0]
+            copy = fleet.store.copy()
+            await aio.sleep(timedelta(milliseconds=800))
+            fleet.store.restore(copy)
+            await fleet.until(lambda: not holder.holds_claim)
+            await fleet.until(lambda: holder.holds_claim)
+            term = holder._term
+            assert term is not None
+            before = term.holds.last_end()
+            holder.predecessor_stepped_down(
+                fleet_messages.SteppedDown(
+                    pool=POOL, claim_version=request.claim_version, bounds=[]
+                )
+            )
+            self.assertGreaterEqual(term.holds.last_end(), before)
+
+        run(main)
+
+    def test_holder_waits_if_an_earlier_holder_resumed_first(self) -> None:
+        """Guards against grants by a map that lacks another holder's moves.
+
+        A holder that was cut off, and whose successor the restore undid,
+        resumed before that successor.
+        """
+
+        async def main(fleet: Fleet) -> None:
+            for number in range(5):
+                fleet.store.put(CLAIMS, 'other', b'%d' % number)
+            _, copy = await self._move_after_copy(fleet)
+            fleet.store.restore(copy)
+            history = state_store.history_of(fleet.store.version)
+            earlier = key_claims.Claim(
+                holder='n0',
+                renewed_at=timedelta(seconds=fleet.store.clock),
+                history=history,
+                acquired=1,
+            )
+            fleet.store.put(CLAIMS, POOL, earlier.encode())
+            keys = fleet.keys().replace(
+                (), next_fence=20000, coordinator='n0:7200', history=history
+            )
+            fleet.store.put(MAPS, POOL, keys.encode())
+            await aio.sleep(timedelta(milliseconds=900))
+            sent = len(fleet.leases.log)
+            await aio.sleep(timedelta(seconds=2))
+            self.assertEqual(fleet.leases.log[sent:], [])
+            row = fleet.store.rows[(CLAIMS, POOL)]
+            claim = key_claims.decode(row)
+            assert claim is not None
+            # Other processes still see which holder has granted keys.
+            self.assertEqual((claim.holder, claim.acquired), ('n1', 1))
+
+        run(main)
+
+    def test_second_restore_before_the_first_map_is_resumed_too(self) -> None:
+        """Guards against owners without grants after two restores.
+
+        The resumed term is ended before it has stored a map.
+        """
+
+        async def main(fleet: Fleet) -> None:
+            _, copy = await self._move_after_copy(fleet)
+            fleet.store.restore(copy)
+            write = fleet.store.write
+
+            async def fail_maps(**call: Any) -> state_store.WriteResult:
+                if len(call['puts']) > 1:
+                    raise errors.StoreUnavailable('lost', remedy='none')
+                return await write(**call)
+
+            with mock.patch.object(fleet.store, 'write', fail_maps):
+                await aio.sleep(timedelta(milliseconds=1200))
+            sent = len(fleet.leases.log)
+            fleet.store.restore(copy)
+            # The term before the first restore was renewed 1.9 s ago.
+            await aio.sleep(timedelta(seconds=2))
+            granted = {
+                host
+                for kind, host, _ in fleet.leases.log[sent:]
+                if kind == 'grant'
+            }
+            self.assertEqual(granted, {'u1', 'u2', 'u3'})
+
+        run(main)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -377,6 +377,44 @@
 
         aio.run(main)
 
+    def test_map_of_an_older_copy_does_not_replace_a_newer_one(self) -> None:
+        """Guards against requests to owners that the copy still names."""
+
+        def write(fence: int, history: int | None) -> None:
+            stated = None if history is None else state_store.History(history)
+            keys = key_map.empty().replace(
+                (), next_fence=fence, history=stated
+            )
+            self.store.put(
+                state_store.Table.ASSIGNMENTS,
+                fake_platform.POOL,
+                keys.encode(),
+            )
+
+        def limit() -> int:
+            keys = self.known_state.maps.get(fake_platform.POOL)
+            return keys.next_fence if keys is not None else 0
+
+        async def main() -> None:
+            write(10, 0)
+            copy = self.store.copy()
+            write(20, 0)
+            await self.start()
+            await until(lambda: limit() == 20)
+            self.store.restore(copy)
+            reads = self.store.reads
+            await aio.sleep(timedelta(milliseconds=400))
+            self.known_state.maps_outdated = True
+            await until(lambda: not self.known_state.maps_outdated)
+            await until(lambda: self.store.reads > reads)
+            self.assertEqual(limit(), 20)
+            for fence, history in ((30, 1), (40, None)):
+                write(fence, history)
+                self.known_state.maps_outdated = True
+                await until(lambda: limit() == fence)
+
+        aio.run(main)
+
     def test_relay_sends_its_changes(self) -> None:
         """Guards against a coordinator that does not relay a change."""
 
@@ -425,6 +463,29 @@
         self.assertIsNone(keys.find(100).owner)
         self.assertFalse(self.known_state.maps_outdated)
 
+    def test_map_versions_without_histories_make_the_map_outdated(
+        self,
+    ) -> None:
+        """Guards against a map that lacks moves by the version before.
+
+        A coordinator of that version states and announces versions without
+        histories, which are below that of the known map.
+        """
+        pool = fake_platform.POOL
+        history = state_store.History(1)
+        version = state_store.version_in(history, 5)
+        self.known_state.maps[pool] = key_map.empty().at_version(version)
+        for stated, outdated in ((5, False), (0, False), (6, True)):
+            self.known_state.maps_outdated = False
+            self.known_state.record_coordinator_report(
+                pool, stated, timedelta()
+            )
+            self.assertEqual(self.known_state.maps_outdated, outdated, stated)
+        self.known_state.maps_outdated = False
+        self.known_state.apply_map_change(self.change(5, 6))
+        self.assertTrue(self.known_state.maps_outdated)
+        self.assertEqual(self.known_state.maps[pool].version, version)
+
     def test_fleet_size_is_estimated_before_the_first_report(self) -> None:
         """Guards against claim reads by every process of a new fleet."""
         self.assertEqual(self.known_state.fleet_size, 1)
