Let no map of a holder that missed its successor come into force

What callers would see: two upstreams serve the same keys (rule OWNER) for up to 3 s after a restore of the store.

Cause: a holder that was cut off from the store and from its successor resumed in the new history with its older map, and the next holder took that map for proven.

Change: a claim that was resumed keeps the acquired version of the earlier history until every owner has accepted a fence of the term, or until all that a successor granted has ended. Until then another process that takes it over treats the map as unproven, and keys of owners that have accepted nothing do not move before that end. An owner that rejects a fence has accepted a successor's, because the holder's own fences only rise; it ends the term.

Why it works: a successor raises the fence of each owner that it reached before it moves the owner's keys, and cannot move those of the others before the bound on its predecessor, which lies beyond RESUME_LIMIT.

--- a/goldcresthaven/hold_bounds.py
+++ b/goldcresthaven/hold_bounds.py
@@ -115,12 +115,19 @@
 
     ``inherited`` bounds the holds that earlier holders of the claim may
     have granted. After an owner has accepted a fence, the bound given to
-    ``record_accepted`` applies if it is earlier. Neither applies to the
-    fence of keys that nobody held when they moved.
+    ``record_accepted`` applies if it is earlier, and ``inherited_if_accepted``
+    if it is given. None applies to the fence of keys that nobody held when
+    they moved.
     """
 
-    def __init__(self, *, inherited: timedelta) -> None:
+    def __init__(
+        self,
+        *,
+        inherited: timedelta,
+        inherited_if_accepted: timedelta | None = None,
+    ) -> None:
         self._inherited = inherited
+        self._inherited_if_accepted = inherited_if_accepted
         self._predecessor: dict[ids.UpstreamId, timedelta] | None = None
         self._unheld: set[int] = set()
         self._accepted_until: dict[int, timedelta] = {}
@@ -235,9 +242,16 @@
         a range that was split therefore changes nothing.
         """
         granted_keys = (key_range.first, key_range.last)
+        if self._inherited_if_accepted is not None:
+            until = min(until, self._inherited_if_accepted)
         if self._ranges_by_fence.get(key_range.fence) == granted_keys:
             self._accepted_until.setdefault(key_range.fence, until)
 
+    def are_accepted(self, fences: Iterable[int], now: timedelta) -> bool:
+        """Return whether inherited holds of other owners are excluded."""
+        known = self._accepted_until.keys() | self._unheld
+        return now >= self._inherited or known.issuperset(fences)
+
     def record_unheld(self, fence: int) -> None:
         """Record the fence of keys that nobody held when they moved."""
         self._unheld.add(fence)
--- a/goldcresthaven/key_claims.py
+++ b/goldcresthaven/key_claims.py
@@ -27,7 +27,8 @@
     store's clock. A holder that releases its claim writes zero. ``history``
     is the store's history in which it was written, and None if the program
     that wrote it knew none. ``acquired`` is the version with which the
-    holder took the claim over.
+    holder took the claim over, zero while its map is unproven, and of an
+    earlier history while a holder that resumed may have had a successor.
     """
 
     holder: str
@@ -49,6 +50,12 @@
         """Return whether no later claim can have been lost by a restore."""
         return self.history is None or self.history == history
 
+    def is_map_proven(self) -> bool:
+        """Return whether the holder's map is the newest for certain."""
+        if self.history is None:
+            return True
+        return state_store.history_of(self.acquired) >= self.history
+
 
 def decode(row: state_store.Row | None) -> Claim | None:
     """Decode a claim's row; None if it is missing or malformed."""
--- a/goldcresthaven/key_coordinator.py
+++ b/goldcresthaven/key_coordinator.py
@@ -16,6 +16,10 @@
 they may have had successors that it has lost. The last holder, which knows its
 map, resumes with it. Another process takes over only when no holder does, and
 grants no key before every hold that an unknown holder granted has ended.
+
+A holder that resumes may have missed a successor, if it was cut off from it.
+Until all owners have accepted its fences, no other process trusts its map. An
+owner that rejects them shows that there was a successor, and ends the term.
 """
 
 from collections.abc import Callable
@@ -289,7 +293,8 @@
                 return None
             acquired = 0
         elif key_claims.is_stale(claim, self._identity, reading.clock):
-            acquired = row.version if row else 0
+            map_proven = claim is None or claim.is_map_proven()
+            acquired = row.version if row and map_proven else 0
         else:
             self._watch.record_claim(claim, reading.clock, now)
             return None
@@ -320,13 +325,21 @@
         map_row = _find(maps, self._pool)
         keys = _map_of(maps, self._pool)
         proven = proven and self._is_map_proven(keys, history)
+        if claim is not None and keys.version != state_store.ABSENT:
+            proven = proven and claim.is_map_proven()
         age = timedelta()
+        own_end: timedelta | None = None
         if resumed is not None:
             keys = resumed.keys
-            inherited = min(
+            own_end = min(
                 resumed.holds.last_end(),
                 hold_bounds.inherited_end(taken, self._longest_hold),
             )
+            # A successor that the store has lost may still be granting to
+            # owners that accept no fence of this term.
+            inherited = hold_bounds.inherited_end(
+                taken + key_claims.CLAIM_VALIDITY, self._longest_hold
+            )
         else:
             # An earlier holder may grant the longest hold until its claim is
             # no longer valid. An unproven claim does not show its renewal.
@@ -347,7 +360,9 @@
             renewed_at=sent,
             store_clock_offset=result.clock - sent,
             keys=keys,
-            holds=hold_bounds.HoldBounds(inherited=inherited),
+            holds=hold_bounds.HoldBounds(
+                inherited=inherited, inherited_if_accepted=own_end
+            ),
             fence=keys.next_fence,
         )
         if resumed is not None:
@@ -511,6 +526,7 @@
         another holder may have used all fences below the old limit.
         """
         sent = self._clock.elapsed()
+        term.exclude_successor(sent)
         keys = term.keys
         map_due = (
             bool(ready) or term.needs_fences() or not term.fences_reserved
--- a/goldcresthaven/key_coordinator_state.py
+++ b/goldcresthaven/key_coordinator_state.py
@@ -58,7 +58,9 @@
     and ``map_row_version`` the version of the map's row in it. The map may
     be older than one that the store has lost until ``map_proven_at``; until
     then it is not written and no key is granted. ``is_resumable`` is set if
-    the term ended although no successor is known.
+    the term ended although no successor is known. A term that was resumed has
+    an ``acquired_version`` of an earlier history until it is certain that it
+    had no successor there.
     """
 
     address: str
@@ -103,6 +105,33 @@
             return True
         return claim.acquired < self.acquired_version
 
+    def may_have_successor(self) -> bool:
+        """Return whether a history that was lost may have had a later claim.
+
+        Such a successor has raised the fence of each owner that it reached,
+        before it moved any of the owner's keys.
+        """
+        return state_store.history_of(self.acquired_version) < self.history
+
+    def exclude_successor(self, now: timedelta) -> None:
+        """Note it if no successor of a resumed term can have moved keys.
+
+        All owners have accepted fences of this term, or all that a successor
+        granted has ended.
+        """
+        owned = [r.fence for r in self.keys.ranges if r.owner is not None]
+        if self.may_have_successor() and self.fences_reserved:
+            if self.holds.are_accepted(owned, now):
+                self.acquired_version = self.claim_version
+
+    def record_rejection(self) -> None:
+        """Record that an owner has accepted a higher fence than this term's.
+
+        A term that was resumed had a successor then, so its map is old.
+        """
+        if self.may_have_successor():
+            self.end_reason = self.end_reason or 'a successor was missed'
+
     def is_map_proven(self, now: timedelta) -> bool:
         """Return whether no hold under a map that was lost can last."""
         return now >= self.map_proven_at
--- a/goldcresthaven/key_release.py
+++ b/goldcresthaven/key_release.py
@@ -204,6 +204,8 @@
             case key_grants.GrantResult.NO_RESPONSE:
                 term.holds.record_unanswered(grant, now)
                 return None, grant
+            case key_grants.GrantResult.FENCED_OFF:
+                term.record_rejection()
         term.holds.record_refused(grant)
         return None, None
 
--- a/goldcresthaven/key_renewal.py
+++ b/goldcresthaven/key_renewal.py
@@ -222,6 +222,8 @@
             term.handovers.pop(key_range.fence, None)
             term.failing_since.pop(owner, None)
             return True
+        if result is key_grants.GrantResult.FENCED_OFF:
+            term.record_rejection()
         if result is key_grants.GrantResult.NO_RESPONSE:
             term.holds.record_unanswered(grant, now)
         else:
--- a/tests/test_coordinator_sim.py
+++ b/tests/test_coordinator_sim.py
@@ -112,6 +112,8 @@
         for seed in MISSED_SUCCESSOR_SEEDS:
             outcome = coordinator_sim.run(seed, missed_successor=True)
             self.assertEqual(outcome.violations, [], seed)
+        outcome = coordinator_sim.run(1254, restores=True)
+        self.assertEqual(outcome.violations, [])
 
     def test_restore_gives_versions_out_again(self) -> None:
         """Guards against a restore that keeps rows or versions."""
