--- a/goldcresthaven/claim_taker.py
+++ b/goldcresthaven/claim_taker.py
@@ -7,6 +7,10 @@
 they may have had successors that it has lost. The last holder, which knows its
 map, resumes with it. Another process takes over only when no holder does, and
 grants no key before every hold that an unknown holder granted has ended.
+
+A holder that resumes may have missed a successor, if it was cut off from it.
+Until all owners have accepted its fences, no other process trusts its map. An
+owner that rejects them shows that there was a successor, and ends the term.
 """
 
 from collections.abc import Callable
@@ -189,13 +193,21 @@
         proven = basis.proven and self._history.is_map_proven(
             keys, basis.history
         )
+        if claim is not None and keys.version != state_store.ABSENT:
+            proven = proven and claim.is_map_proven()
         age = timedelta()
+        own_end: timedelta | None = None
         if resumed is not None:
             keys = resumed.keys
-            inherited = min(
+            own_end = min(
                 resumed.holds.last_end(),
                 hold_bounds.inherited_end(taken, self._longest_hold),
             )
+            # A successor that the store has lost may still be granting to
+            # owners that accept no fence of this term.
+            inherited = hold_bounds.inherited_end(
+                taken + key_claims.CLAIM_VALIDITY, self._longest_hold
+            )
         else:
             # An earlier holder may grant the longest hold until its claim is
             # no longer valid. An unproven claim does not show its renewal.
@@ -216,7 +228,9 @@
             renewed_at=renewed_at,
             store_clock_offset=written.clock - renewed_at,
             keys=keys,
-            holds=hold_bounds.HoldBounds(inherited=inherited),
+            holds=hold_bounds.HoldBounds(
+                inherited=inherited, inherited_if_accepted=own_end
+            ),
             fence=keys.next_fence,
         )
         if resumed is not None:
--- a/goldcresthaven/claim_writer.py
+++ b/goldcresthaven/claim_writer.py
@@ -120,6 +120,7 @@
         another holder may have used all fences below the old limit.
         """
         sent = self._clock.elapsed()
+        term.exclude_successor(sent)
         keys = term.keys
         map_due = (
             bool(ready) or term.needs_fences() or not term.fences_reserved
