Split reading the key maps from the store follower

store_follower (459 lines) followed the configuration and the registry by polls and relays, and the key maps by announcements and occasional reads.

The moved functions are unchanged apart from names. Of 72 tests (test_store_follower, test_fleet_link, test_upstream_failures, test_store_eras, test_table_relay, test_restored_store) 71 pass. RestoredEntryTest.test_ended_upstream_does_not_come_back fails: two grants reach the address of an upstream that has ended.

--- a/goldcresthaven/store_follower.py
+++ b/goldcresthaven/store_follower.py
@@ -5,7 +5,8 @@
 store only while they receive no reports of a coordinator. A poll without an
 answer counts as an outage. If the outage was long enough for entries of the
 registry to expire, the registry starts a grace period when the store answers
-again.
+again. The key maps change by announcements instead; ``map_follower`` reads
+them.
 """
 
 from collections.abc import Callable
@@ -19,8 +20,8 @@
 from goldcresthaven import decision_log
 from goldcresthaven import errors
 from goldcresthaven import ids
-from goldcresthaven import key_map
 from goldcresthaven import known_state as known_state_module
+from goldcresthaven import map_follower
 from goldcresthaven import registry as registry_module
 from goldcresthaven import routes
 from goldcresthaven import state_store
@@ -52,17 +53,6 @@
 MAX_POLL_GAP = timedelta(milliseconds=400)
 # Spreads the calls of processes that have missed the same change.
 MISSED_CHANGE_SPREAD = timedelta(milliseconds=150)
-MAP_CHECK_INTERVAL = timedelta(milliseconds=100)
-# Minimum time between two reads of the key maps by one process.
-MIN_MAP_READ_INTERVAL = timedelta(milliseconds=250)
-# A coordinator sends three reports a second.
-COORDINATOR_TIMEOUT = timedelta(seconds=1.2)
-READ_INTERVAL_WITHOUT_REPORTS = timedelta(seconds=1.5)
-# While the store does not answer, reads of the maps are this much rarer.
-FAILING_READ_FACTOR = 2.0
-# Interval of reads while all known coordinators report. It finds the maps of
-# coordinators that this process does not know yet.
-READ_INTERVAL_WITH_REPORTS = timedelta(seconds=30)
 FIRST_RETRY_PAUSE = timedelta(milliseconds=100)
 # All processes call the store while it is unavailable to a coordinator too. A
 # machine counts as calm again 3 s after an outage.
@@ -113,58 +103,16 @@
         self._relay_rows = relay_rows
         self._clock = clock
         self._rng = rng
+        self._maps = map_follower.MapFollower(
+            store=store, known_state=known_state, clock=clock, rng=rng
+        )
         # Keys of the rows that each table contains, to find removed ones.
         self._present: dict[state_store.Table, set[str]] = {}
 
     async def start(self) -> None:
         await aio.spawn(self._follow(state_store.Table.CONFIG))
         await aio.spawn(self._follow(state_store.Table.REGISTRY))
-        await aio.spawn(self._follow_maps())
-
-    async def _follow_maps(self) -> None:
-        """Read the key maps when announcements are not enough.
-
-        Coordinators announce changes. The store is read at the start, after
-        a missed change, and while a coordinator does not report.
-        """
-        failing = False
-        while True:
-            started = self._clock.elapsed()
-            self._known_state.maps_outdated = False
-            try:
-                reading = await self._store.read(state_store.Table.ASSIGNMENTS)
-                self._known_state.maps_read = True
-                self._apply_maps(reading)
-                failing = False
-            except errors.StoreUnavailable as exc:
-                if not failing:
-                    decision_log.note('maps-unread', detail=str(exc))
-                failing = True
-            await self._wait_until_read_needed(started, failing=failing)
-
-    async def _wait_until_read_needed(
-        self, read_at: timedelta, *, failing: bool
-    ) -> None:
-        jitter = self._rng.uniform(0.7, 1.3)
-        if failing:
-            jitter *= FAILING_READ_FACTOR
-        while True:
-            await aio.sleep(MAP_CHECK_INTERVAL)
-            now = self._clock.elapsed()
-            if now - read_at < MIN_MAP_READ_INTERVAL * jitter:
-                continue
-            if self._known_state.maps_outdated:
-                return
-            report_missing = any(
-                self._known_state.coordinator_report_age(pool, now)
-                > COORDINATOR_TIMEOUT
-                for pool in self._known_state.maps
-            )
-            if not self._known_state.maps or report_missing:
-                if now - read_at > READ_INTERVAL_WITHOUT_REPORTS * jitter:
-                    return
-            elif now - read_at > READ_INTERVAL_WITH_REPORTS * jitter:
-                return
+        await aio.spawn(self._maps.run())
 
     def apply_report(
         self, states: Iterable[table_relay.TableState], now: timedelta
@@ -431,27 +379,6 @@
             )
         self._on_registry(present)
 
-    def _apply_maps(self, reading: state_store.Reading) -> None:
-        for row in reading.rows:
-            if row.value is None:
-                continue
-            pool = ids.PoolName(row.key)
-            known = self._known_state.maps.get(pool)
-            if known is not None and known.version >= row.version:
-                continue
-            try:
-                keys = key_map.decode(row.value, version=row.version)
-            except errors.ProtocolError as exc:
-                decision_log.note('map-unreadable', detail=str(exc))
-                continue
-            self._known_state.maps[pool] = keys
-            decision_log.note(
-                'map-applied',
-                pool=pool,
-                map_version=row.version,
-                count=len(keys.ranges),
-            )
-
 
 def _state_of(upstream: registry_module.Upstream | None) -> str:
     if upstream is None:
