Add failing tests of the holds of a successor that a restore undid

Cause: a holder that does not reach the store may have had a successor, which the restore undid. When it resumes, it counts only the holds that it granted itself, and reports only these to the next holder.

Evidence: the two tests fail.

--- a/tests/test_coordinator_sim.py
+++ b/tests/test_coordinator_sim.py
@@ -83,6 +83,11 @@
         outcome = coordinator_sim.run(1254, restores=True)
         self.assertEqual(outcome.violations, [])
 
+    def test_holds_of_a_lost_successor_count(self) -> None:
+        """Guards against moves while an unknown holder's grants last."""
+        outcome = coordinator_sim.run(18330, restores=True)
+        self.assertEqual(outcome.violations, [])
+
     def test_late_bounds_do_not_end_the_holds_of_a_resumed_term(self) -> None:
         """Guards against two owners after a late reply of a predecessor."""
         outcome = coordinator_sim.run(5840, restores=True)
--- a/tests/test_key_coordinator.py
+++ b/tests/test_key_coordinator.py
@@ -813,6 +813,33 @@
 
         run(main)
 
+    def test_resumed_term_counts_the_holds_of_a_lost_successor(self) -> None:
+        """Guards against moves while an unknown holder's grants last.
+
+        The holder did not reach the store for long enough that another
+        process may have taken over before the restore.
+        """
+
+        async def main(fleet: Fleet) -> None:
+            fleet.register('u1', 'u2')
+            holder = fleet.coordinator('n1')
+            await aio.spawn(holder.run())
+            await fleet.until(lambda: len(fleet.leases.held) == 2)
+            copy = fleet.store.copy()
+            fleet.store.down = True
+            await aio.sleep(key_claims.STALE_TIMEOUT)
+            fleet.store.down = False
+            fleet.store.restore(copy)
+            await fleet.until(lambda: not holder.holds_claim)
+            await fleet.until(lambda: holder.holds_claim)
+            term = holder._term
+            assert term is not None
+            self.assertGreater(
+                term.holds.last_end() - fleet.clock.elapsed(), LONGEST_HOLD
+            )
+
+        run(main)
+
 
 if __name__ == '__main__':
     unittest.main()
