Count the holds of a successor that a restore undid

What callers would see: after a restore of the store, two upstreams hold the same keys.

Cause: a holder that had not reached the store resumed with the bounds of its own holds only, although a successor may have granted keys before the restore.

Why it works: a successor may exist once the claim is stale. A term that was renewed longer ago inherits the bound of an unknown holder, as at a takeover. Owners keep their keys and are renewed at once; only moves from owners that do not confirm a release wait longer.

--- a/goldcresthaven/key_coordinator.py
+++ b/goldcresthaven/key_coordinator.py
@@ -324,14 +324,16 @@
         age = timedelta()
         if resumed is not None:
             keys = resumed.keys
+        if resumed is not None and resumed.was_sole(now):
             inherited = min(
                 resumed.holds.last_end(),
                 hold_bounds.inherited_end(taken, self._longest_hold),
             )
         else:
             # An earlier holder may grant the longest hold until its claim is
-            # no longer valid. An unproven claim does not show its renewal.
-            if proven:
+            # no longer valid. An unproven claim does not show its renewal,
+            # and a resumed term may have had a successor that was lost.
+            if proven and resumed is None:
                 age = key_claims.renewal_age(claim, reading.clock)
             stopped = taken + key_claims.CLAIM_VALIDITY - age
             inherited = hold_bounds.inherited_end(stopped, self._longest_hold)
--- a/goldcresthaven/key_coordinator_state.py
+++ b/goldcresthaven/key_coordinator_state.py
@@ -121,6 +121,10 @@
         known = history > self.history and self.fences_reserved
         return known and 0 < claim.acquired < self.acquired_version
 
+    def was_sole(self, now: timedelta) -> bool:
+        """Return whether no successor can have granted keys until now."""
+        return now - self.renewed_at < key_claims.STALE_TIMEOUT
+
     def only_resumes(self, last: 'ClaimTerm') -> bool:
         """Return whether this term resumes ``last`` and granted nothing.
 
@@ -161,7 +165,7 @@
         upstream that has restarted and no longer knows a successor's fence.
         It may therefore be sent only while there can be no successor.
         """
-        sole = now - self.renewed_at < key_claims.STALE_TIMEOUT
+        sole = self.was_sole(now)
         return self.may_renew(now) and (sole or renewal is not None)
 
     def owners(self) -> list[key_map.Owner]:
