Keep the wait for an unproven map when the claim changes hands

Cause: a process that takes over the claim after a restore, without its holder, grants nothing for 13.7 s, until all unknown holds have ended. When it was killed, frozen or cut off from the store meanwhile, its successor waited for 13.7 s again.

Change: the row of the claim says, on the store's clock, when the wait ends. A successor in the same history of the store waits no longer than that, as nobody has granted anything since. After another restore it waits anew.

--- a/goldcresthaven/key_claims.py
+++ b/goldcresthaven/key_claims.py
@@ -27,13 +27,16 @@
     store's clock. A holder that releases its claim writes zero. ``history``
     is the store's history in which it was written, and None if the program
     that wrote it knew none. ``acquired`` is the version with which the
-    holder took the claim over.
+    holder took the claim over. ``proven_at`` is set while the holder waits
+    and grants nothing, because the store may have lost a later map. It is the
+    time on the store's clock at which all holds under that map have ended.
     """
 
     holder: str
     renewed_at: timedelta
     history: state_store.History | None = None
     acquired: int = 0
+    proven_at: timedelta = timedelta()
 
     def encode(self) -> bytes:
         return json.dumps(
@@ -42,6 +45,7 @@
                 'beat': self.renewed_at.total_seconds(),
                 'history': self.history,
                 'acquired': self.acquired,
+                'proven': self.proven_at.total_seconds(),
             }
         ).encode()
 
@@ -61,6 +65,7 @@
             renewed_at=timedelta(seconds=document['beat']),
             history=document.get('history'),
             acquired=int(document.get('acquired', 0)),
+            proven_at=timedelta(seconds=document.get('proven', 0)),
         )
     except (KeyError, OverflowError, TypeError, ValueError):
         decision_log.note('claim-unreadable', detail=row.key)
@@ -78,6 +83,19 @@
     return clock - claim.renewed_at > STALE_TIMEOUT
 
 
+def known_proven_at(
+    claim: Claim | None, history: state_store.History
+) -> timedelta:
+    """Return when a waiting holder would have granted; zero if unknown.
+
+    The time is on the store's clock. Until then nobody grants, so a successor
+    need not wait for longer.
+    """
+    if claim is None or not claim.is_current(history):
+        return timedelta()
+    return claim.proven_at
+
+
 def renewal_age(claim: Claim | None, clock: timedelta) -> timedelta:
     """Return the minimum time since the holder last renewed its claim.
 
--- a/goldcresthaven/key_coordinator.py
+++ b/goldcresthaven/key_coordinator.py
@@ -291,11 +291,16 @@
             return None
         sent = self._clock.elapsed()
         renewed_at = sent + reading.clock - asked
+        proven_at = (
+            key_claims.known_proven_at(claim, history)
+            if resumed is None
+            else timedelta()
+        )
         result = await self._store.write(
             expected={self._claim_key: row.version if row else 0},
             puts={
                 self._claim_key: self._encode_claim(
-                    renewed_at, history, acquired
+                    renewed_at, history, acquired, proven_at
                 )
             },
         )
@@ -330,6 +335,9 @@
                 age = key_claims.renewal_age(claim, reading.clock)
             stopped = taken + key_claims.CLAIM_VALIDITY - age
             inherited = hold_bounds.inherited_end(stopped, self._longest_hold)
+            if not proven and proven_at:
+                # The store's clock has advanced since it was read.
+                inherited = min(inherited, now + proven_at - reading.clock)
         if proven and keys.version == state_store.ABSENT:
             inherited = timedelta()
         if not proven:
@@ -418,12 +426,14 @@
         renewed_at: timedelta,
         history: state_store.History,
         acquired: int,
+        proven_at: timedelta,
     ) -> bytes:
         claim = key_claims.Claim(
             holder=self._identity,
             renewed_at=renewed_at,
             history=history,
             acquired=acquired,
+            proven_at=proven_at,
         )
         return claim.encode()
 
@@ -522,6 +532,7 @@
                 sent + term.store_clock_offset,
                 term.history,
                 term.acquired_version if term.is_map_proven(sent) else 0,
+                term.stored_proven_at(sent),
             )
         }
         if changed:
@@ -627,12 +638,16 @@
         self, term: key_coordinator_state.ClaimTerm, why: str
     ) -> None:
         term.end_reason = why
+        proven_at = term.stored_proven_at(self._clock.elapsed())
         try:
             await self._store.write(
                 expected={self._claim_key: term.claim_version},
                 puts={
                     self._claim_key: self._encode_claim(
-                        timedelta(), term.history, term.acquired_version
+                        timedelta(),
+                        term.history,
+                        term.acquired_version,
+                        proven_at,
                     )
                 },
             )
--- a/goldcresthaven/key_coordinator_state.py
+++ b/goldcresthaven/key_coordinator_state.py
@@ -108,6 +108,15 @@
         """Return whether no hold under a map that was lost can last."""
         return now >= self.map_proven_at
 
+    def stored_proven_at(self, now: timedelta) -> timedelta:
+        """Return when the map is proven on the store's clock; zero if it is.
+
+        The offset is an upper bound, so the time is never too early.
+        """
+        if self.is_map_proven(now):
+            return timedelta()
+        return self.map_proven_at + self.store_clock_offset
+
     def is_valid(self, now: timedelta) -> bool:
         """Return whether the claim was renewed recently enough to grant."""
         return now - self.renewed_at < key_claims.CLAIM_VALIDITY
--- a/tests/test_key_coordinator.py
+++ b/tests/test_key_coordinator.py
@@ -768,6 +768,49 @@
 
         run(main)
 
+    async def _wait_of_a_second_successor(
+        self, fleet: Fleet, waited_s: float
+    ) -> timedelta:
+        """Return how long the second of two successors waits.
+
+        The first one takes the claim after a restore and has waited for some
+        seconds on the store's clock when it is lost.
+        """
+        first, copy = await self._move_after_copy(fleet)
+        await first.cancel()
+        fleet.store.restore(copy)
+        fleet.advance_store_clock(5.0)
+        second = fleet.coordinator('n2')
+        task = await aio.spawn(second.run())
+        await fleet.until(lambda: second.holds_claim)
+        await aio.sleep(key_claims.RENEW_INTERVAL * 1.5)
+        await task.cancel()
+        fleet.advance_store_clock(waited_s)
+        third = fleet.coordinator('n3')
+        await aio.spawn(third.run())
+        await fleet.until(lambda: third.holds_claim)
+        term = third._term
+        assert term is not None
+        return term.map_proven_at - fleet.clock.elapsed()
+
+    def test_wait_for_an_unproven_map_does_not_start_anew(self) -> None:
+        """Guards against no owners while the claim changes hands.
+
+        After a restore whose holder is gone, each further successor waited
+        for 13.7 s (soak, seeds 7009 and 7034).
+        """
+        waits: list[timedelta] = []
+
+        async def main(fleet: Fleet) -> None:
+            waits.append(await self._wait_of_a_second_successor(fleet, 4.0))
+
+        run(main)
+        full = hold_bounds.inherited_end(
+            key_claims.CLAIM_VALIDITY, LONGEST_HOLD
+        )
+        expected = full - timedelta(seconds=4)
+        self.assertLess(abs(waits[0] - expected), timedelta(seconds=0.2))
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,6 +10,8 @@
 
 # Long enough for some faults to overlap.
 SECONDS = 5.0
+# The default of the soak, without which a seed has fewer faults.
+RESTORES_SECONDS = 20.0
 
 
 def sent(route: str = 'pay', status: int | None = 200) -> callers.SentRequest:
@@ -185,6 +187,8 @@
 
     Seed 1: a renewal with an old fence reached the next incarnation of an
     upstream, over the connection of a grant with a newer fence.
+    Seed 7038, with restores: each process that took over the claim while its
+    holder waited for unknown holds to end waited anew.
     """
 
     def test_seeds_that_failed_before(self) -> None:
@@ -195,6 +199,12 @@
                 self.assertEqual(result.problems, [])
                 self.assertGreater(result.served, 0)
 
+    def test_seed_with_restores_that_failed_before(self) -> None:
+        """Guards against a fleet without owners for too long."""
+        result = soak_main.soak_seed(7038, RESTORES_SECONDS, restores=True)
+        self.assertEqual(result.problems, [])
+        self.assertGreater(result.served, 0)
+
 
 if __name__ == '__main__':
     unittest.main()
