Add a failing test of a holder that resumes beside its successor

Cause: the restore undid a takeover while both holders were running. The earlier one noticed the restore first and resumed, while grants of its successor were still on their way.

Evidence: the test fails.

--- a/tests/test_coordinator_sim.py
+++ b/tests/test_coordinator_sim.py
@@ -83,6 +83,11 @@
         outcome = coordinator_sim.run(1254, restores=True)
         self.assertEqual(outcome.violations, [])
 
+    def test_holder_lets_a_lost_successor_resume_first(self) -> None:
+        """Guards against two owners while two holders are running."""
+        outcome = coordinator_sim.run(22511, restores=True)
+        self.assertEqual(outcome.violations, [])
+
     def test_holds_of_a_lost_successor_count(self) -> None:
         """Guards against moves while an unknown holder's grants last."""
         outcome = coordinator_sim.run(18330, restores=True)
