Let a successor that a restore undid resume first

What callers would see: after a restore of the store, two upstreams hold the same keys, and a fence does not rise.

Cause: a holder that may have had a successor resumed as soon as it noticed the restore, while that successor was still running and granting.

Why it works: a term that was renewed less than the stale time ago can have no successor and resumes at once. Any other waits for the stale time after it has seen the new history. By then a running successor has resumed, or sends no first grants any more. Upstreams have holds of the longest length by then, because the store did not answer.

--- a/goldcresthaven/key_coordinator.py
+++ b/goldcresthaven/key_coordinator.py
@@ -277,6 +277,11 @@
         superseded = resumed is not None and resumed.supersedes(claim, history)
         if resumed is not None and not resumed.may_resume(claim, history):
             resumed = None
+        if resumed is not None and not resumed.was_sole(now):
+            # A successor that the restore undid may be running. It resumes
+            # first, or has stopped to send first grants by then.
+            if now < self._history_seen_at + key_claims.STALE_TIMEOUT:
+                return None
         if resumed is not None:
             acquired = resumed.acquired_version
         elif claim is not None and superseded:
