Let no holder resume a map with unowned keys after an outage

What callers would see: two upstreams serve the same keys after a restore of the store that followed an outage.

Cause: a successor that the restore undid grants keys without an owner at once. The holder that resumes sees no rejection, because nobody rejects for such keys, and grants them to others.

The new test fails without this change.

Change: such a holder takes the claim as a process that knows only the copy, and grants when all unknown holds have ended.

--- a/goldcresthaven/claim_taker.py
+++ b/goldcresthaven/claim_taker.py
@@ -160,6 +160,9 @@
             # first, or has stopped to send first grants by then.
             if now < self._history.seen_at + key_claims.STALE_TIMEOUT:
                 return None
+            if resumed.has_unowned_keys():
+                # No rejection would show that a successor has granted them.
+                resumed = None
         if resumed is not None:
             acquired = resumed.acquired_version
         elif claim is not None and superseded:
--- a/goldcresthaven/key_coordinator_state.py
+++ b/goldcresthaven/key_coordinator_state.py
@@ -128,6 +128,9 @@
         """Return whether no successor can have granted keys until now."""
         return now - self.renewed_at < key_claims.STALE_TIMEOUT
 
+    def has_unowned_keys(self) -> bool:
+        return any(r.owner is None for r in self.keys.ranges)
+
     def only_resumes(self, last: 'ClaimTerm') -> bool:
         """Return whether this term resumes ``last`` and granted nothing.
 
--- a/tests/test_key_coordinator.py
+++ b/tests/test_key_coordinator.py
@@ -1027,6 +1027,31 @@
 
         run(main)
 
+    def test_holder_without_owners_does_not_resume_after_an_outage(
+        self,
+    ) -> None:
+        """Guards against keys that a lost successor has granted to others.
+
+        A successor grants keys without an owner at once, so that no
+        rejection shows it to the holder that resumes.
+        """
+
+        async def main(fleet: Fleet) -> None:
+            holder = fleet.coordinator('n1')
+            await aio.spawn(holder.run())
+            await fleet.until(lambda: fleet.keys().coordinator == 'n1:7200')
+            fleet.store.down = True
+            await aio.sleep(key_claims.STALE_TIMEOUT * 1.2)
+            fleet.store.restore(fleet.store.copy())
+            fleet.store.down = False
+            await fleet.until(lambda: not holder.holds_claim)
+            fleet.register('u1', 'u2')
+            await fleet.until(lambda: holder.holds_claim)
+            await aio.sleep(timedelta(seconds=3))
+            self.assertEqual(fleet.leases.held, {})
+
+        run(main)
+
     async def _wait_of_a_second_successor(
         self, fleet: Fleet, waited_s: float
     ) -> timedelta:
