--- a/tests/test_coordinator_sim.py
+++ b/tests/test_coordinator_sim.py
@@ -26,6 +26,21 @@
     'unread input or a reset is no orderly close': 7,
     'connections are reset before a bound on their last grants': 13,
 }
+# Runs with restores that violated sole ownership, and their other faults.
+RESTORE_SEEDS: dict[int, dict[str, bool]] = {
+    9317: {'takeover': True},
+    9558: {'extended': True},
+    9708: {'takeover': True},
+    11095: {'takeover': True},
+    28378: {},
+    100117: {},
+    103163: {},
+    103618: {},
+    104706: {},
+    108145: {},
+    110089: {},
+    120951: {},
+}
 MISSED_SUCCESSOR_SEEDS = (19, 53, 61, 82, 92, 114, 119, 152, 154, 172, 193)
 COPIES_SEEDS = (*range(30), 93, 100, 110, 116, 123, 127, 137, 169)
 
@@ -101,6 +116,12 @@
             outcome = coordinator_sim.run(seed, restores=True)
             self.assertEqual(outcome.violations, [], seed)
 
+    def test_restores_that_violated_before(self) -> None:
+        """Guards against two owners after a holder missed its successor."""
+        for seed, kinds in RESTORE_SEEDS.items():
+            outcome = coordinator_sim.run(seed, restores=True, **kinds)
+            self.assertEqual(outcome.violations, [], seed)
+
     def test_earlier_holder_that_resumes_first_is_not_ignored(self) -> None:
         """Guards against two owners after two holders resumed in turn."""
         outcome = coordinator_sim.run(1254, restores=True)
