Retry all tables of the store soon after a cut ends

Cause: each table was retried after its own pauses of up to 3 s, which began when a call had timed out. A table could be read 2 to 3.2 s after the cut although the store had answered for another one.

Change: a pause counts from the start of the call that failed, lasts at most 2.5 s, and ends when the store answers for any table. The average pause stays 2 s, so that a store which is down gets as many calls as before.

--- a/goldcresthaven/store_follower.py
+++ b/goldcresthaven/store_follower.py
@@ -25,6 +25,7 @@
 from goldcresthaven import registry as registry_module
 from goldcresthaven import routes
 from goldcresthaven import state_store
+from goldcresthaven import store_retry
 from goldcresthaven import table_relay
 
 # How long a poll waits for a change. A poll that the store never answers is
@@ -53,10 +54,8 @@
 MAX_POLL_GAP = timedelta(milliseconds=400)
 # Spreads the calls of processes that have missed the same change.
 MISSED_CHANGE_SPREAD = timedelta(milliseconds=150)
-FIRST_RETRY_PAUSE = timedelta(milliseconds=100)
-# All processes call the store while it is unavailable to a coordinator too. A
-# machine counts as calm again 3 s after an outage.
-MAX_RETRY_PAUSE = timedelta(seconds=2)
+# How often a process checks whether a call that failed is due again.
+RETRY_CHECK_INTERVAL = timedelta(milliseconds=50)
 # Entries of the registry may expire during an outage of this length.
 LAPSING_OUTAGE = timedelta(seconds=1.5)
 # How long a new process waits for a coordinator's first report before it
@@ -103,6 +102,7 @@
         self._relay_rows = relay_rows
         self._clock = clock
         self._rng = rng
+        self._answers = store_retry.StoreAnswers()
         self._maps = map_follower.MapFollower(
             store=store, known_state=known_state, clock=clock, rng=rng
         )
@@ -133,7 +133,7 @@
             self._apply(changes.table, rows, changes.reached, False, now)
 
     async def _follow(self, table: state_store.Table) -> None:
-        pause = FIRST_RETRY_PAUSE
+        retry = store_retry.RetrySchedule(answers=self._answers, rng=self._rng)
         failed_since: timedelta | None = None
         lost_at: int | None = None
         position = self._known_state.positions[table]
@@ -166,14 +166,15 @@
                     decision_log.note(
                         'store-lost', detail=f'{table.value}: {exc}'
                     )
-                await aio.sleep(pause * self._rng.uniform(0.5, 1.5))
-                pause = min(pause * 2, MAX_RETRY_PAUSE)
+                retry.record_failure(started, self._clock.elapsed())
+                while not retry.is_due(self._clock.elapsed()):
+                    await aio.sleep(RETRY_CHECK_INTERVAL)
                 continue
             now = self._clock.elapsed()
+            retry.record_answer(now)
             if failed_since is not None:
                 self._record_recovery(table, now - failed_since, now)
                 failed_since = None
-            pause = FIRST_RETRY_PAUSE
             # A change that happened while no poll was waiting may have
             # happened as long ago as the previous answer.
             gap = (
--- /dev/null
+++ b/goldcresthaven/store_retry.py
@@ -0,0 +1,61 @@
+"""Decides when a table is read again after the store gave no answer.
+
+All processes call the store while it is unavailable to a coordinator too, so
+the pauses grow and are spread. A process that was cut off must know what
+changed before it counts as connected again. Therefore a pause counts from the
+start of the call that failed, and it ends when the store answers a call for
+another table.
+"""
+
+from datetime import timedelta
+import random
+
+FIRST_PAUSE = timedelta(milliseconds=100)
+MAX_PAUSE = timedelta(seconds=2)
+# The longest pause is 2.5 s. A process counts as connected 3 s after a cut,
+# and a call during the cut can be the last before the pause.
+MIN_SPREAD = 0.75
+MAX_SPREAD = 1.25
+
+
+class StoreAnswers:
+    """The time at which the store last answered this process."""
+
+    def __init__(self) -> None:
+        self._last: timedelta | None = None
+
+    def record(self, now: timedelta) -> None:
+        self._last = now
+
+    def answered_since(self, time: timedelta) -> bool:
+        """Return whether the store answered a call after ``time``."""
+        return self._last is not None and self._last > time
+
+
+class RetrySchedule:
+    """The retries of one table; ``answers`` is shared by all tables."""
+
+    def __init__(self, *, answers: StoreAnswers, rng: random.Random) -> None:
+        self._answers = answers
+        self._rng = rng
+        self._pause = FIRST_PAUSE
+        self._failed_at = timedelta()
+        self._due = timedelta()
+
+    def record_failure(self, started: timedelta, now: timedelta) -> None:
+        """Record that a call from ``started`` to ``now`` was not answered."""
+        self._failed_at = now
+        self._due = started + self._pause * self._rng.uniform(
+            MIN_SPREAD, MAX_SPREAD
+        )
+        self._pause = min(self._pause * 2, MAX_PAUSE)
+
+    def record_answer(self, now: timedelta) -> None:
+        self._pause = FIRST_PAUSE
+        self._answers.record(now)
+
+    def is_due(self, now: timedelta) -> bool:
+        """Return whether to call the store again after a failure."""
+        return now >= self._due or self._answers.answered_since(
+            self._failed_at
+        )
