Count a resumption without grants as proof of sole ownership

What callers would see: after two restores of the store within some seconds, no key is served for most of a second. In the logged run below, the claim is taken 1.9 s after the second restore and 3.6 s after the last grants, whose holds last 3 s.

Cause: a term that resumes another one and is ended by a second restore before it has granted a key is dropped, and the earlier term is kept, because it alone decides what upstreams may hold. The rule that a term whose last renewal is older than the stale time waits then counted from the earlier term's renewal, although the process had renewed the claim up to the second restore.

Decision log of one run: the claim is resumed 0.5 s after the first restore, and renewed until the second one at 6.20 s; from 6.51 s on the process reads the claim nine times and waits, with a last renewal 2.0 to 3.6 s old, and takes it at 8.12 s.

Change: if the earlier term was sole when it was resumed, the last renewal of the later term is kept with it as a further proof. There is no gap: no successor can have taken the claim before the resumption, because the earlier renewal was fresh, nor after it in the same history, because each renewal expects the version that the one before produced. A process that had waited for a successor that the restore undid gains no proof. The time within which a term may be resumed (8 s) still counts from its own renewal.

The new test of ClaimTerm guards against proof from a resumption beside a lost successor; with the proof always taken over it fails.

--- a/goldcresthaven/claim_taker.py
+++ b/goldcresthaven/claim_taker.py
@@ -259,6 +259,7 @@
         if resumed is not None:
             term.acquired_version = resumed.acquired_version
             term.fence = resumed.fence
+            term.resumed_sole = resumed.was_sole(basis.read_at)
         elif not proven:
             term.map_proven_at = inherited
             term.stated_acquired = basis.acquired
--- a/goldcresthaven/key_coordinator.py
+++ b/goldcresthaven/key_coordinator.py
@@ -293,7 +293,7 @@
         """Keep a term that has ended, with which this process may resume."""
         last = self._last_term
         if last is not None and term.only_resumes(last):
-            last.is_resumable = term.is_resumable
+            last.record_resumption(term)
         else:
             self._last_term = term
 
--- a/goldcresthaven/key_coordinator_state.py
+++ b/goldcresthaven/key_coordinator_state.py
@@ -63,7 +63,9 @@
     the claim states as its acquisition until the map is proven: that of a
     holder which has granted keys in ``history``, or 0. A term that was
     resumed has an ``acquired_version`` of an earlier history until it is
-    certain that it had no successor there.
+    certain that it had no successor there. ``resumed_sole`` is set if the
+    term that it resumed was the only one that granted keys. ``sole_at`` is
+    the last renewal of such a term that resumed this one and granted nothing.
     """
 
     address: str
@@ -89,6 +91,8 @@
     map_proven_at: timedelta = timedelta()
     stated_acquired: int = 0
     is_resumable: bool = False
+    resumed_sole: bool = False
+    sole_at: timedelta = timedelta()
     announced_version: int = 0
     fences_reserved: bool = False
     write_unconfirmed: bool = False
@@ -126,7 +130,8 @@
 
     def was_sole(self, now: timedelta) -> bool:
         """Return whether no successor can have granted keys until now."""
-        return now - self.renewed_at < key_claims.STALE_TIMEOUT
+        since = now - max(self.renewed_at, self.sole_at)
+        return since < key_claims.STALE_TIMEOUT
 
     def has_unowned_keys(self) -> bool:
         return any(r.owner is None for r in self.keys.ranges)
@@ -139,6 +144,18 @@
         resumes = self.acquired_version == last.acquired_version
         return resumes and not self.granted
 
+    def record_resumption(self, later: 'ClaimTerm') -> None:
+        """Record a term that only resumed this one, and has ended.
+
+        If this term was sole when the later one began, nobody else can have
+        granted keys until the last renewal of the later one. The time within
+        which this term may be resumed still counts from its own renewal: the
+        process may resume it after another one has taken over the later term.
+        """
+        self.is_resumable = later.is_resumable
+        if later.resumed_sole:
+            self.sole_at = max(self.sole_at, later.renewed_at)
+
     def may_have_successor(self) -> bool:
         """Return whether a history that was lost may have had a later claim.
 
--- a/tests/test_key_coordinator.py
+++ b/tests/test_key_coordinator.py
@@ -119,6 +119,24 @@
     aio.run(main)
 
 
+def _term(
+    renewed_at: timedelta = timedelta(),
+) -> key_coordinator_state.ClaimTerm:
+    return key_coordinator_state.ClaimTerm(
+        address='n1:7200',
+        history=state_store.FIRST_HISTORY,
+        claim_version=1,
+        acquired_version=1,
+        map_row_version=0,
+        renewed_at=renewed_at,
+        store_clock_offset=timedelta(),
+        keys=key_map.empty(),
+        holds=hold_bounds.HoldBounds(inherited=timedelta()),
+        fence=1,
+        fences_reserved=True,
+    )
+
+
 class CoordinatorTest(unittest.TestCase):
     def test_version_is_reported_after_its_change_is_announced(self) -> None:
         """Guards against a map version reported before its announcement.
@@ -1000,6 +1018,22 @@
 
         run(main)
 
+    def test_resumption_beside_a_lost_successor_proves_nothing(self) -> None:
+        """Guards against two owners after two restores.
+
+        A term that resumed one which may have had a successor does not show
+        that there is none, however recently it was renewed.
+        """
+        now = timedelta(seconds=20)
+        for age_s, sole in ((1.5, True), (1.7, False)):
+            first, later = _term(renewed_at=timedelta(seconds=10)), _term()
+            later.resumed_sole = first.was_sole(timedelta(seconds=10 + age_s))
+            later.renewed_at = now
+            first.record_resumption(later)
+            with self.subTest(age_s=age_s):
+                self.assertEqual(first.was_sole(now), sole)
+                self.assertEqual(first.renewed_at, timedelta(seconds=10))
+
     def test_resumed_term_counts_the_holds_of_a_lost_successor(self) -> None:
         """Guards against moves while an unknown holder's grants last.
 
