Spread the calls of a fleet to a store that hangs

Cause: a call that hangs takes 1 s until its timeout, longer than the first four pauses. It was repeated at once, without any random part. All processes lose a coordinator's reports at the same time, so that they called together.

The new test fails without the change (195 of 195 processes within 0.1 s).

Change: a part of each pause, up to 1.25 s, counts from the end of the call. The longest pause stays 2.5 s after the start of a call.

--- a/goldcresthaven/store_retry.py
+++ b/goldcresthaven/store_retry.py
@@ -4,7 +4,9 @@
 the pauses grow and are spread. A process that was cut off must know what
 changed before it counts as connected again. Therefore a pause counts from the
 start of the call that failed, and it ends when the store answers a call for
-another table.
+another table. A call that times out may have used up its pause, so a part of
+the pause counts from its end: otherwise the processes of a fleet, which lose
+the store at the same time, would also call it at the same time.
 """
 
 from datetime import timedelta
@@ -16,6 +18,10 @@
 # and a call during the cut can be the last before the pause.
 MIN_SPREAD = 0.75
 MAX_SPREAD = 1.25
+# The part of a pause that counts from the end of the call. With a call of 1 s
+# it ends before the longest pause.
+MAX_PAUSE_AFTER_END = timedelta(seconds=1)
+MIN_SPREAD_AFTER_END = 0.25
 
 
 class StoreAnswers:
@@ -45,8 +51,11 @@
     def record_failure(self, started: timedelta, now: timedelta) -> None:
         """Record that a call from ``started`` to ``now`` was not answered."""
         self._failed_at = now
-        self._due = started + self._pause * self._rng.uniform(
-            MIN_SPREAD, MAX_SPREAD
+        self._due = max(
+            started + self._pause * self._rng.uniform(MIN_SPREAD, MAX_SPREAD),
+            now
+            + min(self._pause, MAX_PAUSE_AFTER_END)
+            * self._rng.uniform(MIN_SPREAD_AFTER_END, MAX_SPREAD),
         )
         self._pause = min(self._pause * 2, MAX_PAUSE)
 
--- a/tests/test_store_retry.py
+++ b/tests/test_store_retry.py
@@ -15,6 +15,9 @@
     return timedelta(seconds=value)
 
 
+FLEET = 195
+
+
 class RetryScheduleTest(unittest.TestCase):
     def setUp(self) -> None:
         self.answers = store_retry.StoreAnswers()
@@ -41,6 +44,34 @@
                 self.assertLess(now - started, CONNECTED_AFTER - seconds(0.3))
                 started = now
 
+    def test_calls_of_a_fleet_that_time_out_do_not_stay_together(self) -> None:
+        """Guards against a store that gets all calls of a fleet at once.
+
+        All processes lost the store within 0.1 s, and each call hangs until
+        its timeout. From the third retry on, at most half of the fleet calls
+        within 0.1 s.
+        """
+        calls: list[list[float]] = []
+        for seed in range(FLEET):
+            retry = self.schedule(seed)
+            started = seconds(100 + 0.1 * seed / FLEET)
+            starts = []
+            for _ in range(6):
+                retry.record_failure(started, started + CALL_TIMEOUT)
+                now = started + CALL_TIMEOUT
+                while not retry.is_due(now):
+                    now += seconds(0.01)
+                started = now
+                starts.append(now.total_seconds())
+            calls.append(starts)
+        for retry_number in range(2, 6):
+            starts = sorted(starts[retry_number] for starts in calls)
+            together = max(
+                sum(first <= start < first + 0.1 for start in starts)
+                for first in starts
+            )
+            self.assertLess(together, FLEET / 2)
+
     def test_answer_for_another_table_ends_the_pause(self) -> None:
         """Guards against tables that are read up to 3 s after each other."""
         retry, other = self.schedule(1), self.schedule(2)
