Send no release that becomes ready after the drain time

What callers saw: nothing; found by review. An upstream that had announced that it leaves could get a grant with a raised fence, or a release, up to 0.9 s after its drain time.

Cause: whether the upstream may still be called was checked before the grant, which takes up to 0.5 s, and before the connection for the release was opened, which takes up to 0.4 s. Grants ask for permission again when their connection is ready, but only for the claim; releases did not ask.

Evidence: the new test opens either connection late; both calls were sent after the drain time before the change.

Change: both ask again, directly before the call is written.

After: the test passes for both calls.

--- a/goldcresthaven/key_grants.py
+++ b/goldcresthaven/key_grants.py
@@ -170,8 +170,12 @@
         grant: Grant,
         *,
         timeout: timedelta,
+        may_send: Callable[[], bool],
     ) -> ReleaseReply:
-        """Ask the owner to release keys."""
+        """Ask the owner to release keys.
+
+        ``may_send`` is asked when the connection is ready.
+        """
 
 
 def hold_end(arrived_by: timedelta, hold: timedelta) -> timedelta:
--- a/goldcresthaven/key_release.py
+++ b/goldcresthaven/key_release.py
@@ -115,6 +115,9 @@
                             first=source.first, last=source.last, fence=fence
                         ),
                         timeout=key_grants.RELEASE_TIMEOUT,
+                        may_send=lambda: self._owners.may_call(
+                            owner, self._clock.elapsed()
+                        ),
                     )
                     if reply.leaving:
                         self._owners.record_leaving(
@@ -184,7 +187,10 @@
             return None, None
 
         def may_send() -> bool:
-            return term.may_grant(self._clock.elapsed(), renewal=None)
+            now = self._clock.elapsed()
+            return term.may_grant(now, renewal=None) and self._owners.may_call(
+                owner, now
+            )
 
         if not may_send():
             return None, None
--- a/goldcresthaven/platform/leases.py
+++ b/goldcresthaven/platform/leases.py
@@ -181,6 +181,7 @@
         grant: key_grants.Grant,
         *,
         timeout: timedelta,
+        may_send: Callable[[], bool],
     ) -> key_grants.ReleaseReply:
         body = {'from': grant.first, 'to': grant.last, 'fence': grant.fence}
         try:
@@ -191,6 +192,7 @@
                 names.RELEASE_PATH,
                 body,
                 timeout,
+                may_send=may_send,
                 reuse=False,
             )
         except errors.Error:
@@ -215,7 +217,7 @@
         timeout: timedelta,
         *,
         conn: http_io.UpstreamConn | None = None,
-        may_send: Callable[[], bool] = lambda: True,
+        may_send: Callable[[], bool],
         reuse: bool = True,
     ) -> tuple[http_head.ResponseHead, http_io.UpstreamConn]:
         """Return the response and the connection used.
@@ -248,7 +250,7 @@
                 await conns.discard(address, conn)
                 raise _Withdrawn(
                     'the permission to send the call has ended',
-                    remedy='none; another process grants the keys now',
+                    remedy='none; the caller decides whether to repeat it',
                 )
             try:
                 response, _ = await http_io.fetch(
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -1,5 +1,6 @@
 """Fakes of the store and of upstreams, and builders of test objects."""
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -229,6 +230,8 @@
     connections of their last grants. Hosts in ``leaving`` announce in all
     responses that they leave, those in ``leaving_in_releases`` only when they
     release keys. Hosts in ``keeping`` do not confirm releases.
+    ``before_sending`` is awaited with the call and the host while the
+    connection opens.
     """
 
     def __init__(self) -> None:
@@ -242,6 +245,9 @@
         self.leaving: set[str] = set()
         self.leaving_in_releases: set[str] = set()
         self.keeping: set[str] = set()
+        self.before_sending: Callable[[str, str], Awaitable[None]] | None = (
+            None
+        )
         self.log: list[tuple[str, str, key_grants.Grant]] = []
         self.holds: list[timedelta] = []
         self.round_trips: list[str] = []
@@ -257,6 +263,12 @@
         timeout: timedelta,
         may_send: Callable[[], bool],
     ) -> key_grants.GrantReply:
+        if self.before_sending is not None:
+            await self.before_sending('grant', address.host)
+            if not may_send():
+                return key_grants.GrantReply(
+                    result=key_grants.GrantResult.WITHDRAWN
+                )
         result = await self._grant_result(address, grant, renewal, hold)
         answered = result in (
             key_grants.GrantResult.GRANTED,
@@ -309,7 +321,12 @@
         grant: key_grants.Grant,
         *,
         timeout: timedelta,
+        may_send: Callable[[], bool],
     ) -> key_grants.ReleaseReply:
+        if self.before_sending is not None:
+            await self.before_sending('release', address.host)
+            if not may_send():
+                return key_grants.ReleaseReply(released=None)
         self.log.append(('release', address.host, grant))
         silent = self.unresponsive | self.unreachable | self.keeping
         if address.host in silent:
--- a/tests/test_key_coordinator.py
+++ b/tests/test_key_coordinator.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import dataclasses
 from datetime import timedelta
+import functools
 import json
 import random
 from typing import Any
@@ -274,6 +275,38 @@
 
         run(main)
 
+    def test_call_to_a_leaving_owner_is_not_sent_after_its_drain_time(
+        self,
+    ) -> None:
+        """Guards against a release whose connection opens too late.
+
+        Opening one takes up to 0.4 s, and the grant before it 0.5 s.
+        """
+
+        async def main(fleet: Fleet, late_kind: str) -> None:
+            fleet.register('u1', 'u2')
+            await aio.spawn(fleet.coordinator('n1').run())
+            await fleet.until(lambda: len(fleet.leases.held) == 2)
+
+            async def open_late(kind: str, host: str) -> None:
+                if (kind, host) != (late_kind, 'u1'):
+                    return
+                for since in fleet.notices.leaving_since.values():
+                    end = since + upstream_notices.DEFAULT_DRAIN
+                    while fleet.clock.elapsed() <= end:
+                        await aio.sleep(timedelta(milliseconds=10))
+
+            fleet.leases.before_sending = open_late
+            fleet.leases.leaving.add('u1')
+            await fleet.until(lambda: bool(fleet.notices.leaving_since))
+            fleet.leases.log.clear()
+            await fleet.until(lambda: fleet.owners() == {'u2'})
+            self.assertEqual(fleet.leases.calls(late_kind, 'u1'), [])
+
+        for kind in ('grant', 'release'):
+            with self.subTest(kind=kind):
+                run(functools.partial(main, late_kind=kind))
+
     def test_round_trip_spares_owners_that_leave_or_pause(self) -> None:
         """Guards against a new connection to an upstream in a pause."""
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -678,12 +678,31 @@
                     address,
                     key_grants.Grant(first=0, last=9, fence=5),
                     timeout=timedelta(seconds=1),
+                    may_send=lambda: True,
                 )
 
         run(main)
         self.assertEqual(len(set(connections)), 2)
         self.assertEqual(scripted.accepted, 4)
 
+    def test_release_is_not_sent_without_permission(self) -> None:
+        """Guards against a release at an upstream that left meanwhile."""
+        scripted = ScriptedServer(reply(200))
+
+        async def main() -> None:
+            calls = leases.PlatformLeases(clock=clock.SystemClock())
+            found = await calls.release(
+                ids.UpstreamId('i-1'),
+                await scripted.start(),
+                key_grants.Grant(first=0, last=9, fence=5),
+                timeout=timedelta(seconds=1),
+                may_send=lambda: False,
+            )
+            self.assertIsNone(found.released)
+
+        run(main)
+        self.assertEqual(scripted.requests, [])
+
     def test_closed_connections_make_room_before_live_ones(self) -> None:
         """Guards against grants that close the connection of other ranges.
 
@@ -734,6 +753,7 @@
                 address,
                 key_grants.Grant(first=0, last=9, fence=4),
                 timeout=timedelta(seconds=1),
+                may_send=lambda: True,
             )
 
         async def main() -> None:
