Judge drains and pauses after restarts and freezes

What the soak missed: one restart or freeze of a gateway excused it from all later answers of an upstream that leaves or pauses, also from those that the restarted process had passed on itself. A freeze of the upstream excused all requests in its pause. A second pause before the first had ended began a new count.

Change: each answer binds the gateway for its own time, and only a disturbance since this answer excuses it. A freeze of the upstream excuses only requests that callers had sent before the notice ended, because it reads them late.

Evidence: four new tests of the checks fail with the earlier checks.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -296,27 +296,34 @@
     """Return the requests that reached a leaving upstream too late.
 
     A request is late if its caller sent it after the drain time, counted
-    from the first answer of the incarnation, with its mark, that the same
-    gateway passed on. A restart or freeze of the gateway excuses it.
+    from an answer of the incarnation, with its mark, that the same gateway
+    passed on. A restart or freeze of the gateway since this answer excuses
+    it. The answers that a restarted gateway passes on bind it again.
     """
     by_request = {req.request: req for req in sent}
-    passed_on: dict[tuple[str, str], float] = {}
+    passed_on: dict[tuple[str, str], list[float]] = collections.defaultdict(
+        list
+    )
     for run in events.runs:
         req = by_request.get(run.request)
         if req is None or not req.leaving or not _answered_by(req, run):
             continue
-        pair = (run.holder, req.gateway)
-        passed_on[pair] = min(passed_on.get(pair, req.ended), req.ended)
+        passed_on[(run.holder, req.gateway)].append(req.ended)
     problems = []
     for arrival in events.arrivals:
         req = by_request.get(arrival.request)
-        since = passed_on.get((arrival.holder, req.gateway)) if req else None
-        if req is None or since is None or req.at <= since + fleet.DRAIN_S:
+        if req is None:
             continue
-        if not _disturbed(disturbances, {req.gateway}, since, arrival.at):
+        delays = [
+            req.at - since
+            for since in passed_on[(arrival.holder, req.gateway)]
+            if req.at > since + fleet.DRAIN_S
+            and not _disturbed(disturbances, {req.gateway}, since, arrival.at)
+        ]
+        if delays:
             problems.append(
                 f'{req.request} reached {arrival.holder} by {req.gateway} '
-                f'{req.at - since:.3f} s after it was found leaving'
+                f'{max(delays):.3f} s after it was found leaving'
             )
     return problems
 
@@ -333,32 +340,56 @@
 ) -> list[str]:
     """Return the pauses in which too many requests reached an upstream.
 
-    A fault of the gateway, of the upstream or of the path between them
-    excuses it.
+    Each answer that asks for a pause binds the gateway that got it until
+    the end of that pause. A restart or freeze of the gateway, or a cut of
+    the path, excuses it from the answers before. A freeze of the upstream
+    only excuses requests that callers had sent before the notice ended: the
+    upstream reads them late.
     """
-    by_request = {req.request: req.gateway for req in sent}
-    arrivals: dict[tuple[str, str, float], list[float]] = (
-        collections.defaultdict(list)
+    by_request = {req.request: req for req in sent}
+    answers: dict[tuple[str, str], list[TurnedAway]] = collections.defaultdict(
+        list
     )
     for each in events.turned_away:
-        gateway = by_request.get(each.request, '')
-        arrivals[(each.holder, gateway, each.until)].append(each.at)
+        if each.request in by_request:
+            gateway = by_request[each.request].gateway
+            answers[(each.holder, gateway)].append(each)
     problems = []
-    for (holder, gateway, until), times in arrivals.items():
-        start = min(times)
-        late = [at for at in times if at > start + PAUSE_NOTICE_S]
+    for (holder, gateway), seen in answers.items():
         name = holder.partition('/')[0]
-        excused = {gateway, name, f'path to {name}'}
-        if len(late) > MAX_ARRIVALS_IN_PAUSE and not _disturbed(
-            disturbances, excused, start, until
-        ):
+        excused = {gateway, f'path to {name}'}
+        freezes = [d for d in disturbances if d.name == name]
+        late_counts = [
+            sum(
+                _is_late(other, by_request[other.request], answer, freezes)
+                for other in seen
+            )
+            for answer in seen
+            if not _disturbed(disturbances, excused, answer.at, answer.until)
+        ]
+        most = max(late_counts, default=0)
+        if most > MAX_ARRIVALS_IN_PAUSE:
             problems.append(
-                f'{len(late)} requests reached {holder} by {gateway} in a '
-                f'pause of {until - start:.3f} s'
+                f'{most} requests reached {holder} by {gateway} in a pause'
             )
     return problems
 
 
+def _is_late(
+    other: TurnedAway,
+    req: callers.SentRequest,
+    answer: TurnedAway,
+    freezes: Iterable[faults.Disturbance],
+) -> bool:
+    """Return whether a request came in the pause, after the notice.
+
+    ``freezes`` are those of the upstream.
+    """
+    frozen = any(d.start <= other.at and answer.at <= d.end for d in freezes)
+    since = req.at if frozen else other.at
+    return since > answer.at + PAUSE_NOTICE_S and other.at < answer.until
+
+
 def _disturbed(
     disturbances: Iterable[faults.Disturbance],
     names: set[str],
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -139,6 +139,96 @@
                 )
                 self.assertEqual(len(found), expected)
 
+    def test_late_request_after_a_restart(self) -> None:
+        """Guards against an excuse that lasts for all later answers.
+
+        The gateway restarts, and passes on an answer of the leaving upstream
+        again.
+        """
+        answers = [sent(), sent()]
+        for req, ended in zip(answers, (3.0, 4.5)):
+            req.request, req.leaving = f'ab{ended}', True
+            req.body, req.ended = f'{req.request} by u1 '.encode(), ended
+        for at, expected in ((6.4, 0), (6.6, 1)):
+            with self.subTest(at=at):
+                late = sent()
+                late.request, late.at = 'cd34', at
+                seen = events(
+                    *(
+                        checks.Execution(
+                            holder='u1/0', request=req.request, key=7, at=2.0
+                        )
+                        for req in answers
+                    )
+                )
+                seen.arrivals.append(
+                    checks.Arrival(holder='u1/0', request='cd34', at=at + 0.1)
+                )
+                found = checks.check_leaving(
+                    [*answers, late], seen, self.disturbed('g0')
+                )
+                self.assertEqual(len(found), expected)
+
+    def turned_away(
+        self, *arrivals: tuple[float, float, float]
+    ) -> tuple[list[callers.SentRequest], checks.Events]:
+        """Return requests, sent at ``arrivals[0]``, and their refusals."""
+        requests, seen = [], events()
+        for number, (sent_at, at, until) in enumerate(arrivals):
+            req = sent(status=503)
+            req.request, req.at = f'{number}', sent_at
+            requests.append(req)
+            seen.turned_away.append(
+                checks.TurnedAway(
+                    holder='u1/0', request=req.request, at=at, until=until
+                )
+            )
+        return requests, seen
+
+    def test_requests_during_a_pause_after_a_restart(self) -> None:
+        """Guards against an excuse that lasts to the end of a pause.
+
+        A restarted gateway, for example one that takes over a claim, is
+        bound again by the next answer that it gets.
+        """
+        late = [(at, at, 9.0) for at in (2.0, 5.0, 5.6, 5.7, 5.8)]
+        requests, seen = self.turned_away(*late)
+        restarted = self.disturbed('g0')
+        self.assertEqual(
+            len(checks.check_pauses(requests, seen, restarted)), 1
+        )
+        requests, seen = self.turned_away(*late[:-1])
+        self.assertEqual(checks.check_pauses(requests, seen, restarted), [])
+
+    def test_pause_that_is_prolonged(self) -> None:
+        """Guards against a check that counts a prolonged pause anew.
+
+        The upstream asks for a second pause before the first has ended.
+        """
+        requests, seen = self.turned_away(
+            (2.0, 2.0, 5.0),
+            (2.6, 2.6, 5.0),
+            (2.7, 2.7, 5.0),
+            (2.8, 2.8, 5.8),
+        )
+        self.assertEqual(len(checks.check_pauses(requests, seen, [])), 1)
+
+    def test_frozen_upstream(self) -> None:
+        """Guards against a freeze of the upstream that excuses too much.
+
+        It excuses requests that were on their way when the pause began, and
+        not those that callers sent later.
+        """
+        for sent_at, expected in ((2.1, 0), (3.6, 1)):
+            with self.subTest(sent_at=sent_at):
+                requests, seen = self.turned_away(
+                    (2.0, 2.0, 5.0), *[(sent_at, 4.0, 5.0)] * 3
+                )
+                found = checks.check_pauses(
+                    requests, seen, self.disturbed('u1')
+                )
+                self.assertEqual(len(found), expected)
+
     def disturbed(self, name: str | None) -> list[faults.Disturbance]:
         if name is None:
             return []
