Report requests that a gateway cuts off without a fault

What the soak missed: callers use their connections until the gateway is gone, but a request that ran and lost its connection was not reported, also when a planned stop, a reload or a change of the configuration cut it off.

Change: such a request is a violation unless an unplanned fault of the gateway, the upstream or the path excuses it.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -93,6 +93,9 @@
     problems += checks.check_pauses(
         caller_group.sent, events, injector.disturbances
     )
+    problems += checks.check_cut_off(
+        caller_group.sent, events, injector.disturbances
+    )
     problems += checks.check_recovery(caller_group.sent, steady_since)
     _write_report(folder / 'story.json', caller_group, injector)
     results.append(
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -33,7 +33,8 @@
     ``leaving`` says whether the answer had the mark of an upstream that
     leaves, and ``stamped`` whether it had a server stamp. ``echoed`` is the
     attempt id in the answer, and ``problem`` is the error of a request
-    without a complete answer. ``at`` and ``ended`` are monotonic times.
+    without a complete answer; ``cut_off`` says whether its connection was
+    lost. ``at`` and ``ended`` are monotonic times.
     """
 
     request: str
@@ -48,6 +49,7 @@
     body: bytes = b''
     retry_after: str | None = None
     problem: str | None = None
+    cut_off: bool = False
     ended: float = 0.0
 
 
@@ -105,6 +107,7 @@
             )
         except errors.Error as exc:
             sent.problem = str(exc)
+            sent.cut_off = isinstance(exc, errors.ConnectionLost)
             sent.ended = time.monotonic()
             await aio.sleep(RECONNECT_PAUSE)
             return
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -24,6 +24,11 @@
 # pause, and this many until its end.
 PAUSE_NOTICE_S = 0.5
 MAX_ARRIVALS_IN_PAUSE = 2
+# A fault excuses a lost connection for this long, because its effects, such
+# as retransmissions, last longer than the fault.
+STABLE_S = 2.0
+# The caller may notice a lost connection before the fault is recorded.
+CUT_SLACK_S = 0.2
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -390,6 +395,36 @@
     return since > answer.at + PAUSE_NOTICE_S and other.at < answer.until
 
 
+def check_cut_off(
+    sent: Sequence[callers.SentRequest],
+    events: Events,
+    disturbances: Sequence[faults.Disturbance],
+) -> list[str]:
+    """Return the requests that ran, but whose caller lost its connection.
+
+    Only unplanned faults of the gateway, the upstream or the path between
+    them excuse it, up to ``STABLE_S`` before the request: a planned stop, a
+    reload and a change of the configuration cut nothing off.
+    """
+    holders = {run.request: run.holder for run in events.runs}
+    unplanned = [d for d in disturbances if not d.planned]
+    problems = []
+    for req in sent:
+        holder = holders.get(req.request)
+        if holder is None or not req.cut_off:
+            continue
+        name = holder.partition('/')[0]
+        excused = {req.gateway, name, f'end of {name}', f'path to {name}'}
+        if not _disturbed(
+            unplanned, excused, req.at - STABLE_S, req.ended + CUT_SLACK_S
+        ):
+            problems.append(
+                f'{req.request} ran at {holder}, but {req.gateway} cut its '
+                f'connection after {req.ended - req.at:.3f} s: {req.problem}'
+            )
+    return problems
+
+
 def _disturbed(
     disturbances: Iterable[faults.Disturbance],
     names: set[str],
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -60,11 +60,15 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Disturbance:
-    """The time in which a process or a network path had a fault."""
+    """The time in which a process or a network path had a fault.
+
+    A stop that the platform announces by SIGTERM is ``planned``.
+    """
 
     name: str
     start: float
     end: float
+    planned: bool = False
 
 
 @dataclass(kw_only=True)
@@ -105,9 +109,13 @@
     def record(self, text: str) -> None:
         self.log_entries.append((time.monotonic(), text))
 
-    def _record_disturbance(self, name: str, start: float) -> None:
+    def _record_disturbance(
+        self, name: str, start: float, *, planned: bool = False
+    ) -> None:
         self.disturbances.append(
-            Disturbance(name=name, start=start, end=time.monotonic())
+            Disturbance(
+                name=name, start=start, end=time.monotonic(), planned=planned
+            )
         )
 
     async def wait_duration(self) -> None:
@@ -225,7 +233,9 @@
                     proc.send(signal.SIGHUP)
                     await aio.sleep(EXIT_POLL_INTERVAL)
         if kind != 'reload':
-            self._record_disturbance(gateway.name, start)
+            self._record_disturbance(
+                gateway.name, start, planned=kind == 'stop'
+            )
         self.affected.discard(gateway.name)
 
     async def kill_all_gateways(self) -> None:
@@ -300,10 +310,14 @@
             case 'kill':
                 await self._kill(proc)
                 self.cluster.start_upstream(upstream)
+                self._record_disturbance(f'end of {upstream.name}', start)
             case 'drain':
                 proc.stopped_by_us = True
                 proc.send(signal.SIGTERM)
                 await self._wait_exit(proc)
+                # Its process ends by itself, between two of the checks.
+                end = time.monotonic() - EXIT_POLL_INTERVAL.total_seconds()
+                self._record_disturbance(f'end of {upstream.name}', end)
                 self.cluster.start_upstream(upstream)
         self.affected.discard(upstream.name)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,6 @@
 """Tests of the soak's checks, and short soak runs with fixed seeds."""
 
+import dataclasses
 import unittest
 
 from soak import __main__ as soak_main
@@ -229,6 +230,35 @@
                 )
                 self.assertEqual(len(found), expected)
 
+    def test_connection_that_is_cut_off(self) -> None:
+        """Guards against a check that misses a request that was cut off.
+
+        Unplanned faults excuse it and planned stops do not. A request that
+        did not reach an upstream is not counted.
+        """
+        for name, planned, ran, expected in (
+            (None, False, True, 1),
+            (None, False, False, 0),
+            ('g0', False, True, 0),
+            ('g0', True, True, 1),
+            ('g1', False, True, 1),
+            ('u1', False, True, 0),
+            ('end of u1', False, True, 0),
+            ('path to u1', False, True, 0),
+            ('path to u2', False, True, 1),
+        ):
+            with self.subTest(name=name, planned=planned, ran=ran):
+                req = sent(status=None)
+                req.at, req.ended, req.cut_off = 4.2, 4.4, True
+                faults_seen = [
+                    dataclasses.replace(each, planned=planned)
+                    for each in self.disturbed(name)
+                ]
+                found = checks.check_cut_off(
+                    [req], events(*[run()] * ran), faults_seen
+                )
+                self.assertEqual(len(found), expected)
+
     def disturbed(self, name: str | None) -> list[faults.Disturbance]:
         if name is None:
             return []
