Let signals, restarts and changes of the soak come in series

What the soak missed: a process with a fault got no second one, so that no signal reached a gateway that was starting or stopping, no restart followed at once on another, and only one version of the configuration was written at a time.

Change: one gateway is restarted several times in a row, or all in turn with overlapping stops. They get SIGHUP before the stop, and SIGHUP, SIGTERM, a freeze or SIGKILL during it. Several versions of the configuration are written in a row.

Evidence: a test sees SIGHUP and SIGTERM at a process that is stopping; it failed while the process of the test ended before the next signal.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -58,6 +58,7 @@
     cluster: fleet.Fleet,
     results: list[SeedResult],
     restore_rng: random.Random | None,
+    series_rng: random.Random | None,
     together: faults.Together | None,
 ) -> None:
     """Run one seed and append its result to ``results``.
@@ -65,7 +66,10 @@
     With ``together``, the upstreams without keys all do this at the start.
     """
     injector = faults.FaultInjector(
-        cluster=cluster, rng=cluster.rng, restore_rng=restore_rng
+        cluster=cluster,
+        rng=cluster.rng,
+        restore_rng=restore_rng,
+        series_rng=series_rng,
     )
     await cluster.start()
     caller_group = callers.Callers(
@@ -134,13 +138,15 @@
     seconds: float,
     *,
     restores: bool = False,
+    series: bool = False,
     plain_count: int = fleet.PLAIN_COUNT,
     together: faults.Together | None = None,
 ) -> SeedResult:
     """Run one seed and print its result.
 
-    With ``restores``, the store is also restored from older copies. The
-    folder with the logs is kept only if there were violations.
+    With ``restores``, the store is also restored from older copies, and with
+    ``series``, signals, restarts and changes also come in series. The folder
+    with the logs is kept only if there were violations.
     """
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
     results: list[SeedResult] = []
@@ -148,6 +154,7 @@
         folder=folder, rng=random.Random(seed), plain_count=plain_count
     )
     restore_rng = random.Random(f'restores {seed}') if restores else None
+    series_rng = random.Random(f'series {seed}') if series else None
     try:
         aio.run(
             run_seed,
@@ -157,6 +164,7 @@
             cluster,
             results,
             restore_rng,
+            series_rng,
             together,
         )
     finally:
@@ -185,6 +193,9 @@
     restores: bool = typer.Option(
         True, help='also restore the store from older copies'
     ),
+    series: bool = typer.Option(
+        True, help='also send signals and changes in series'
+    ),
     plain: int = typer.Option(
         fleet.PLAIN_COUNT, help='how many upstreams without keys'
     ),
@@ -204,6 +215,7 @@
             number,
             seconds,
             restores=restores,
+            series=series,
             plain_count=plain,
             together=together,
         ).problems
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -463,9 +463,10 @@
         # SIGTERM may arrive before a starting gateway has installed its
         # handler; one that does not listen yet may end with any code.
         failed = stop.serving and stop.code != 0
-        if stop.ended - stop.at > MAX_STOP_S or failed:
+        took = stop.ended - stop.at - stop.frozen_s
+        if took > MAX_STOP_S or failed:
             problems.append(
-                f'{stop.gateway} took {stop.ended - stop.at:.1f} s to stop, '
+                f'{stop.gateway} took {took:.1f} s to stop, '
                 f'exit code {stop.code}'
             )
     return problems
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -34,7 +34,14 @@
 # end by itself within the grace period.
 EXIT_POLL_INTERVAL = timedelta(milliseconds=50)
 
+# Of a series of signals, restarts or changes.
+SERIES_GAP_RANGE_S = (0.0, 0.8)
+SERIES_COUNTS = (2, 3, 4)
+
 _Fault = Callable[['FaultInjector'], Coroutine[Any, Any, None]]
+_SeriesFault = Callable[
+    ['FaultInjector', random.Random], Coroutine[Any, Any, None]
+]
 
 
 class Together(Enum):
@@ -48,7 +55,8 @@
 class GatewayStop:
     """A stop of a gateway by SIGTERM, recorded for the checks.
 
-    ``serving`` says whether the gateway had started to listen.
+    ``serving`` says whether the gateway had started to listen. It could not
+    work for ``frozen_s`` of the time between ``at`` and ``ended``.
     """
 
     gateway: str
@@ -56,6 +64,7 @@
     at: float
     ended: float
     code: int | None
+    frozen_s: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -79,13 +88,15 @@
     have a fault now; they get no second one. ``log_entries`` lists the
     faults with their times. ``disturbances`` lists freezes, restarts and
     cuts, for the rules that these excuse. With ``restore_rng``, the store is
-    also restored from older copies; these choices come from a source of
-    their own, so that a seed has the same other faults without restores.
+    also restored from older copies, and with ``series_rng``, there are also
+    series of signals, restarts and changes; these choices come from sources
+    of their own, so that a seed has the same other faults without them.
     """
 
     cluster: fleet.Fleet
     rng: random.Random
     restore_rng: random.Random | None = None
+    series_rng: random.Random | None = None
     affected: set[str] = field(default_factory=set)
     stops: list[GatewayStop] = field(default_factory=list)
     log_entries: list[tuple[float, str]] = field(default_factory=list)
@@ -103,6 +114,10 @@
             rng = self.restore_rng
             if rng is not None and rng.random() < 1 / len(FAULTS):
                 tasks.append(await aio.spawn(self.restore_store(rng)))
+            rng = self.series_rng
+            if rng is not None and rng.random() < len(SERIES) / len(FAULTS):
+                series = rng.choice(SERIES)
+                tasks.append(await aio.spawn(series(self, rng)))
         for task in tasks:
             await task.join()
 
@@ -238,6 +253,105 @@
             )
         self.affected.discard(gateway.name)
 
+    async def restart_one_in_series(self, rng: random.Random) -> None:
+        """Restart one gateway several times, each as soon as it is back.
+
+        Further signals arrive while it starts and while it stops.
+        """
+        gateway = rng.choice(self.cluster.gateways)
+        if gateway.name in self.affected:
+            return
+        self.affected.add(gateway.name)
+        for _ in range(rng.choice(SERIES_COUNTS)):
+            await self._signal_in_series(gateway, rng)
+            await aio.sleep(_draw_gap(rng))
+        self.affected.discard(gateway.name)
+
+    async def restart_all_in_turn(self, rng: random.Random) -> None:
+        """Stop and restart all gateways, with overlapping stops."""
+        gateways = list(self.cluster.gateways)
+        rng.shuffle(gateways)
+        tasks = []
+        for gateway in gateways:
+            if gateway.name not in self.affected:
+                self.affected.add(gateway.name)
+                tasks.append(
+                    await aio.spawn(self._restart_in_turn(gateway, rng))
+                )
+                await aio.sleep(_draw_gap(rng))
+        for task in tasks:
+            await task.join()
+
+    async def _restart_in_turn(
+        self, gateway: fleet.Gateway, rng: random.Random
+    ) -> None:
+        await self._signal_in_series(gateway, rng)
+        self.affected.discard(gateway.name)
+
+    async def _signal_in_series(
+        self, gateway: fleet.Gateway, rng: random.Random
+    ) -> None:
+        """Send overlapping signals to a gateway, the last to end it.
+
+        After the first SIGTERM, the gateway may be frozen, be signalled
+        again or be killed before it has ended.
+        """
+        proc = gateway.incarnations[-1]
+        serving = proc.log.stat().st_size > 0
+        kinds = [
+            *rng.choices(('reload', 'none'), k=2),
+            'stop',
+            *rng.choices(('reload', 'stop', 'freeze', 'none'), k=2),
+            *rng.choices(('kill', 'none'), (1, 3)),
+        ]
+        kinds = [kind for kind in kinds if kind != 'none']
+        self.record(f'{gateway.name}: {", ".join(kinds)}')
+        start, frozen_s = time.monotonic(), 0.0
+        stopping_since = start
+        for kind in kinds:
+            match kind:
+                case 'reload' if serving:
+                    # The signal ends a process that has no handler yet.
+                    proc.send(signal.SIGHUP)
+                case 'stop':
+                    if not proc.stopped_by_us:
+                        stopping_since = time.monotonic()
+                    proc.stopped_by_us = True
+                    proc.send(signal.SIGTERM)
+                case 'freeze':
+                    frozen_s += await self._freeze_briefly(proc, rng)
+                case 'kill':
+                    proc.send(signal.SIGKILL)
+            await aio.sleep(_draw_gap(rng))
+        await self._wait_exit(proc)
+        if 'kill' not in kinds:
+            self.stops.append(
+                GatewayStop(
+                    gateway=gateway.name,
+                    serving=serving,
+                    at=stopping_since,
+                    ended=time.monotonic(),
+                    code=proc.popen.returncode,
+                    frozen_s=frozen_s,
+                )
+            )
+        self.cluster.start_gateway(gateway)
+        self._record_disturbance(
+            gateway.name,
+            start,
+            planned=not {'freeze', 'kill'} & set(kinds),
+        )
+
+    async def _freeze_briefly(
+        self, proc: fleet.Proc, rng: random.Random
+    ) -> float:
+        """Freeze a process and return for how many seconds."""
+        start = time.monotonic()
+        proc.send(signal.SIGSTOP)
+        await aio.sleep(_draw_gap(rng))
+        proc.send(signal.SIGCONT)
+        return time.monotonic() - start
+
     async def kill_all_gateways(self) -> None:
         """Kill all gateways at the same time, in half of the calls."""
         names = {gateway.name for gateway in self.cluster.gateways}
@@ -328,6 +442,12 @@
         )
         await self.cluster.configure(swapped=self.routes_swapped)
 
+    async def change_config_in_series(self, rng: random.Random) -> None:
+        """Store several versions of the configuration in a row."""
+        for _ in range(rng.choice(SERIES_COUNTS)):
+            await self.change_config()
+            await aio.sleep(_draw_gap(rng))
+
     async def _pause(self, proc: fleet.Proc) -> None:
         proc.send(signal.SIGSTOP)
         await self.wait_duration()
@@ -363,6 +483,15 @@
         await aio.sleep(timedelta(seconds=self.rng.uniform(*RESTART_S)))
 
 
+def _draw_gap(rng: random.Random) -> timedelta:
+    return timedelta(seconds=rng.uniform(*SERIES_GAP_RANGE_S))
+
+
+SERIES: tuple[_SeriesFault, ...] = (
+    FaultInjector.restart_one_in_series,
+    FaultInjector.restart_all_in_turn,
+    FaultInjector.change_config_in_series,
+)
 FAULTS: tuple[_Fault, ...] = (
     FaultInjector.store_fault,
     FaultInjector.disturb_store_path,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,13 +1,22 @@
 """Tests of the soak's checks, and short soak runs with fixed seeds."""
 
 import dataclasses
+import pathlib
+import random
+import subprocess  # nosec
+import sys
+import tempfile
+import time
+from typing import cast
 import unittest
 
+from goldcresthaven import aio
 from soak import __main__ as soak_main
 from soak import callers
 from soak import checks
 from soak import faults
 from soak import fleet
+from soak import tcp_relay
 
 # Long enough for some faults to overlap.
 SECONDS = 5.0
@@ -302,6 +311,94 @@
         self.assertEqual(len(checks.check_recovery([], 0.5)), 1)
 
 
+class SeriesTest(unittest.TestCase):
+    """Signals and restarts come in series, and overlap."""
+
+    # Ends a second after the first SIGTERM and prints all signals.
+    PROGRAM = """
+import signal, sys, time
+signals = []
+def note(number, frame):
+    signals.append(number)
+    print(signal.Signals(number).name, flush=True)
+for number in (signal.SIGTERM, signal.SIGHUP):
+    signal.signal(number, note)
+print('started', flush=True)
+while signal.SIGTERM not in signals:
+    time.sleep(0.01)
+end = time.monotonic() + 1
+while time.monotonic() < end:
+    time.sleep(0.01)
+for number in (signal.SIGTERM, signal.SIGHUP):
+    signal.signal(number, signal.SIG_IGN)
+"""
+
+    def test_signals_overlap(self) -> None:
+        """Guards against restarts that wait for each other's end.
+
+        A gateway gets signals while it stops, and is stopped again as soon
+        as it is back.
+        """
+        with tempfile.TemporaryDirectory() as name:
+            cluster = LocalCluster(folder=pathlib.Path(name))
+            try:
+                aio.run(self._restart, cluster)
+            finally:
+                cluster.kill_all()
+            logs = [
+                proc.log.read_text().split()
+                for proc in cluster.gateways[0].incarnations
+            ]
+        while_stopping = [log[log.index('SIGTERM') + 1 :] for log in logs[:-1]]
+        self.assertGreater(len(logs), 4)
+        self.assertTrue(any('SIGTERM' in log for log in while_stopping))
+        self.assertTrue(any('SIGHUP' in log for log in while_stopping))
+
+    async def _restart(self, cluster: 'LocalCluster') -> None:
+        rng = random.Random(1)
+        injector = faults.FaultInjector(
+            cluster=cast(fleet.Fleet, cluster), rng=rng
+        )
+        for _ in range(2):
+            await injector.restart_one_in_series(rng)
+        gateway_stops = len(injector.stops)
+        planned = [d for d in injector.disturbances if d.planned]
+        self.assertGreater(gateway_stops, 0)
+        self.assertGreater(len(planned), 0)
+        self.assertEqual(checks.check_processes([], injector.stops), [])
+
+
+class LocalCluster:
+    """One gateway, whose processes run ``SeriesTest.PROGRAM``."""
+
+    def __init__(self, *, folder: pathlib.Path) -> None:
+        self._folder = folder
+        relay = cast(tcp_relay.Relay, None)
+        gateway = fleet.Gateway(
+            name='g0', host='', zone='a', store_relay=relay
+        )
+        self.gateways = [gateway]
+        self.start_gateway(gateway)
+
+    def start_gateway(self, gateway: fleet.Gateway) -> None:
+        number = len(gateway.incarnations)
+        log = self._folder / f'{number}.log'
+        with log.open('wb') as out:
+            popen = subprocess.Popen(
+                [sys.executable, '-c', SeriesTest.PROGRAM], stdout=out
+            )
+        while log.stat().st_size == 0:
+            time.sleep(0.01)
+        gateway.incarnations.append(
+            fleet.Proc(name='g0', popen=popen, log=log, errors=log)
+        )
+
+    def kill_all(self) -> None:
+        for proc in self.gateways[0].incarnations:
+            proc.popen.kill()
+            proc.popen.wait()
+
+
 class SoakTest(unittest.TestCase):
     """Runs of the real programs with seeds that have failed before.
 
