Let the soak see pauses of 50 upstreams, and idle connections

What the soak missed: with 50 upstreams that all pause, each gateway sent 1.4 requests on average to each of them in the pause, so that the check, which allows more, could not fail. No connection was idle, so that a stopping gateway met none which it had not asked to close yet. A refused grant did not say that the upstream leaves.

Change: while all upstreams of the pool leave or pause, all requests go to this pool, and the pause lasts 10 s. Four of the 16 callers leave their connections idle for up to 4 s.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -78,7 +78,12 @@
     tasks = await caller_group.run()
     await aio.sleep(WARM_UP)
     if together is not None:
+        # All requests go to this pool, so that each gateway sends some to
+        # most of its upstreams, and the checks can see too many.
+        caller_group.routes = callers.PLAIN_ROUTES
         await injector.signal_together(fleet.PLAIN_POOL, together)
+        await aio.sleep(timedelta(seconds=cluster.pause_s))
+        caller_group.routes = callers.ROUTES
     await injector.run(seconds)
     await aio.sleep(RECOVERY)
     steady_since = time.monotonic()
@@ -151,7 +156,10 @@
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
     results: list[SeedResult] = []
     cluster = fleet.Fleet(
-        folder=folder, rng=random.Random(seed), plain_count=plain_count
+        folder=folder,
+        rng=random.Random(seed),
+        plain_count=plain_count,
+        pause_s=fleet.PAUSE_S if together is None else fleet.LONG_PAUSE_S,
     )
     restore_rng = random.Random(f'restores {seed}') if restores else None
     series_rng = random.Random(f'series {seed}') if series else None
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,5 +1,6 @@
 """Callers that reuse their connections and record every answer."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
 from datetime import timedelta
@@ -17,10 +18,16 @@
 CALLERS = 16
 KEYS = tuple(range(0, 65536, 1777))
 PAUSE_RANGE_S = (0.02, 0.2)
+# The last callers leave their connections idle, up to four fifths of the idle
+# timeout, so that these are still open when a stopping gateway closes them.
+IDLE_CALLERS = 4
+IDLE_RANGE_S = (0.5, 0.8 * fleet.IDLE_TIMEOUT_S)
 DEADLINE_MS = 1500
 # A caller closes its connection if the answer has not arrived by then.
 CALLER_TIMEOUT = timedelta(milliseconds=DEADLINE_MS + 500)
 ROUTES = ('read', 'book', 'pay')
+# The routes to the pool without keys, while the configuration is the first.
+PLAIN_ROUTES = ('pay',)
 # Pause after a failed request, also if its connection was only accepted by
 # the listen backlog of a paused process.
 RECONNECT_PAUSE = timedelta(milliseconds=50)
@@ -55,10 +62,14 @@
 
 @dataclass(kw_only=True)
 class Callers:
-    """Send requests to all gateways until ``stopped`` is set."""
+    """Send requests to all gateways until ``stopped`` is set.
+
+    Each request takes one of ``routes``, which may change meanwhile.
+    """
 
     gateways: list[fleet.Gateway]
     rng: random.Random
+    routes: Sequence[str] = ROUTES
     sent: list[SentRequest] = field(default_factory=list)
     stopped: bool = False
 
@@ -73,17 +84,17 @@
         # on it fails.
         gateway = self.gateways[number % len(self.gateways)]
         caller = http_client.Caller(gateway.address)
+        idle = number >= CALLERS - IDLE_CALLERS
+        pause_range = IDLE_RANGE_S if idle else PAUSE_RANGE_S
         while not self.stopped:
             await self._send_request(caller, gateway)
-            await aio.sleep(
-                timedelta(seconds=self.rng.uniform(*PAUSE_RANGE_S))
-            )
+            await aio.sleep(timedelta(seconds=self.rng.uniform(*pause_range)))
         await caller.close()
 
     async def _send_request(
         self, caller: http_client.Caller, gateway: fleet.Gateway
     ) -> None:
-        route = self.rng.choice(ROUTES)
+        route = self.rng.choice(self.routes)
         sent = SentRequest(
             request=secrets.token_hex(8),
             route=route,
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -32,12 +32,18 @@
 HOST_NAME = 'soak.example'
 FRONT_PORT, READY_PORT, PEER_PORT = 7301, 7302, 7303
 ZONES = ('a', 'b')
+IDLE_TIMEOUT_S = 5
 HOLD_MAX_S = 6
 GRACE_S = 6
 DRAIN_S = 2.0
 # An upstream that leaves stays for this long after the drain time, so that it
 # sees the requests that come too late.
 LINGER_S = 2.5
+# An upstream that turns requests away does so for this long. If all upstreams
+# of a large pool do so, each gateway sends few requests to each of them, and
+# the check needs a longer time to see too many.
+PAUSE_S = 3.0
+LONG_PAUSE_S = 10.0
 # Rates of the clocks that measure grants; the platform allows 2% deviation.
 CLOCK_RATES = (1.0, 0.98, 1.01)
 MAX_LOG_BYTES = 64 << 20
@@ -97,8 +103,10 @@
         folder: pathlib.Path,
         rng: random.Random,
         plain_count: int = PLAIN_COUNT,
+        pause_s: float = PAUSE_S,
     ) -> None:
         self._folder = folder
+        self.pause_s = pause_s
         self._plain_count = plain_count
         self.rng = rng
         self._count = 0
@@ -169,7 +177,7 @@
                 KEYED_POOL: {'sharded': True, 'max-conns': 200},
                 PLAIN_POOL: {'max-conns': 200},
             },
-            'limits': {'idle-timeout-s': 5},
+            'limits': {'idle-timeout-s': IDLE_TIMEOUT_S},
         }
         await http_client.post_json(
             self.store,
@@ -191,6 +199,7 @@
             'store': str(self.store),
             'born': int(time.time() * 1000),
             'linger_s': LINGER_S,
+            'pause_s': self.pause_s,
             'reports_draining': self.rng.random() < 0.5,
             'clock_rate': self.rng.choice(CLOCK_RATES),
             'sharded': upstream.pool == KEYED_POOL,
--- a/standins/key_endpoint.py
+++ b/standins/key_endpoint.py
@@ -144,7 +144,7 @@
             (self.fences.get(k, 0) for k in range(first, last + 1))
         )
         if highest_fence > fence:
-            await exchange.reply(409, {})
+            await exchange.reply(409, {}, self._leaving_header())
             return
         # A hold that ends later than the new one is not shortened.
         self.grants = [grant for grant in self.grants if grant.until > now]
