--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -58,6 +58,7 @@
     cluster: fleet.Fleet,
     results: list[SeedResult],
     restore_rng: random.Random | None,
+    series_rng: random.Random | None,
     together: faults.Together | None,
 ) -> None:
     """Run one seed and append its result to ``results``.
@@ -65,7 +66,10 @@
     With ``together``, the upstreams without keys all do this at the start.
     """
     injector = faults.FaultInjector(
-        cluster=cluster, rng=cluster.rng, restore_rng=restore_rng
+        cluster=cluster,
+        rng=cluster.rng,
+        restore_rng=restore_rng,
+        series_rng=series_rng,
     )
     await cluster.start()
     caller_group = callers.Callers(
@@ -74,7 +78,12 @@
     tasks = await caller_group.run()
     await aio.sleep(WARM_UP)
     if together is not None:
+        # All requests go to this pool, so that each gateway sends some to
+        # most of its upstreams, and the checks can see too many.
+        caller_group.routes = callers.PLAIN_ROUTES
         await injector.signal_together(fleet.PLAIN_POOL, together)
+        await aio.sleep(timedelta(seconds=cluster.pause_s))
+        caller_group.routes = callers.ROUTES
     await injector.run(seconds)
     await aio.sleep(RECOVERY)
     steady_since = time.monotonic()
@@ -93,6 +102,9 @@
     problems += checks.check_pauses(
         caller_group.sent, events, injector.disturbances
     )
+    problems += checks.check_cut_off(
+        caller_group.sent, events, injector.disturbances
+    )
     problems += checks.check_recovery(caller_group.sent, steady_since)
     _write_report(folder / 'story.json', caller_group, injector)
     results.append(
@@ -131,20 +143,26 @@
     seconds: float,
     *,
     restores: bool = False,
+    series: bool = False,
     plain_count: int = fleet.PLAIN_COUNT,
     together: faults.Together | None = None,
 ) -> SeedResult:
     """Run one seed and print its result.
 
-    With ``restores``, the store is also restored from older copies. The
-    folder with the logs is kept only if there were violations.
+    With ``restores``, the store is also restored from older copies, and with
+    ``series``, signals, restarts and changes also come in series. The folder
+    with the logs is kept only if there were violations.
     """
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
     results: list[SeedResult] = []
     cluster = fleet.Fleet(
-        folder=folder, rng=random.Random(seed), plain_count=plain_count
+        folder=folder,
+        rng=random.Random(seed),
+        plain_count=plain_count,
+        pause_s=fleet.PAUSE_S if together is None else fleet.LONG_PAUSE_S,
     )
     restore_rng = random.Random(f'restores {seed}') if restores else None
+    series_rng = random.Random(f'series {seed}') if series else None
     try:
         aio.run(
             run_seed,
@@ -154,6 +172,7 @@
             cluster,
             results,
             restore_rng,
+            series_rng,
             together,
         )
     finally:
@@ -182,6 +201,9 @@
     restores: bool = typer.Option(
         True, help='also restore the store from older copies'
     ),
+    series: bool = typer.Option(
+        True, help='also send signals and changes in series'
+    ),
     plain: int = typer.Option(
         fleet.PLAIN_COUNT, help='how many upstreams without keys'
     ),
@@ -201,6 +223,7 @@
             number,
             seconds,
             restores=restores,
+            series=series,
             plain_count=plain,
             together=together,
         ).problems
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,12 +1,22 @@
 """Tests of the soak's checks, and short soak runs with fixed seeds."""
 
+import dataclasses
+import pathlib
+import random
+import subprocess  # nosec
+import sys
+import tempfile
+import time
+from typing import cast
 import unittest
 
+from goldcresthaven import aio
 from soak import __main__ as soak_main
 from soak import callers
 from soak import checks
 from soak import faults
 from soak import fleet
+from soak import tcp_relay
 
 # Long enough for some faults to overlap.
 SECONDS = 5.0
@@ -139,6 +149,125 @@
                 )
                 self.assertEqual(len(found), expected)
 
+    def test_late_request_after_a_restart(self) -> None:
+        """Guards against an excuse that lasts for all later answers.
+
+        The gateway restarts, and passes on an answer of the leaving upstream
+        again.
+        """
+        answers = [sent(), sent()]
+        for req, ended in zip(answers, (3.0, 4.5)):
+            req.request, req.leaving = f'ab{ended}', True
+            req.body, req.ended = f'{req.request} by u1 '.encode(), ended
+        for at, expected in ((6.4, 0), (6.6, 1)):
+            with self.subTest(at=at):
+                late = sent()
+                late.request, late.at = 'cd34', at
+                seen = events(
+                    *(
+                        checks.Execution(
+                            holder='u1/0', request=req.request, key=7, at=2.0
+                        )
+                        for req in answers
+                    )
+                )
+                seen.arrivals.append(
+                    checks.Arrival(holder='u1/0', request='cd34', at=at + 0.1)
+                )
+                found = checks.check_leaving(
+                    [*answers, late], seen, self.disturbed('g0')
+                )
+                self.assertEqual(len(found), expected)
+
+    def turned_away(
+        self, *arrivals: tuple[float, float, float]
+    ) -> tuple[list[callers.SentRequest], checks.Events]:
+        """Return requests, sent at ``arrivals[0]``, and their refusals."""
+        requests, seen = [], events()
+        for number, (sent_at, at, until) in enumerate(arrivals):
+            req = sent(status=503)
+            req.request, req.at = f'{number}', sent_at
+            requests.append(req)
+            seen.turned_away.append(
+                checks.TurnedAway(
+                    holder='u1/0', request=req.request, at=at, until=until
+                )
+            )
+        return requests, seen
+
+    def test_requests_during_a_pause_after_a_restart(self) -> None:
+        """Guards against an excuse that lasts to the end of a pause.
+
+        A restarted gateway, for example one that takes over a claim, is
+        bound again by the next answer that it gets.
+        """
+        late = [(at, at, 9.0) for at in (2.0, 5.0, 5.6, 5.7, 5.8)]
+        requests, seen = self.turned_away(*late)
+        restarted = self.disturbed('g0')
+        self.assertEqual(
+            len(checks.check_pauses(requests, seen, restarted)), 1
+        )
+        requests, seen = self.turned_away(*late[:-1])
+        self.assertEqual(checks.check_pauses(requests, seen, restarted), [])
+
+    def test_pause_that_is_prolonged(self) -> None:
+        """Guards against a check that counts a prolonged pause anew.
+
+        The upstream asks for a second pause before the first has ended.
+        """
+        requests, seen = self.turned_away(
+            (2.0, 2.0, 5.0),
+            (2.6, 2.6, 5.0),
+            (2.7, 2.7, 5.0),
+            (2.8, 2.8, 5.8),
+        )
+        self.assertEqual(len(checks.check_pauses(requests, seen, [])), 1)
+
+    def test_frozen_upstream(self) -> None:
+        """Guards against a freeze of the upstream that excuses too much.
+
+        It excuses requests that were on their way when the pause began, and
+        not those that callers sent later.
+        """
+        for sent_at, expected in ((2.1, 0), (3.6, 1)):
+            with self.subTest(sent_at=sent_at):
+                requests, seen = self.turned_away(
+                    (2.0, 2.0, 5.0), *[(sent_at, 4.0, 5.0)] * 3
+                )
+                found = checks.check_pauses(
+                    requests, seen, self.disturbed('u1')
+                )
+                self.assertEqual(len(found), expected)
+
+    def test_connection_that_is_cut_off(self) -> None:
+        """Guards against a check that misses a request that was cut off.
+
+        Unplanned faults excuse it and planned stops do not. A request that
+        did not reach an upstream is not counted.
+        """
+        for name, planned, ran, expected in (
+            (None, False, True, 1),
+            (None, False, False, 0),
+            ('g0', False, True, 0),
+            ('g0', True, True, 1),
+            ('g1', False, True, 1),
+            ('u1', False, True, 0),
+            ('end of u1', False, True, 0),
+            ('path to u1', False, True, 0),
+            ('path to u2', False, True, 1),
+        ):
+            with self.subTest(name=name, planned=planned, ran=ran):
+                req = sent(status=None)
+                req.at, req.ended, req.cut_off = 4.2, 4.4, True
+                faults_seen = [
+                    dataclasses.replace(each, planned=planned)
+                    for each in self.disturbed(name)
+                ]
+                found = checks.check_cut_off(
+                    [req], events(*[run()] * ran), faults_seen
+                )
+                self.assertEqual(len(found), expected)
+
     def disturbed(self, name: str | None) -> list[faults.Disturbance]:
         if name is None:
             return []
@@ -182,6 +311,94 @@
         self.assertEqual(len(checks.check_recovery([], 0.5)), 1)
 
 
+class SeriesTest(unittest.TestCase):
+    """Signals and restarts come in series, and overlap."""
+
+    # Ends a second after the first SIGTERM and prints all signals.
+    PROGRAM = """
+import signal, sys, time
+signals = []
+def note(number, frame):
+    signals.append(number)
+    print(signal.Signals(number).name, flush=True)
+for number in (signal.SIGTERM, signal.SIGHUP):
+    signal.signal(number, note)
+print('started', flush=True)
+while signal.SIGTERM not in signals:
+    time.sleep(0.01)
+end = time.monotonic() + 1
+while time.monotonic() < end:
+    time.sleep(0.01)
+for number in (signal.SIGTERM, signal.SIGHUP):
+    signal.signal(number, signal.SIG_IGN)
+"""
+
+    def test_signals_overlap(self) -> None:
+        """Guards against restarts that wait for each other's end.
+
+        A gateway gets signals while it stops, and is stopped again as soon
+        as it is back.
+        """
+        with tempfile.TemporaryDirectory() as name:
+            cluster = LocalCluster(folder=pathlib.Path(name))
+            try:
+                aio.run(self._restart, cluster)
+            finally:
+                cluster.kill_all()
+            logs = [
+                proc.log.read_text().split()
+                for proc in cluster.gateways[0].incarnations
+            ]
+        while_stopping = [log[log.index('SIGTERM') + 1 :] for log in logs[:-1]]
+        self.assertGreater(len(logs), 4)
+        self.assertTrue(any('SIGTERM' in log for log in while_stopping))
+        self.assertTrue(any('SIGHUP' in log for log in while_stopping))
+
+    async def _restart(self, cluster: 'LocalCluster') -> None:
+        rng = random.Random(1)
+        injector = faults.FaultInjector(
+            cluster=cast(fleet.Fleet, cluster), rng=rng
+        )
+        for _ in range(2):
+            await injector.restart_one_in_series(rng)
+        gateway_stops = len(injector.stops)
+        planned = [d for d in injector.disturbances if d.planned]
+        self.assertGreater(gateway_stops, 0)
+        self.assertGreater(len(planned), 0)
+        self.assertEqual(checks.check_processes([], injector.stops), [])
+
+
+class LocalCluster:
+    """One gateway, whose processes run ``SeriesTest.PROGRAM``."""
+
+    def __init__(self, *, folder: pathlib.Path) -> None:
+        self._folder = folder
+        relay = cast(tcp_relay.Relay, None)
+        gateway = fleet.Gateway(
+            name='g0', host='', zone='a', store_relay=relay
+        )
+        self.gateways = [gateway]
+        self.start_gateway(gateway)
+
+    def start_gateway(self, gateway: fleet.Gateway) -> None:
+        number = len(gateway.incarnations)
+        log = self._folder / f'{number}.log'
+        with log.open('wb') as out:
+            popen = subprocess.Popen(
+                [sys.executable, '-c', SeriesTest.PROGRAM], stdout=out
+            )
+        while log.stat().st_size == 0:
+            time.sleep(0.01)
+        gateway.incarnations.append(
+            fleet.Proc(name='g0', popen=popen, log=log, errors=log)
+        )
+
+    def kill_all(self) -> None:
+        for proc in self.gateways[0].incarnations:
+            proc.popen.kill()
+            proc.popen.wait()
+
+
 class SoakTest(unittest.TestCase):
     """Runs of the real programs with seeds that have failed before.
 
