Do not return merged loads to the coordinator

Cause: a process reported every load younger than 0.9 s, including those that it had from the coordinator. The coordinator decoded its own merged loads once from each reporter. The age of a load leaves out the time on the way, so that a copy that took more than 20 ms also counted as a newer observation and entered the averages again. platform.md already says that a process reports what upstreams stated.

A process now reports only loads whose latest report was a response to itself. A coordinator still sends all. This changes how often an old load enters the averages; encoding and settings stay.

--- a/goldcresthaven/fleet_link.py
+++ b/goldcresthaven/fleet_link.py
@@ -198,7 +198,10 @@
             pool=pool,
             keys=sample,
             weight=len(requested) / len(sample) if sample else 1.0,
-            loads=self._loads(now),
+            # The coordinator has the loads of other processes from these or
+            # from itself. Returned loads would count once more, and as
+            # younger by the time that the datagrams took.
+            loads=self._loads(now, with_shared=False),
         )
 
     def _send_coordinator_report(
@@ -246,7 +249,9 @@
         interval = REPORT_INTERVAL.total_seconds()
         self._loads_credit += self._loads_rate * interval
         data = fleet_codec.encode(
-            dataclasses.replace(report, loads=self._loads(now))
+            dataclasses.replace(
+                report, loads=self._loads(now, with_shared=True)
+            )
         )
         count = min(len(addresses), int(self._loads_credit / len(data)))
         if count == len(addresses):
@@ -271,9 +276,13 @@
         self._next_peer += PEERS_PER_REPORT
         return [str(a) for a in addresses[first : self._next_peer]]
 
-    def _loads(self, now: timedelta) -> list[fleet_messages.UpstreamLoad]:
+    def _loads(
+        self, now: timedelta, *, with_shared: bool
+    ) -> list[fleet_messages.UpstreamLoad]:
         return self._selector.recent_loads(
-            self._known_state.registry.all_upstreams(), now
+            self._known_state.registry.all_upstreams(),
+            now,
+            with_shared=with_shared,
         )
 
     def _apply_loads(
--- a/goldcresthaven/selection.py
+++ b/goldcresthaven/selection.py
@@ -82,6 +82,7 @@
     ``service_time`` is None until a response or a shared load has shown it.
     ``own_requests`` counts this process's requests in flight. ``last_load``
     is the load in the latest report, and ``smoothed_load`` its moving average.
+    ``is_shared`` says that this report came from another process.
     """
 
     slots: int
@@ -90,6 +91,7 @@
     last_load: float = 0.0
     reported_at: timedelta | None = None
     smoothed_load: float = 0.0
+    is_shared: bool = False
     own_requests_at_report: int = 0
     failure_rate: float = 0.0
     consecutive_failures: int = 0
@@ -117,13 +119,19 @@
             others, long_term_load, age, REPORT_HALF_LIFE
         )
 
-    def report(self, requests: int, slots: int, at: timedelta) -> None:
-        """Store a load that the upstream reported."""
+    def report(
+        self, requests: int, slots: int, at: timedelta, *, shared: bool = False
+    ) -> None:
+        """Store a load that the upstream reported.
+
+        ``shared`` means that it did so in a response to another process.
+        """
         first = self.reported_at is None
         gain = 1.0 if first else SMOOTHED_GAIN
         self.smoothed_load += gain * (requests - self.smoothed_load)
         self.last_load = requests
         self.reported_at = at
+        self.is_shared = shared
         self.own_requests_at_report = self.own_requests
         self.slots = slots
 
@@ -248,15 +256,25 @@
         return now < max(state.open_until, state.shed_until)
 
     def recent_loads(
-        self, upstreams: Iterable[registry.Upstream], now: timedelta
+        self,
+        upstreams: Iterable[registry.Upstream],
+        now: timedelta,
+        *,
+        with_shared: bool,
     ) -> list[fleet_messages.UpstreamLoad]:
-        """Return loads that are not older than ``MAX_SHARED_AGE``."""
+        """Return loads that are not older than ``MAX_SHARED_AGE``.
+
+        Those whose latest report came from another process are included
+        only if ``with_shared`` is set.
+        """
         found = []
         for upstream in upstreams:
             state = self.state(upstream)
             reported_at = state.reported_at
             if reported_at is None or now - reported_at > MAX_SHARED_AGE:
                 continue
+            if state.is_shared and not with_shared:
+                continue
             found.append(
                 fleet_messages.UpstreamLoad(
                     upstream_id=upstream.upstream_id,
@@ -280,7 +298,7 @@
         known = state.reported_at
         if known is not None and reported_at <= known + MIN_AGE_DIFFERENCE:
             return
-        state.report(load.requests, load.slots, reported_at)
+        state.report(load.requests, load.slots, reported_at, shared=True)
         self._record_service_time(upstream, load.service, SHARED_GAIN)
         self._update_mean(upstream.pool, load.requests / load.slots)
 
--- a/tests/test_fleet_link.py
+++ b/tests/test_fleet_link.py
@@ -327,6 +327,56 @@
 
         aio.run(main)
 
+    def test_loads_of_other_processes_are_not_returned(self) -> None:
+        """Guards against reports that grow with the fleet.
+
+        Every process returned the merged loads to the coordinator, which
+        decoded them from each of its reporters, and took those that were
+        long on their way for newer ones.
+        """
+
+        async def main() -> None:
+            process = Process()
+            coordinator = aio.DatagramSocket(host=HOST, port=0)
+            process.register_with_load('own')
+            process.register_with_load('shared')
+            now = process.clock.elapsed()
+            process.selector.apply_shared_load(
+                fake_platform.upstream('shared'),
+                fleet_messages.UpstreamLoad(
+                    upstream_id=ids.UpstreamId('shared'),
+                    requests=3,
+                    slots=2,
+                    age=timedelta(),
+                    service=timedelta(milliseconds=100),
+                ),
+                now + timedelta(milliseconds=50),
+            )
+            process.known_state.maps[fake_platform.POOL] = key_map.KeyMap(
+                ranges=key_map.empty().ranges,
+                next_fence=1,
+                version=5,
+                coordinator=f'{HOST}:{coordinator.port}',
+            )
+            await process.link.start(process.tables)
+            async with aio.timeout(LIMIT):
+                data, _, _ = await coordinator.receive(fleet_codec.MAX_BYTES)
+            await coordinator.close()
+            report = fleet_codec.decode(data)
+            assert isinstance(report, fleet_messages.Report)
+            self.assertEqual([u.upstream_id for u in report.loads], ['own'])
+            # A coordinator passes on what others have reported.
+            merged = process.selector.recent_loads(
+                process.known_state.registry.all_upstreams(),
+                now,
+                with_shared=True,
+            )
+            self.assertEqual(
+                {u.upstream_id for u in merged}, {'own', 'shared'}
+            )
+
+        aio.run(main)
+
     def test_message_of_a_later_version_is_only_logged(self) -> None:
         """Guards against a process that a newer neighbour ends."""
         for data in ([99, 'p', 1], [10, 'p', [['u1', 1, -5]]], [10, 'p']):
