Assign keys at once after a wait for unknown holds

Cause: the first assignment waits 1.2 s for upstreams to register, counted from the first plan. Nothing is planned while unknown holds may last, so that upstreams which were registered for 13 s seemed new.

Evidence: a new test fails without the change, with 1.33 s.

Change: a holder that waits notes which upstreams are registered.

After: the test passes.

--- a/goldcresthaven/key_coordinator.py
+++ b/goldcresthaven/key_coordinator.py
@@ -270,11 +270,14 @@
                     step_down_due = now + key_claims.STEP_DOWN_INTERVAL
                 if term.fences_reserved:
                     await self._renewer.renew_due(term, now)
-                if term.fences_reserved and now - planned > PLAN_INTERVAL:
-                    rebalance = now - rebalanced > REBALANCE_INTERVAL
-                    await self._start_moves(term, now, rebalance)
-                    rebalanced = now if rebalance else rebalanced
+                if now - planned > PLAN_INTERVAL:
                     planned = now
+                    if term.fences_reserved:
+                        rebalance = now - rebalanced > REBALANCE_INTERVAL
+                        await self._start_moves(term, now, rebalance)
+                        rebalanced = now if rebalance else rebalanced
+                    else:
+                        self._planner.note_upstreams(now)
                 if now - decayed > LOAD_HALF_LIFE:
                     term.load.decay(0.5)
                     decayed = now
--- a/goldcresthaven/key_moves.py
+++ b/goldcresthaven/key_moves.py
@@ -60,6 +60,15 @@
         self._capacity = capacity
         self._first_seen: dict[key_map.Owner, timedelta] = {}
 
+    def note_upstreams(self, now: timedelta) -> None:
+        """Remember which upstreams are registered before the first plan.
+
+        They need no further wait if nothing could be planned so far.
+        """
+        for upstream in self._upstreams.remaining(self._pool, now):
+            owner = key_coordinator_state.owner_of(upstream)
+            self._first_seen.setdefault(owner, now)
+
     def plan(
         self,
         term: key_coordinator_state.ClaimTerm,
--- a/tests/test_key_coordinator.py
+++ b/tests/test_key_coordinator.py
@@ -21,6 +21,7 @@
 from goldcresthaven import key_coordinator_state
 from goldcresthaven import key_grants
 from goldcresthaven import key_map
+from goldcresthaven import key_moves
 from goldcresthaven import key_renewal
 from goldcresthaven import registry
 from goldcresthaven import request_meta
@@ -1095,6 +1096,44 @@
         expected = full - timedelta(seconds=4)
         self.assertLess(abs(waits[0] - expected), timedelta(seconds=0.2))
 
+    def test_keys_are_granted_soon_after_a_wait_for_unknown_holds(
+        self,
+    ) -> None:
+        """Guards against a wait for registrations after that for holds.
+
+        All gateways were killed and the store was restored to an empty map:
+        the keys had no owner for 1.3 s after the wait (soak, seed 8029).
+        """
+
+        async def main(fleet: Fleet) -> None:
+            fleet.register('u1', 'u2')
+            # The store of the test starts before the first history.
+            fleet.store.restore(fleet.store.copy())
+            fleet.store.restore(fleet.store.copy())
+            first = fleet.coordinator('n1')
+            task = await aio.spawn(first.run())
+            await fleet.until(lambda: first.holds_claim)
+            await aio.sleep(key_claims.RENEW_INTERVAL * 1.5)
+            await task.cancel()
+            # Leaves some seconds of the wait.
+            fleet.advance_store_clock(14.0)
+            second = fleet.coordinator('n2')
+            await aio.spawn(second.run())
+            await fleet.until(lambda: second.holds_claim)
+            term = second._term
+            assert term is not None
+            await fleet.until(
+                lambda: fleet.clock.elapsed() > term.map_proven_at
+            )
+            self.assertEqual(fleet.leases.held, {})
+            await fleet.until(lambda: len(fleet.leases.held) == 2)
+            self.assertLess(
+                fleet.clock.elapsed() - term.map_proven_at,
+                key_moves.FIRST_REGISTRATIONS_WAIT,
+            )
+
+        run(main)
+
 
 if __name__ == '__main__':
     unittest.main()
