Spread the reads of the registry after a restore of the store

What callers saw: nothing on a site; found by review.

Cause: after a restore each process reads the whole registry once more when the grace period ends. All processes learn of the restore at the same moment, from one relayed row, and the grace period has a fixed length.

Evidence: the new test computes the scheduled time for 30 processes that get the same relayed row; all are the same without the change. What the platform's store does with 195 such reads at once was not measured.

Change: the read is scheduled up to 1 s later, at a random time. Until then only entries of earlier incarnations that were ignored are affected.

After: the times differ by more than 0.5 s.

--- a/goldcresthaven/store_follower.py
+++ b/goldcresthaven/store_follower.py
@@ -54,6 +54,9 @@
 MAX_POLL_GAP = timedelta(milliseconds=400)
 # Spreads the calls of processes that have missed the same change.
 MISSED_CHANGE_SPREAD = timedelta(milliseconds=150)
+# Spreads the reads of the registry after a restore of the store, of which all
+# processes learn at the same time. They find only entries that were ignored.
+RESTORED_READ_SPREAD = timedelta(seconds=1)
 # How often a process checks whether a call that failed is due again.
 RETRY_CHECK_INTERVAL = timedelta(milliseconds=50)
 # Entries of the registry may expire during an outage of this length.
@@ -361,7 +364,11 @@
             registry.store_restored(now)
             self._known_state.positions[
                 state_store.Table.REGISTRY
-            ].schedule_full_read(now + registry_module.LAPSED_ENTRY_GRACE)
+            ].schedule_full_read(
+                now
+                + registry_module.LAPSED_ENTRY_GRACE
+                + RESTORED_READ_SPREAD * self._rng.random()
+            )
         changed_ids = registry.apply(
             changes,
             full=full,
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -229,6 +229,44 @@
 
         aio.run(main)
 
+    def test_fleet_does_not_read_the_registry_at_once_after_a_restore(
+        self,
+    ) -> None:
+        """Guards against a store that gets all reads of a fleet at once.
+
+        All processes learn of a restore at the same time from one process,
+        and each has to read the registry again after the grace period.
+        """
+        scheduled = []
+        reached = state_store.version_in(state_store.History(1), 3)
+        row = state_store.Row(key='new', version=reached, value=b'fine')
+        for seed in range(30):
+            self.create(random.Random(seed))
+            known, now = self.known_state, self.clock.elapsed()
+            position = known.positions[REGISTRY]
+            reading = state_store.Reading(
+                rows=(), version=5, clock=timedelta()
+            )
+            position.accept_reading(reading, now, full=True)
+            known.registry.apply({}, full=True, version=5, now=now)
+            self.follower.apply_rows(
+                table_relay.RowChanges(
+                    table=REGISTRY, base=5, reached=reached, rows=(row,)
+                ),
+                now,
+            )
+            start = now + registry.LAPSED_ENTRY_GRACE
+            scheduled.append(
+                next(
+                    wait
+                    for wait in range(0, 5000, 20)
+                    if position.is_full_read_due(
+                        start + timedelta(milliseconds=wait)
+                    )
+                )
+            )
+        self.assertGreater(max(scheduled) - min(scheduled), 500)
+
     def test_config_version_never_decreases(self) -> None:
         """Guards against an older configuration that replaces a newer one."""
 
