Begin process tests of claims when every entry serves every key

The callers request all keys in step, so that an entry process that was not ready yet went unnoticed while the last responses were those of the others. The condition is stricter than before: it was that the last response to each key was a served one, whichever entry had sent it.

--- a/tests/control_case.py
+++ b/tests/control_case.py
@@ -70,6 +70,8 @@
         self.refusals: collections.defaultdict[str, set[str]] = (
             collections.defaultdict(set)
         )
+        # The entries and keys whose last response was served.
+        self.served_by: set[tuple[members.Address, str]] = set()
         self.failed: list[str] = []
         self._tasks: list[aio.Task] = []
 
@@ -82,6 +84,11 @@
         for task in self._tasks:
             await task.cancel()
 
+    def all_served(self) -> bool:
+        """Return whether each entry served each key at the last request."""
+        pairs = set(itertools.product(self.entries, KEYS))
+        return pairs <= self.served_by
+
     def longest_gap(self, key: str, since: timedelta) -> timedelta:
         """Return the longest time without a response after ``since``."""
         times = [s.received for s in self.served[key] if s.received > since]
@@ -117,18 +124,24 @@
                 )
             except errors.Error as exc:
                 self.failed.append(f'{address} {key}: {exc}')
+                self.served_by.discard((address, key))
             else:
-                self._record_response(key, response)
+                self._record_response(key, address, response)
             await aio.sleep(PAUSE)
 
     def _record_response(
-        self, key: str, response: http_client.Response
+        self,
+        key: str,
+        address: members.Address,
+        response: http_client.Response,
     ) -> None:
         if response.outcome != 'done':
             self.refused.add(key)
+            self.served_by.discard((address, key))
             self.refusals[key].add(f'{response.outcome} {response.reason}')
             return
         self.refused.discard(key)
+        self.served_by.add((address, key))
         body = response.json()
         self.served[key].append(
             KeyResponse(
@@ -159,14 +172,18 @@
         return fleet_case.address_of(self.entries[vm])
 
     async def begin(self) -> Callers:
-        """Publish members and settings and wait until all keys are served."""
+        """Publish members and settings and wait until all keys are served.
+
+        Each entry has to serve each key. An entry that is not ready yet
+        would refuse requests after the start of a test.
+        """
         await self.store_member_list()
         await deployment.store_document(self.store_address, make_document())
         callers = Callers([self.address(vm) for vm in self.entries])
         await callers.start()
 
         async def settled() -> bool:
-            return all(callers.served.values()) and not callers.refused
+            return callers.all_served()
 
         await self.until(settled)
         callers.failed.clear()
