Do not wait for the slots of a manager that has released its claim

An entry process whose slot manager had released its claim at a planned stop went on waiting for slots of it: its row read showed no holder, which kept the old session, and only 1 s without an answer lets it send requests without a slot. A request with a deadline of 300 ms that found no idle slot was refused (test_terminated_under_load, a run at load 24 with the session logged: the claim was released at 0 s, its successor took it at 0.03 s, and 18 requests at the third entry were refused from 0.33 to 0.92 s, with the session still that of the stopped process, unanswered for 0.3 s). The same held for a successor that had not answered yet, because it drops demands that arrive before it knows its own claim, and they are repeated after 300 ms.

A session is now marked as released when the claim row names no holder, and a session with a successor counts as settling until its first grant; both let requests run one at a time at once. Ruled out: a lapse of the upstreams' leases (no 421 in these runs), and shards without an owner (the map did not change).

--- a/goldcresthaven/scheduler.py
+++ b/goldcresthaven/scheduler.py
@@ -156,11 +156,30 @@
         manager: ids.VmId,
         epoch: ids.Epoch,
     ) -> list[Action]:
-        """Send the demand for a domain to its new claim holder."""
+        """Send the demand for a domain to its new claim holder.
+
+        Until a successor answers, queued requests are sent one at a time.
+        """
         if self._slots.set_manager(domain, manager, epoch):
             for group in self._groups.values():
                 self._refresh_idle(group)
             self._send_demands(now)
+            for group in self._groups.values():
+                self._dispatch_fallback(now, group)
+        return self._take_actions()
+
+    def set_released(
+        self, now: timedelta, domain: ids.DomainId
+    ) -> list[Action]:
+        """Stop waiting for the slots of a manager without a claim.
+
+        Until its successor is known, queued requests are sent one at a time.
+        They would otherwise wait for slots for ``slots.MANAGER_TIMEOUT``,
+        which is longer than many deadlines.
+        """
+        if self._slots.set_released(domain):
+            for group in self._groups.values():
+                self._dispatch_fallback(now, group)
         return self._take_actions()
 
     def report_load(self, upstream: ids.UpstreamId, load: float) -> None:
--- a/goldcresthaven/slot_gate.py
+++ b/goldcresthaven/slot_gate.py
@@ -60,6 +60,9 @@
     def holder(self, domain: ids.DomainId) -> Holder | None:
         """Return the holder in the latest known claim row."""
 
+    def released(self, domain: ids.DomainId) -> bool:
+        """Return whether the latest known claim row names no holder."""
+
     def holds(self, domain: ids.DomainId, *, now: timedelta) -> bool:
         """Return whether this process's own claim is valid now."""
 
@@ -404,6 +407,8 @@
         assert self._scheduler is not None
         for domain in set(self._upstream_domains.values()):
             holder = self._claims.holder(domain)
+            if self._claims.released(domain):
+                await self._perform(self._scheduler.set_released(now, domain))
             if holder is None:
                 continue
             if holder.vm == self._vm:
--- a/goldcresthaven/slot_links.py
+++ b/goldcresthaven/slot_links.py
@@ -28,6 +28,11 @@
             return None
         return slot_gate.Holder(vm=vm, epoch=epoch)
 
+    def released(self, domain: ids.DomainId) -> bool:
+        controller = self._node.controller
+        known = controller.epoch(domain) is not None
+        return known and controller.holder(domain) is None
+
     def holds(self, domain: ids.DomainId, *, now: timedelta) -> bool:
         return self._node.controller.holds(domain, now=now)
 
--- a/goldcresthaven/slots.py
+++ b/goldcresthaven/slots.py
@@ -167,8 +167,10 @@
 
     All leases of the session end at ``valid_until``. ``sent`` is when the
     last demand was sent, and ``unanswered_since`` when the first demand
-    after the last grant was. ``dirty`` names the upstreams with unreported
-    changes of demand, and ``wanted`` those with any demand.
+    after the last grant was. ``released`` is set when the manager has
+    released its claim and no successor is known. ``dirty`` names the
+    upstreams with unreported changes of demand, and ``wanted`` those with
+    any demand.
     """
 
     manager: ids.VmId
@@ -177,6 +179,7 @@
     last_lease: int = 0
     valid_until: timedelta = admission.ZERO
     settling: bool = False
+    released: bool = False
     unanswered_since: timedelta | None = None
     sent: timedelta = -LEASE_DURATION
     urgent: bool = False  # demand that the manager has no report of
@@ -187,7 +190,7 @@
 
     def manager_unavailable(self, now: timedelta) -> bool:
         """Return whether requests have to run without the manager's slots."""
-        if self.settling:
+        if self.settling or self.released:
             return True
         since = self.unanswered_since
         return since is not None and now - since >= MANAGER_TIMEOUT
@@ -236,6 +239,10 @@
         session = Session(manager=manager, epoch=epoch)
         self._sessions[domain] = session
         if previous is not None:
+            # A new manager grants nothing before all entries have reported
+            # to it. It may also drop the first demand, because it does not
+            # know its own claim yet.
+            session.settling = True
             session.unanswered_since = previous.unanswered_since
             for held in previous.held.values():
                 self._remove_idle(held)
@@ -249,6 +256,18 @@
         session.urgent = True
         return True
 
+    def set_released(self, domain: ids.DomainId) -> bool:
+        """Record that the manager has released its claim.
+
+        Its slots may be used until their leases end. Returns whether the
+        release was not known before.
+        """
+        session = self._sessions.get(domain)
+        if session is None or session.released:
+            return False
+        session.released = True
+        return True
+
     def accept_grant(self, now: timedelta, grant: SlotGrant) -> list[HeldSlot]:
         """Store the slots of a grant; return those that may be used."""
         session = self._sessions.get(grant.domain)
--- a/tests/test_slot_gate.py
+++ b/tests/test_slot_gate.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Mapping
+from dataclasses import dataclass
 from datetime import timedelta
 import pathlib
 import random
@@ -27,6 +28,8 @@
 E1, E2 = ids.VmId('e1'), ids.VmId('e2')
 U1, U2 = ids.UpstreamId('u1'), ids.UpstreamId('u2')
 TEST_TIMEOUT = timedelta(seconds=20)
+# Half of slots.MANAGER_TIMEOUT, after which any manager counts as unavailable.
+SHORT = timedelta(milliseconds=500)
 
 
 def member(upstream: ids.UpstreamId, port: int) -> members.Member:
@@ -79,20 +82,34 @@
         return None
 
 
+@dataclass(kw_only=True)
+class ClaimRow:
+    """The claim row of the only domain; E1 is the holder, if there is one."""
+
+    epoch: ids.Epoch = ids.Epoch(1)
+    released: bool = False
+
+
 class Claims:
-    """Claims in which E1 holds the only domain."""
+    """The claim as both processes know it."""
 
-    def __init__(self, vm: ids.VmId) -> None:
+    def __init__(self, vm: ids.VmId, row: ClaimRow) -> None:
         self._vm = vm
+        self._row = row
 
     def domains(self) -> Mapping[ids.UpstreamId, ids.DomainId]:
         return {U1: DOMAIN, U2: DOMAIN}
 
-    def holder(self, domain: ids.DomainId) -> slot_gate.Holder:
-        return slot_gate.Holder(vm=E1, epoch=ids.Epoch(1))
+    def holder(self, domain: ids.DomainId) -> slot_gate.Holder | None:
+        if self._row.released:
+            return None
+        return slot_gate.Holder(vm=E1, epoch=self._row.epoch)
+
+    def released(self, domain: ids.DomainId) -> bool:
+        return self._row.released
 
     def holds(self, domain: ids.DomainId, *, now: timedelta) -> bool:
-        return self._vm == E1
+        return self._vm == E1 and not self._row.released
 
     def entries(self) -> frozenset[ids.VmId]:
         return frozenset((E1, E2))
@@ -104,6 +121,7 @@
     def __init__(self) -> None:
         self.clock = clock.SystemClock()
         self.views = Views()
+        self.row = ClaimRow()
         self.lost = False
         self.busy = 0
         self.most_busy = 0
@@ -119,7 +137,7 @@
             boot=ids.BootId(f'{vm}-1'),
             clock=self.clock,
             views=self.views,
-            claims=Claims(vm),
+            claims=Claims(vm, self.row),
             send=send,
             rng=random.Random(1),
         )
@@ -143,9 +161,15 @@
             shard=shard,
         )
 
-    async def serve(self, vm: ids.VmId, name: str) -> None:
+    async def serve(
+        self,
+        vm: ids.VmId,
+        name: str,
+        *,
+        timeout: timedelta = timedelta(seconds=8),
+    ) -> None:
         """Run one request of 2 ms through a gate."""
-        routed = self.routed(name)
+        routed = self.routed(name, timeout=timeout)
         gate = self.gates[vm]
         admitted = await gate.admit(routed, tried=(), caller_gone=never)
         if isinstance(admitted, outcomes.NotRun):
@@ -212,6 +236,41 @@
 
         self.run_pair(body)
 
+    def test_manager_that_released_its_claim(self) -> None:
+        """Guards against requests that wait for a manager without a claim.
+
+        An entry process without slots waited for the one that had stopped
+        for 1 s and refused its requests (process test of a holder that is
+        terminated under load).
+        """
+
+        async def body(pair: Pair) -> None:
+            await aio.sleep(2 * slot_gate.SYNC_INTERVAL)
+            pair.lost = True
+            pair.row.released = True
+            for number in range(3):
+                await pair.serve(E2, f'r{number}', timeout=SHORT)
+            self.assertEqual(pair.most_busy, 1)
+
+        self.run_pair(body)
+
+    def test_new_manager_that_does_not_answer_yet(self) -> None:
+        """Guards against requests that wait for a new manager's first grant.
+
+        It drops a demand that arrives before it knows its own claim.
+        """
+
+        async def body(pair: Pair) -> None:
+            await aio.sleep(2 * slot_gate.SYNC_INTERVAL)
+            pair.lost = True
+            pair.row.epoch = ids.Epoch(2)
+            await aio.sleep(2 * slot_gate.SYNC_INTERVAL)
+            for number in range(3):
+                await pair.serve(E2, f'r{number}', timeout=SHORT)
+            self.assertEqual(pair.most_busy, 1)
+
+        self.run_pair(body)
+
     def test_request_of_disconnected_caller(self) -> None:
         """Guards against slot time spent for a caller that disconnected."""
 
