Do not take upstreams for lost after a lapse of the claim

While its claim is not valid, a holder sends no lease requests and ignores responses. When peers consented again during an outage of the store, it took every upstream that had last responded 2 s before for lost and sent moves of their shards, which stayed unresolved. Shards of an unresolved move get no lease, so these keys were unserved until the end of the outage. The time without a response now starts again when the claim is valid again.

--- a/goldcresthaven/held_domain.py
+++ b/goldcresthaven/held_domain.py
@@ -117,6 +117,7 @@
         self.log_read = False
         self.upstreams: dict[ids.UpstreamId, LeasedUpstream] = {}
         self.releases: dict[ids.ShardId, ShardRelease] = {}
+        self._lapsed = False
         self._map = shards.ShardMap()
         self._owned: Mapping[ids.UpstreamId, frozenset[ids.ShardId]] = {}
 
@@ -170,9 +171,17 @@
         )
 
     def tick(self, now: timedelta) -> list[control.Action]:
-        """Return the lease requests that are due."""
+        """Return the lease requests that are due.
+
+        While the claim is not valid none are sent, so missing responses of
+        that time do not show that an upstream is lost.
+        """
         if not self.claim.valid(now):
+            self._lapsed = True
             return []
+        if self._lapsed:
+            self._lapsed = False
+            self.reset_reply_times(now)
         actions: list[control.Action] = []
         for upstream, state in self.upstreams.items():
             if state.due(now):
--- a/proofs/ownership_cases.py
+++ b/proofs/ownership_cases.py
@@ -20,6 +20,8 @@
     grace=timedelta(seconds=40),
 )
 WARM_UP = 15.0  # seconds
+# Seconds; the claim then lapses for longer than held_domain.LOST_AFTER.
+PEER_PAUSE = 14.0
 ZONE = 'z0'
 DOMAIN = ids.DomainId('z0/0')
 
@@ -53,10 +55,14 @@
         self.faults.blocked |= sim_world.pairs(cut_off, others)
 
     def lose_peer(self) -> None:
+        self.entries[self.peer()].stop()
+
+    def peer(self) -> str:
+        """Return an entry process that must consent to an extension."""
         holder = self.holder_of(DOMAIN)
         names = [n for n in self.zone_nodes(ZONE) if n in self.entries]
         names = [n for n in names if n != holder]
-        self.entries[self.rng.choice(names)].stop()
+        return self.rng.choice(names)
 
     def finish(self, after: float) -> ownership_sim.Outcome:
         self.schedule.run(self.schedule.now + after)
@@ -137,6 +143,16 @@
     return case.finish(20.0)
 
 
+def store_down_with_paused_peer(seed: int) -> ownership_sim.Outcome:
+    """Pause a peer beyond the claim's term while the store is down."""
+    case = Case(seed)
+    case.faults.store_down = True
+    case.entries[case.peer()].pause(PEER_PAUSE)
+    case.schedule.run(case.schedule.now + 30.0)
+    case.faults.store_down = False
+    return case.finish(20.0)
+
+
 def upstream_drained(seed: int) -> ownership_sim.Outcome:
     """Drain a working upstream."""
     case = Case(seed)
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -83,6 +83,20 @@
         gap = ownership_cases.longest_gap(outcome)
         self.assertGreater(gap, 15.0)
 
+    def test_store_down_with_paused_peer(self) -> None:
+        """Guards against upstreams that are taken for lost after a lapse.
+
+        The keys may be unserved from the end of the term until a request
+        for consent after the pause. They were unserved until the end of the
+        outage, because their moves could not be written.
+        """
+        term = ownership_cases.SHAPE.term.total_seconds()
+        interval = claims.CONSENT_REQUEST_INTERVAL.total_seconds()
+        longest = ownership_cases.PEER_PAUSE - term + interval
+        case = ownership_cases.store_down_with_paused_peer
+        outcome = self.check(case, longest)
+        self.assertGreater(outcome.extensions, 0)
+
     def test_upstream_drained(self) -> None:
         """Guards against a drain that waits for the lease to end."""
         self.check(ownership_cases.upstream_drained, 1.5)
