Raise an epoch only after a response of the store

A candidate that missed its holder's heartbeats for 0.75 s while the store was down sent a raise of the epoch, which stayed unresolved until the store was back. Until then it refused every request for consent, so that the holder's claim ended and its keys were unserved for the rest of the outage, although the holder had only been slow for a moment. The candidate now reads the claims first, every 250 ms until the store responds.

--- a/goldcresthaven/candidates.py
+++ b/goldcresthaven/candidates.py
@@ -107,7 +107,10 @@
         self._consent_until: dict[ids.DomainId, timedelta] = {}
         self._highest_epochs: dict[ids.DomainId, ids.Epoch] = {}
         self._raised_at: dict[ids.DomainId, timedelta] = {}
+        # Since when this process would raise the epoch.
+        self._wanted_since: dict[ids.DomainId, timedelta] = {}
         self._read_at = timedelta.min
+        self._store_responded_at = timedelta.min
 
     def record_response(self, vm: ids.VmId, *, now: timedelta) -> None:
         self._liveness.record_response(vm, now=now)
@@ -155,6 +158,7 @@
         """
         gap = now - MAX_READ_GAP > self._read_at
         self._read_at = now
+        self.record_store_response(now=now)
         for domain, row in rows.items():
             self.record_row(domain, row, now=now)
         for domain in sorted(self._view.domains() - rows.keys()):
@@ -163,6 +167,10 @@
             for observed in self._observed.values():
                 observed.since = now
 
+    def record_store_response(self, *, now: timedelta) -> None:
+        """Record that the store has answered a read or a write."""
+        self._store_responded_at = now
+
     def reported_lost(self) -> dict[ids.DomainId, frozenset[ids.UpstreamId]]:
         """Return the upstreams that the holders report as lost."""
         return {
@@ -249,8 +257,27 @@
         if renewed or recent:
             self._raised_at.pop(domain, None)
 
+    def awaits_store(self) -> bool:
+        """Whether a raise waits for a response of the store."""
+        responded = self._store_responded_at
+        return any(s > responded for s in self._wanted_since.values())
+
     def should_raise(self, domain: ids.DomainId, *, now: timedelta) -> bool:
-        """Whether this process should raise the epoch now."""
+        """Whether this process should raise the epoch now.
+
+        The store must have responded since this process wants to raise it.
+        A raise that is sent while the store is down stays unresolved, and
+        until then this process may not consent to an extension. A holder
+        that paused for 1 s during an outage then lost its claim until the
+        end of the outage.
+        """
+        if not self._wants_raise(domain, now=now):
+            self._wanted_since.pop(domain, None)
+            return False
+        since = self._wanted_since.setdefault(domain, now)
+        return self._store_responded_at >= since
+
+    def _wants_raise(self, domain: ids.DomainId, *, now: timedelta) -> bool:
         if domain not in self._observed:
             return False
         if self._view.zone in self._view.lost_zones:
--- a/goldcresthaven/ownership.py
+++ b/goldcresthaven/ownership.py
@@ -25,7 +25,8 @@
 from goldcresthaven import shards
 
 READ_INTERVAL = timedelta(seconds=1)
-# While a claim that was just taken waits for a read of the map log.
+# While a claim that was just taken waits for a read of the map log, and while
+# a raise of an epoch waits for a response of the store.
 FAST_READ_INTERVAL = timedelta(milliseconds=250)
 
 # Maximum reads per second of the map log, and of the claims table, by all
@@ -76,6 +77,7 @@
         )
         self._token = 0
         self._read_at: timedelta | None = None
+        self._claims_read_at = timedelta.min
         self._awaiting_log: dict[ids.DomainId, int] = {}
         self._stopped = False
 
@@ -199,6 +201,7 @@
         actions = self._reads_due(now)
         actions.extend(self._candidacy.probes(self._view.domains(), now=now))
         actions.extend(self._claim_manager.tick(now))
+        actions.extend(self._read_before_raise(now))
         held = self._claim_manager.held
         for domain in held.values():
             actions.extend(domain.tick(now))
@@ -221,6 +224,15 @@
         self._read_at = now
         return [self._read_log(), self._read_claims()]
 
+    def _read_before_raise(self, now: timedelta) -> list[control.Action]:
+        """Read the claims if a raise waits for a response of the store."""
+        if not self._candidacy.awaits_store():
+            return []
+        if now < self._claims_read_at + FAST_READ_INTERVAL:
+            return []
+        self._claims_read_at = now
+        return [self._read_claims()]
+
     def _read_log(self) -> control.Action:
         self._token += 1
         return control.ReadMapLog(
@@ -281,6 +293,7 @@
         resolved = self._transactions.resolve(event, now=now)
         if resolved is None:
             return []
+        self._candidacy.record_store_response(now=now)
         before = set(self._claim_manager.held)
         actions = self._claim_manager.resolved(
             event.txn, event.result, first_sent=resolved.first_sent, now=now
--- a/proofs/ownership_cases.py
+++ b/proofs/ownership_cases.py
@@ -20,6 +20,8 @@
     grace=timedelta(seconds=40),
 )
 WARM_UP = 15.0  # seconds
+# Seconds; long enough that a candidate suspects the holder.
+HOLDER_PAUSE = 1.0
 # Seconds; the claim then lapses for longer than held_domain.LOST_AFTER.
 PEER_PAUSE = 14.0
 ZONE = 'z0'
@@ -153,6 +155,19 @@
     return case.finish(20.0)
 
 
+def store_down_with_paused_holder(seed: int) -> ownership_sim.Outcome:
+    """Pause a claim holder soon after the store has stopped."""
+    case = Case(seed)
+    case.faults.store_down = True
+    case.schedule.run(case.schedule.now + 1.0)
+    holder = case.holder_of(DOMAIN)
+    assert holder is not None
+    case.entries[holder].pause(HOLDER_PAUSE)
+    case.schedule.run(case.schedule.now + 29.0)
+    case.faults.store_down = False
+    return case.finish(20.0)
+
+
 def upstream_drained(seed: int) -> ownership_sim.Outcome:
     """Drain a working upstream."""
     case = Case(seed)
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -97,6 +97,17 @@
         outcome = self.check(case, longest)
         self.assertGreater(outcome.extensions, 0)
 
+    def test_store_down_with_paused_holder(self) -> None:
+        """Guards against a holder that loses its claim by a short pause.
+
+        Its keys may be unserved for as long as it is paused. They were
+        unserved until the end of the outage, because a candidate's raise of
+        the epoch kept it from consenting.
+        """
+        case = ownership_cases.store_down_with_paused_holder
+        outcome = self.check(case, ownership_cases.HOLDER_PAUSE)
+        self.assertGreater(outcome.extensions, 0)
+
     def test_upstream_drained(self) -> None:
         """Guards against a drain that waits for the lease to end."""
         self.check(ownership_cases.upstream_drained, 1.5)
@@ -175,7 +186,8 @@
         """
         controller = _candidate()
         _read(controller, renewal=7)
-        first = _raise(controller, at=timedelta(milliseconds=800))
+        rows = (_row(renewal=7),)
+        first = _raise(controller, at=timedelta(milliseconds=800), rows=rows)
         self.assertEqual(1, len(first))
         conflict = control.TransactResult(
             txn=first[0].transaction.txn,
@@ -195,7 +207,7 @@
         empty = control.ClaimsRead(token=1, rows=())
         controller.handle(empty, now=timedelta())
         controller.handle(control.HeartbeatAcked(vm=HOLDER), now=timedelta())
-        first = _raise(controller, at=timedelta(milliseconds=800))
+        first = _raise(controller, at=timedelta(milliseconds=800), rows=())
         self.assertEqual(1, len(first))
         conflict = control.TransactResult(
             txn=first[0].transaction.txn,
@@ -209,7 +221,8 @@
         """Guards against two candidates that take a claim from each other."""
         controller = _candidate()
         _read(controller, renewal=7)
-        first = _raise(controller, at=timedelta(milliseconds=800))
+        rows = (_row(renewal=7),)
+        first = _raise(controller, at=timedelta(milliseconds=800), rows=rows)
         conflict = control.TransactResult(
             txn=first[0].transaction.txn,
             result=tables.Conflict(rows=(_row(renewal=1, epoch=4),)),
@@ -227,7 +240,8 @@
         """
         controller = _candidate()
         _read(controller, renewal=7)
-        first = _raise(controller, at=timedelta(milliseconds=800))
+        rows = (_row(renewal=7),)
+        first = _raise(controller, at=timedelta(milliseconds=800), rows=rows)
         conflict = control.TransactResult(
             txn=first[0].transaction.txn,
             result=tables.Conflict(rows=(_row(renewal=1, epoch=4),)),
@@ -238,6 +252,38 @@
         again = controller.handle(event, now=timedelta(milliseconds=1200))
         self.assertEqual(1, len(_transactions(again)))
 
+    def test_no_raise_while_the_store_does_not_respond(self) -> None:
+        """Guards against a raise that ends an extension by consent.
+
+        The raise would be unresolved until the store is back, and until
+        then the candidate could not consent.
+        """
+        controller = _candidate()
+        _read(controller, renewal=7)
+        at = timedelta(seconds=2)
+        self.assertEqual([], _raise(controller, at=at, rows=None))
+        event = control.ConsentRequested(
+            vm=HOLDER, domain=DOMAIN, epoch=ids.Epoch(3), nonce=1
+        )
+        actions = controller.handle(event, now=at)
+        replies = [
+            a for a in actions if isinstance(a, control.SendConsentReply)
+        ]
+        self.assertEqual([True], [r.granted for r in replies])
+
+    def test_raise_when_the_store_responds_again(self) -> None:
+        """Guards against a lost holder that is not replaced after an outage.
+
+        One response of the store is enough, also if it shows the same row.
+        """
+        controller = _candidate()
+        _read(controller, renewal=7)
+        at = timedelta(seconds=2)
+        self.assertEqual([], _raise(controller, at=at, rows=None))
+        event = control.ClaimsRead(token=9, rows=(_row(renewal=7),))
+        actions = controller.handle(event, now=at)
+        self.assertEqual(1, len(_transactions(actions)))
+
 
 # The holder has the better rank, so the candidate waits until the holder stops
 # responding.
@@ -299,16 +345,28 @@
 
 
 def _raise(
-    controller: ownership.Controller, *, at: timedelta
+    controller: ownership.Controller,
+    *,
+    at: timedelta,
+    rows: tuple[tables.Row, ...] | None,
 ) -> list[control.Transact]:
-    """Tick until the holder is suspected and the epoch is raised."""
+    """Tick until the holder is suspected and the epoch is raised.
+
+    The store answers every read with ``rows``, or does not answer if that is
+    None.
+    """
     now = timedelta()
-    while now < at:
-        actions = controller.handle(control.Tick(), now=now)
-        if _transactions(actions):
-            return _transactions(actions)
-        now += control.TICK_INTERVAL
-    return _transactions(controller.handle(control.Tick(), now=at))
+    while True:
+        found = []
+        for action in controller.handle(control.Tick(), now=now):
+            if isinstance(action, control.Transact):
+                found.append(action)
+            elif isinstance(action, control.ReadClaims) and rows is not None:
+                event = control.ClaimsRead(token=action.token, rows=rows)
+                found += _transactions(controller.handle(event, now=now))
+        if found or now >= at:
+            return found
+        now = min(now + control.TICK_INTERVAL, at)
 
 
 def _transactions(
