Count a process that has released its claim as stopped at once

A candidate ranked below the process that released the claim waited for it if the first row that it read was the released one: only an earlier row with a holder told it who had stopped. The notice of the release now names this process, and it does not count as alive until it responds again.

--- a/goldcresthaven/candidates.py
+++ b/goldcresthaven/candidates.py
@@ -60,11 +60,17 @@
     def __init__(self) -> None:
         self._last_response: dict[ids.VmId, timedelta] = {}
         self._watched_since: dict[ids.VmId, timedelta] = {}
+        self._stopped: set[ids.VmId] = set()
         self._send_at = timedelta.min
         self._probed_at = timedelta.min
 
     def record_response(self, vm: ids.VmId, *, now: timedelta) -> None:
         self._last_response[vm] = now
+        self._stopped.discard(vm)
+
+    def record_stop(self, vm: ids.VmId) -> None:
+        """Record that a peer takes no claims until it responds again."""
+        self._stopped.add(vm)
 
     def probe(
         self, vms: frozenset[ids.VmId], *, now: timedelta
@@ -77,6 +83,7 @@
             self._watched_since.setdefault(vm, now)
         for vm in self._watched_since.keys() - vms:
             del self._watched_since[vm]
+        self._stopped &= vms
         if now < self._send_at:
             return []
         self._send_at = now + HEARTBEAT_INTERVAL
@@ -89,7 +96,7 @@
     def alive(self, vm: ids.VmId, *, now: timedelta) -> bool:
         """Whether a watched peer responded recently or was added recently."""
         last = self._watched_since.get(vm)
-        if last is None:
+        if last is None or vm in self._stopped:
             return False
         responded = self._last_response.get(vm)
         if responded is not None:
@@ -115,6 +122,9 @@
     def record_response(self, vm: ids.VmId, *, now: timedelta) -> None:
         self._liveness.record_response(vm, now=now)
 
+    def record_stop(self, vm: ids.VmId) -> None:
+        self._liveness.record_stop(vm)
+
     def row(self, domain: ids.DomainId) -> claims.ClaimRow | None:
         observed = self._observed.get(domain)
         return None if observed is None else observed.row
--- a/goldcresthaven/control.py
+++ b/goldcresthaven/control.py
@@ -137,8 +137,9 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReleaseNotified:
-    """A peer reports that it has released a domain's claim."""
+    """``vm`` reports that it has released a domain's claim and stops."""
 
+    vm: ids.VmId
     domain: ids.DomainId
 
 
--- a/goldcresthaven/control_driver.py
+++ b/goldcresthaven/control_driver.py
@@ -376,7 +376,7 @@
         self._node.stopped_peers.add(vm)
         if self._node.ready:
             await self.handle_event(
-                control.ReleaseNotified(domain=message.domain)
+                control.ReleaseNotified(vm=vm, domain=message.domain)
             )
         return None
 
--- a/goldcresthaven/ownership.py
+++ b/goldcresthaven/ownership.py
@@ -166,6 +166,7 @@
             case control.HeartbeatAcked():
                 self._candidacy.record_response(event.vm, now=now)
             case control.ReleaseNotified():
+                self._candidacy.record_stop(event.vm)
                 return [self._read_claims()]
             case _:
                 self._update_view(event, now)
--- a/proofs/ownership_sim.py
+++ b/proofs/ownership_sim.py
@@ -305,7 +305,9 @@
                     lambda peer: self.deliver_event(peer.name, consent_reply),
                 )
             case control.NotifyRelease():
-                notice = control.ReleaseNotified(domain=action.domain)
+                notice = control.ReleaseNotified(
+                    vm=ids.VmId(node.name), domain=action.domain
+                )
                 self._send_to_peer(
                     node,
                     action.vm,
--- a/tests/test_knockouts.py
+++ b/tests/test_knockouts.py
@@ -18,7 +18,7 @@
     '3 wait for the bound': 0,
     '4 wait after a raise': 0,
     '5 release before a move': 0,
-    '6 read the log': 2,
+    '6 read the log': 6,
     '7 check the claim': 0,
     '8 epoch condition': 12,
     '8 absent condition': 0,
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -252,6 +252,25 @@
         again = controller.handle(event, now=timedelta(milliseconds=1200))
         self.assertEqual(1, len(_transactions(again)))
 
+    def test_claim_of_a_process_that_stops_is_taken_at_once(self) -> None:
+        """Guards against waiting for a process that releases its claim.
+
+        The candidate reads the row for the first time after the release, so
+        the row does not tell it that the better-ranked process has stopped.
+        """
+        controller = _candidate()
+        now = timedelta(milliseconds=100)
+        controller.handle(control.HeartbeatAcked(vm=HOLDER), now=now)
+        notice = control.ReleaseNotified(vm=HOLDER, domain=DOMAIN)
+        reads = controller.handle(notice, now=now)
+        token = max(
+            a.token for a in reads if isinstance(a, control.ReadClaims)
+        )
+        released = _row(renewal=1, epoch=1, holder=None)
+        event = control.ClaimsRead(token=token, rows=(released,))
+        actions = controller.handle(event, now=now)
+        self.assertEqual(1, len(_transactions(actions)))
+
     def test_no_raise_while_the_store_does_not_respond(self) -> None:
         """Guards against a raise that ends an extension by consent.
 
