Request consents twice as often as they end

With a term of 3 s a consent counts for 1.5 s and was requested every 1.5 s, so that an extended claim lapsed between two consents, for the time of one request (with processes, test_restart_takes_its_versions_from_peers: 2 and 3 extensions were reported in one outage of 4 s). The interval is now at most half of the duration; for terms of 6 s and more it is unchanged.

--- a/goldcresthaven/claims.py
+++ b/goldcresthaven/claims.py
@@ -311,7 +311,8 @@
         """
         if now < self._sent_at + self._term() / 2:
             return ()
-        if now < self._consents_requested_at + CONSENT_REQUEST_INTERVAL:
+        interval = min(CONSENT_REQUEST_INTERVAL, self._consent_duration() / 2)
+        if now < self._consents_requested_at + interval:
             return ()
         self._consents_requested_at = now
         self._consent_request_times = {
@@ -325,16 +326,20 @@
         return peers
 
     def record_consent(self, vm: ids.VmId, nonce: int) -> None:
-        """Record a peer's consent, which counts from when it was requested.
-
-        The consent must not outlast the term: a peer that restarts loses
-        the consent that it gave, and may then raise the epoch and wait for
-        only the term.
-        """
+        """Record a peer's consent, which counts from when it was requested."""
         sent_at = self._consent_request_times.pop((vm, nonce), None)
         if sent_at is None:
             return
-        until = sent_at + min(CONSENT_DURATION, self._term() / 2)
+        until = sent_at + self._consent_duration()
         self._consent_until[vm] = max(
             until, self._consent_until.get(vm, timedelta.min)
         )
+
+    def _consent_duration(self) -> timedelta:
+        """Return how long a consent counts.
+
+        It must not outlast the term: a peer that restarts loses the consent
+        that it gave, and may then raise the epoch and wait for only the
+        term.
+        """
+        return min(CONSENT_DURATION, self._term() / 2)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -74,6 +74,22 @@
         self.assertTrue(claim.valid(at(10.9)))
         self.assertFalse(claim.valid(at(11)))
 
+    def test_extension_without_gaps_at_the_shortest_term(self) -> None:
+        """Guards against an extension that lapses between two consents.
+
+        With the shortest term a consent lasts 1.5 s, and it was requested
+        again only after 1.5 s.
+        """
+        claim = held(replace(ROW, term=at(3)))
+        requested: list[tuple[int, timedelta]] = []
+        for number in range(400):
+            now = number * at(0.05)
+            while requested and now >= requested[0][1] + at(0.25):
+                claim.record_consent(B, requested.pop(0)[0])
+            self.assertTrue(claim.valid(now), now)
+            if claim.consent_requests_due(now, number):
+                requested.append((number, now))
+
     def test_unresolved_renewal_adds_its_peers(self) -> None:
         """Guards against a peer named only by a renewal of unknown result."""
         claim = held()
