Test that an accepted fence does not end a longer hold

The first cause of the incident with two owners has two places: the bounds of earlier holders, which schedules of the simulation cover, and the grants of the same holder before a release. For the second one no test failed: with the bound taken from the last grant instead of the longest one, all 18 tests of tests.test_hold_bounds and all 17 of tests.test_coordinator_sim passed. The new test fails then.

Only a test is added.

--- a/tests/test_hold_bounds.py
+++ b/tests/test_hold_bounds.py
@@ -99,6 +99,24 @@
         end = key_grants.hold_end(answered, HOLD)
         self.assertEqual(self.holds.free_at(OWNER, OWN_FENCE), end)
 
+    def test_accepted_fence_does_not_end_a_longer_hold(self) -> None:
+        """Guards against a second owner while an earlier, longer hold lasts.
+
+        The owner held its keys for 10 s, the last grant was for 3 s, and it
+        then accepted a higher fence (Kleepsuke, grown, trouble-1).
+        """
+        long = 3 * HOLD
+        for second, hold in enumerate((long, HOLD)):
+            at = NOW + timedelta(seconds=second)
+            grant = self.holds.record_sent(OWNER, OWN_FENCE, at, hold)
+            self.holds.record_answered(grant, at)
+        self.holds.set_predecessor_bounds({})
+        accepted = NOW + timedelta(seconds=2)
+        self.assertEqual(
+            self.holds.free_at(OWNER, OWN_FENCE, accepted_at=accepted),
+            key_grants.hold_end(NOW, long),
+        )
+
     def test_orderly_close_ends_a_hold_as_early_as_before(self) -> None:
         """Guards against keys of a dead upstream that wait 0.8 s longer."""
         kept = self.kept_connection()
