--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -23,6 +23,9 @@
 SECONDS = 5.0
 # The default of the soak, without which a seed has fewer faults.
 RESTORES_SECONDS = 20.0
+# Begins with a stop of all gateways in turn.
+SERIES_SEED = 9111
+SERIES_SECONDS = 8.0
 
 
 def sent(route: str = 'pay', status: int | None = 200) -> callers.SentRequest:
@@ -442,6 +445,15 @@
                 self.assertEqual(result.problems, [])
                 self.assertGreater(result.served, 0)
 
+    def test_series_of_signals_and_changes(self) -> None:
+        """Guards against a stop that loses requests, or ends badly.
+
+        Signals, restarts and changes of the configuration come in series.
+        """
+        result = soak_main.soak_seed(SERIES_SEED, SERIES_SECONDS, series=True)
+        self.assertEqual(result.problems, [])
+        self.assertGreater(result.served, 0)
+
     def test_seed_with_restores_that_failed_before(self) -> None:
         """Guards against a fleet without owners for too long."""
         result = soak_main.soak_seed(7038, RESTORES_SECONDS, restores=True)
