--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 """Tests of the soak's checks, and short soak runs with fixed seeds."""
 
 import dataclasses
+from datetime import timedelta
 import pathlib
 import random
 import subprocess  # nosec
@@ -22,6 +23,9 @@
 SECONDS = 5.0
 # The default of the soak, without which a seed has fewer faults.
 RESTORES_SECONDS = 20.0
+# Begins with a stop of all gateways in turn.
+SERIES_SEED = 9111
+SERIES_SECONDS = 8.0
 
 
 def sent(route: str = 'pay', status: int | None = 200) -> callers.SentRequest:
@@ -368,6 +372,31 @@
         self.assertEqual(checks.check_processes([], injector.stops), [])
 
 
+class FleetTest(unittest.TestCase):
+    def test_start_of_a_process_stops_nothing_else(self) -> None:
+        """Guards against callers and relays that wait for a start.
+
+        While 50 upstreams that had left were started again, the soak sent
+        nothing for 16 s.
+        """
+        cluster = fleet.Fleet(folder=pathlib.Path(), rng=random.Random(1))
+
+        async def print_address(log: pathlib.Path) -> None:
+            await aio.sleep(timedelta(milliseconds=100))
+            log.write_text('{"listen": "127.0.0.1:80"}\n')
+
+        async def main(log: pathlib.Path) -> None:
+            popen = subprocess.Popen([sys.executable, '-c', ''])
+            popen.wait()
+            proc = fleet.Proc(name='u0', popen=popen, log=log, errors=log)
+            await aio.spawn(print_address(log))
+            address = await cluster._read_address(proc)
+            self.assertEqual(str(address), '127.0.0.1:80')
+
+        with tempfile.NamedTemporaryFile() as file:
+            aio.run(main, pathlib.Path(file.name))
+
+
 class LocalCluster:
     """One gateway, whose processes run ``SeriesTest.PROGRAM``."""
 
@@ -416,6 +445,15 @@
                 self.assertEqual(result.problems, [])
                 self.assertGreater(result.served, 0)
 
+    def test_series_of_signals_and_changes(self) -> None:
+        """Guards against a stop that loses requests, or ends badly.
+
+        Signals, restarts and changes of the configuration come in series.
+        """
+        result = soak_main.soak_seed(SERIES_SEED, SERIES_SECONDS, series=True)
+        self.assertEqual(result.problems, [])
+        self.assertGreater(result.served, 0)
+
     def test_seed_with_restores_that_failed_before(self) -> None:
         """Guards against a fleet without owners for too long."""
         result = soak_main.soak_seed(7038, RESTORES_SECONDS, restores=True)
