Keep a resumed term that sent only a raised fence

Seen: in a test, a resumed term whose only owner was leaving sent no renewal, only the grant of a raised fence before the release. After a second restore of the store, the next term of this process granted the same fence again (4 and 4).

Cause: ClaimTerm.only_resumes asked ClaimTerm.granted, which records renewals alone. Releaser._raise_fence records its grants in HoldBounds only. KeyCoordinator._keep_last therefore dropped the term, with its bound on the hold of 2 s and the fences that it had used. An owner that accepts the same fence in the next term and releases its keys does not reject the earlier grant if that arrives later.

Change: a term that has sent any grant which may have been accepted, by its HoldBounds, is kept.

Not shown: that this fault ever led to two owners in a run.

--- a/goldcresthaven/hold_bounds.py
+++ b/goldcresthaven/hold_bounds.py
@@ -305,6 +305,14 @@
             return 'the inherited bound'
         return "the predecessor's bound"
 
+    def has_grants(self) -> bool:
+        """Return whether a grant was sent that may have been accepted."""
+        return any(
+            not grant.refused
+            for known in self._grants.values()
+            for grant in known
+        )
+
     def last_end(self) -> timedelta:
         """Return when all holds have ended for sure, also inherited ones."""
         self._settle()
--- a/goldcresthaven/key_coordinator_state.py
+++ b/goldcresthaven/key_coordinator_state.py
@@ -139,10 +139,13 @@
     def only_resumes(self, last: 'ClaimTerm') -> bool:
         """Return whether this term resumes ``last`` and granted nothing.
 
-        What upstreams may hold then follows from ``last`` alone.
+        What upstreams may hold then follows from ``last`` alone, and the
+        fences above its own are unused. A grant with a fence that was raised
+        for a release counts too, and only ``holds`` has it.
         """
         resumes = self.acquired_version == last.acquired_version
-        return resumes and not self.granted
+        sent = bool(self.granted) or self.holds.has_grants()
+        return resumes and not sent
 
     def record_resumption(self, later: 'ClaimTerm') -> None:
         """Record a term that only resumed this one, and has ended.
--- a/tests/test_key_coordinator.py
+++ b/tests/test_key_coordinator.py
@@ -1052,6 +1052,45 @@
 
         run(main)
 
+    def test_raised_fence_of_a_resumed_term_is_not_granted_again(
+        self,
+    ) -> None:
+        """Guards against a late grant that an owner accepts after a release.
+
+        A resumed term sent only a grant with a raised fence, because all its
+        owners were leaving. After a second restore, the next term granted
+        the same fence, so that the owner could not reject the earlier grant.
+        """
+
+        async def main(fleet: Fleet) -> None:
+            fleet.register('u1')
+            holder = fleet.coordinator('n1')
+            await aio.spawn(holder.run())
+            await fleet.until(lambda: len(fleet.leases.held) == 1)
+            copy = fleet.store.copy()
+
+            def raised() -> list[int]:
+                log = fleet.leases.log
+                grants = [g for kind, _, g in log if kind == 'grant']
+                return [
+                    grant.fence
+                    for grant, hold in zip(grants, fleet.leases.holds)
+                    if hold == key_grants.RELEASE_TIMEOUT
+                ]
+
+            for count in (1, 2):
+                fleet.store.restore(copy)
+                await fleet.until(lambda: not holder.holds_claim)
+                if count == 1:
+                    fleet.leases.late_grants.add('u1')
+                    fleet.register('u1', draining=True)
+                    fleet.register('u2')
+                await fleet.until(lambda: len(raised()) == count)
+            first, second = raised()
+            self.assertGreater(second, first)
+
+        run(main)
+
     def test_resumption_beside_a_lost_successor_proves_nothing(self) -> None:
         """Guards against two owners after two restores.
 
