Wait for the first grants before connections close

Cause: a race in the test. It closed the connections of u1 as soon as the map named u1 for all keys. The first grant of the moved range is sent by a task that runs a cycle of the event loop later; it opens a connection, so the fake upstream counts as connected again, and no range gets a new fence.

Change: the test waits until all fences were granted before. Instead of at most 3 writes, which counted renewals of the claim by time, it now wants the first write of the map to replace all fences. With the fault that the test guards against (a closed connection ends the round of the owner's grants) it fails, 1 of 1.

--- a/tests/test_key_coordinator.py
+++ b/tests/test_key_coordinator.py
@@ -604,17 +604,29 @@
             await fleet.until(lambda: len(fleet.leases.held) == 2)
             fleet.register('u2', draining=True)
             await fleet.until(lambda: fleet.owners() == {'u1'})
-            ranges = [r for r in fleet.keys().ranges]
-            self.assertGreater(len(ranges), 1)
-            before = {r.fence for r in ranges}
-            version = fleet.keys().version
-            fleet.leases.all_disconnected.add('u1')
+            before = {r.fence for r in fleet.keys().ranges}
+            self.assertGreater(len(before), 1)
+            # The first grant of a fence opens a connection.
             await fleet.until(
-                lambda: not before & {r.fence for r in fleet.keys().ranges}
+                lambda: (
+                    before
+                    <= {g.fence for g in fleet.leases.calls('grant', 'u1')}
+                )
             )
-            written = fleet.store.version - version
-            # The claim's own renewals also count as writes.
-            self.assertLessEqual(written, 3)
+            write = fleet.store.write
+            map_writes: list[set[int]] = []
+
+            async def record_maps(**call: Any) -> state_store.WriteResult:
+                result = await write(**call)
+                if any(key.table is MAPS for key in call['puts']):
+                    map_writes.append({r.fence for r in fleet.keys().ranges})
+                return result
+
+            with mock.patch.object(fleet.store, 'write', record_maps):
+                fleet.leases.all_disconnected.add('u1')
+                await fleet.until(lambda: bool(map_writes))
+            # The first write of the map replaces all of them.
+            self.assertEqual(before & map_writes[0], set())
 
         run(main)
 
