--- a/tests/test_key_coordinator.py
+++ b/tests/test_key_coordinator.py
@@ -604,17 +604,29 @@
             await fleet.until(lambda: len(fleet.leases.held) == 2)
             fleet.register('u2', draining=True)
             await fleet.until(lambda: fleet.owners() == {'u1'})
-            ranges = [r for r in fleet.keys().ranges]
-            self.assertGreater(len(ranges), 1)
-            before = {r.fence for r in ranges}
-            version = fleet.keys().version
-            fleet.leases.all_disconnected.add('u1')
+            before = {r.fence for r in fleet.keys().ranges}
+            self.assertGreater(len(before), 1)
+            # The first grant of a fence opens a connection.
             await fleet.until(
-                lambda: not before & {r.fence for r in fleet.keys().ranges}
+                lambda: (
+                    before
+                    <= {g.fence for g in fleet.leases.calls('grant', 'u1')}
+                )
             )
-            written = fleet.store.version - version
-            # The claim's own renewals also count as writes.
-            self.assertLessEqual(written, 3)
+            write = fleet.store.write
+            map_writes: list[set[int]] = []
+
+            async def record_maps(**call: Any) -> state_store.WriteResult:
+                result = await write(**call)
+                if any(key.table is MAPS for key in call['puts']):
+                    map_writes.append({r.fence for r in fleet.keys().ranges})
+                return result
+
+            with mock.patch.object(fleet.store, 'write', record_maps):
+                fleet.leases.all_disconnected.add('u1')
+                await fleet.until(lambda: bool(map_writes))
+            # The first write of the map replaces all of them.
+            self.assertEqual(before & map_writes[0], set())
 
         run(main)
 
@@ -1052,6 +1064,45 @@
 
         run(main)
 
+    def test_raised_fence_of_a_resumed_term_is_not_granted_again(
+        self,
+    ) -> None:
+        """Guards against a late grant that an owner accepts after a release.
+
+        A resumed term sent only a grant with a raised fence, because all its
+        owners were leaving. After a second restore, the next term granted
+        the same fence, so that the owner could not reject the earlier grant.
+        """
+
+        async def main(fleet: Fleet) -> None:
+            fleet.register('u1')
+            holder = fleet.coordinator('n1')
+            await aio.spawn(holder.run())
+            await fleet.until(lambda: len(fleet.leases.held) == 1)
+            copy = fleet.store.copy()
+
+            def raised() -> list[int]:
+                log = fleet.leases.log
+                grants = [g for kind, _, g in log if kind == 'grant']
+                return [
+                    grant.fence
+                    for grant, hold in zip(grants, fleet.leases.holds)
+                    if hold == key_grants.RELEASE_TIMEOUT
+                ]
+
+            for count in (1, 2):
+                fleet.store.restore(copy)
+                await fleet.until(lambda: not holder.holds_claim)
+                if count == 1:
+                    fleet.leases.late_grants.add('u1')
+                    fleet.register('u1', draining=True)
+                    fleet.register('u2')
+                await fleet.until(lambda: len(raised()) == count)
+            first, second = raised()
+            self.assertGreater(second, first)
+
+        run(main)
+
     def test_resumption_beside_a_lost_successor_proves_nothing(self) -> None:
         """Guards against two owners after two restores.
 
