Accept no connection while a process ends its tasks

Cause: the listeners for probes and metrics accept until the end. curio ends the tasks that accept connections late, because they are old, and fails if a task has started meanwhile.

Change: aio.run stops accepting when its function has returned, before curio ends the other tasks.

--- a/goldcresthaven/aio.py
+++ b/goldcresthaven/aio.py
@@ -92,9 +92,20 @@
     ContextTask gives each task its own context variables. With curio's
     default tasks, eliot's action context leaks from one request into
     another.
+
+    No connection is accepted after the function has returned: curio fails if
+    a task starts while it ends the others.
     """
+
+    async def run_and_stop_accepting() -> None:
+        try:
+            await main(*args)
+        finally:
+            for listener in list(_accepting):
+                await listener.stop_accepting()
+
     with curio.Kernel(taskcls=curio_task.ContextTask) as kernel:
-        kernel.run(main, *args)
+        kernel.run(run_and_stop_accepting)
 
 
 async def spawn(coro: Coroutine[Any, Any, Any]) -> Task:
@@ -264,6 +275,10 @@
     return cast(Socket, curio_io.Socket(sock))
 
 
+# The listeners of this process that accept connections.
+_accepting: 'set[Listener]' = set()
+
+
 class Listener:
     """A listening TCP socket that starts one task per connection."""
 
@@ -288,6 +303,14 @@
 
     async def start(self) -> None:
         self._task = await spawn(self._accept())
+        _accepting.add(self)
+
+    async def stop_accepting(self) -> None:
+        """Stop accepting; the socket and its backlog stay open."""
+        _accepting.discard(self)
+        if self._task is not None:
+            await self._task.cancel()
+            self._task = None
 
     async def stop(self) -> None:
         """Stop accepting; connections already accepted continue.
@@ -297,8 +320,7 @@
         """
         if self._task is None:
             return
-        await self._task.cancel()
-        self._task = None
+        await self.stop_accepting()
         while (client := self._accept_nowait()) is not None:
             await self._start_handler(client)
         await self._sock.close()
--- a/tests/test_aio.py
+++ b/tests/test_aio.py
@@ -77,3 +77,36 @@
             await listener.wait_closed()
 
         entry_harness.run(test)
+
+    def test_no_connection_is_accepted_after_the_end(self) -> None:
+        """Guards against a failed exit by a connection at the end.
+
+        A readiness probe that arrived while a stopped gateway ended its
+        tasks made it exit with code 1.
+        """
+        callers = []
+
+        async def linger() -> None:
+            try:
+                await aio.sleep(LONG)
+            finally:
+                # curio ends the newest tasks first, and the one that accepts
+                # connections after this one.
+                callers.append(entry_harness.connect_at_once(listener.port))
+                await aio.sleep(SHORT)
+
+        async def serve(sock: aio.Socket) -> None:
+            await sock.recv(9)
+
+        async def main() -> None:
+            await listener.start()
+            await aio.spawn(linger())
+            await aio.sleep(SHORT)
+
+        listener = aio.Listener(host=entry_harness.HOST, port=0, handler=serve)
+        try:
+            aio.run(main)
+        finally:
+            for caller in callers:
+                caller.close()
+        self.assertEqual(len(callers), 1)
