--- a/goldcresthaven/candidates.py
+++ b/goldcresthaven/candidates.py
@@ -277,9 +277,7 @@
 
         The store must have responded since this process wants to raise it.
         A raise that is sent while the store is down stays unresolved, and
-        until then this process may not consent to an extension. A holder
-        that paused for 1 s during an outage then lost its claim until the
-        end of the outage.
+        until then this process may not consent to an extension.
         """
         if not self._wants_raise(domain, now=now):
             self._wanted_since.pop(domain, None)
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -24,7 +24,7 @@
 
 CONFIG = state_store.Table.CONFIG
 REGISTRY = state_store.Table.REGISTRY
-LIMIT = timedelta(seconds=4)
+LIMIT = timedelta(seconds=3)
 STALE = timedelta(seconds=5)
 TOLERANCE = timedelta(milliseconds=100)
 # A process that was cut off is expected to know all changes after this time.
