--- a/review/common/endless.py
+++ b/review/common/endless.py
@@ -1,8 +1,9 @@
 """A faulty endpoint whose answer never ends, and a requester that reads it.
 
-``endless.py server NAME`` prints its port. It answers each request with a
+``endless.py server NAME MBIT`` prints its port. It answers each request with a
 head as of a sound endpoint and then a body without end, until its caller
-closes; with ``whole`` as the third argument, with a body of 1 MB that ends.
+closes; with ``whole`` as a further argument, with a body of 64 KB that ends.
+All connections together send at most MBIT Mbit/s; 0 means no limit.
 ``endless.py client HOST PORT PATH LIMIT_S`` sends one GET request, reads the
 answer until it ends or its time limit has passed, and closes.
 """
@@ -14,11 +15,30 @@
 import time
 
 PREFIX = 'X-Goldcresthaven-'
-PIECE = b'x' * (1 << 20)
+PIECE = b'x' * (1 << 16)
 CHUNK = f'{len(PIECE):x}\r\n'.encode() + PIECE + b'\r\n'
 
 
-def serve(sock: socket.socket, name: str, whole: bool) -> None:
+class Link:
+    """Limits the rate at which all connections together send."""
+
+    def __init__(self, mbit: float) -> None:
+        self.bytes_per_s = mbit * 125_000
+        self.lock = threading.Lock()
+        self.free_at = time.monotonic()
+
+    def wait(self, size: int) -> None:
+        if not self.bytes_per_s:
+            return
+        with self.lock:
+            now = time.monotonic()
+            self.free_at = max(self.free_at, now) + size / self.bytes_per_s
+            delay = self.free_at - now
+        if delay > 0.002:
+            time.sleep(delay)
+
+
+def serve(sock: socket.socket, name: str, whole: bool, link: Link) -> None:
     try:
         data = b''
         while True:
@@ -52,6 +72,7 @@
                 sock.sendall(CHUNK + b'0\r\n\r\n')
                 continue
             while True:
+                link.wait(len(CHUNK))
                 sock.sendall(CHUNK)
     except OSError:
         return
@@ -59,45 +80,51 @@
         sock.close()
 
 
-def server(name: str, whole: bool) -> None:
+def server(name: str, mbit: float, whole: bool) -> None:
+    link = Link(mbit)
     listener = socket.create_server(('127.0.0.1', 0), backlog=128)
     print(listener.getsockname()[1], flush=True)
     while True:
         sock, _ = listener.accept()
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         threading.Thread(
-            target=serve, args=(sock, name, whole), daemon=True
+            target=serve, args=(sock, name, whole, link), daemon=True
         ).start()
 
 
 def client(host: str, port: int, path: str, limit_s: float) -> None:
-    end = time.monotonic() + limit_s
+    started = time.monotonic()
+    end = started + limit_s
     sock = socket.create_connection((host, port), timeout=limit_s)
     sock.sendall(
         f'GET {path} HTTP/1.1\r\nHost: shop.example\r\n'
         f'{PREFIX}Attempt-Id: {secrets.token_hex(8)}\r\n'
         f'{PREFIX}Deadline-Ms: {int(limit_s * 1000)}\r\n\r\n'.encode()
     )
-    size, last = 0, b''
+    size, last, outcome = 0, b'', 'no end within the time limit'
     buf = bytearray(1 << 20)
     try:
         while time.monotonic() < end:
             sock.settimeout(max(0.01, end - time.monotonic()))
             count = sock.recv_into(buf)
             if not count:
+                outcome = 'closed early'
                 break
             size += count
-            last = bytes(buf[max(0, count - 5):count])
+            last = (last + bytes(buf[max(0, count - 5):count]))[-5:]
             if last == b'0\r\n\r\n':
+                outcome = 'whole'
                 break
-    except OSError as exc:
-        print(type(exc).__name__, flush=True)
+    except TimeoutError:
+        pass
+    except OSError:
+        outcome = 'closed early'
     sock.close()
-    print(f'{size} bytes, ended {last == b"0" + 2 * chr(13).encode()}')
+    print(f'{outcome}, {size} bytes, {time.monotonic() - started:.3f} s')
 
 
 if __name__ == '__main__':
     if sys.argv[1] == 'server':
-        server(sys.argv[2], sys.argv[3:] == ['whole'])
+        server(sys.argv[2], float(sys.argv[3]), sys.argv[4:] == ['whole'])
     else:
         client(sys.argv[2], int(sys.argv[3]), sys.argv[4], float(sys.argv[5]))
--- a/review/common/testbed.py
+++ b/review/common/testbed.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import base64
 from collections.abc import Callable
 from collections.abc import Mapping
 import contextlib
@@ -17,7 +18,9 @@
 import resource
 import secrets
 import signal
+import shutil
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -417,17 +420,21 @@
         print(text, flush=True)
 
     async def start_store(self) -> None:
-        log = self.temp / 'store.log'
-        self._launch('store', ['python3', '-m', 'standins.table_store'], {})
+        self.launch('store', ['python3', '-m', 'standins.table_store'])
+        line = json.loads(await self.first_line('store'))
+        host, _, port = line['listen'].rpartition(':')
+        self.store = (host, int(port))
+
+    async def first_line(self, name: str) -> str:
+        """Return the first line that a process has printed."""
+        log = self.temp / f'{name}.log'
         end = time.monotonic() + 20
         while time.monotonic() < end:
-            if b'\n' in log.read_bytes():
-                line = json.loads(log.read_text().splitlines()[0])
-                host, _, port = line['listen'].rpartition(':')
-                self.store = (host, int(port))
-                return
+            text = log.read_text()
+            if '\n' in text:
+                return text.partition('\n')[0]
             await asyncio.sleep(0.02)
-        raise CannotRun('the store did not start')
+        raise CannotRun(f'{name} printed nothing')
 
     async def store_call(self, method: str, path: str, body: Any) -> Any:
         async with asyncio.timeout(2):
@@ -451,7 +458,6 @@
         self, routes: Mapping[str, Any], services: Mapping[str, Any],
         limits: Mapping[str, Any],
     ) -> None:
-        import base64
         self.version += random.randint(1, 9)
         document = {
             'version': f'{self.version:08x}', 'routes': routes,
@@ -488,7 +494,7 @@
             f'form = "table"\nwrites-per-s = 400\nreads-per-s = 2000\n'
             f'history-s = 20\nrow-bytes = 65536\n'
         )
-        gateway.popen = self._launch(
+        gateway.popen = self.launch(
             name, self.run, {'GOLDCRESTHAVEN_SETTINGS': str(file)},
             max_fds=max_fds,
         )
@@ -512,8 +518,8 @@
         finally:
             conn.close()
 
-    def _launch(
-        self, name: str, command: list[str], env: Mapping[str, str],
+    def launch(
+        self, name: str, command: list[str], env: Mapping[str, str] = {},
         *, max_fds: int | None = None,
     ) -> subprocess.Popen[bytes]:
         kept = {k: os.environ[k] for k in ('PATH', 'HOME', 'LANG')
@@ -570,6 +576,8 @@
 def main(case: Callable[[Testbed, bool], Any], file: str) -> None:
     """Run a case: exit 1 if the rule was broken, 0 if held, 2 if not run."""
     trouble = os.environ.get('TROUBLE', '1') != '0'
+    # Connections that are still open at the end would be reported one by one.
+    sys.unraisablehook = lambda unraisable: None
     bed = Testbed(pathlib.Path(file).resolve().parent)
     code = 2
     try:
@@ -587,6 +595,5 @@
         if os.environ.get('KEEP'):
             print(bed.temp)
         else:
-            import shutil
             shutil.rmtree(bed.temp, ignore_errors=True)
     raise SystemExit(code)
