--- a/review/common/testbed.py
+++ b/review/common/testbed.py
@@ -167,7 +167,9 @@
             name, found, value = line.partition(':')
             if found:
                 answer.headers[name.strip().lower()] = value.strip()
-        if answer.headers.get('transfer-encoding') == 'chunked':
+        if method == 'HEAD':
+            pass
+        elif answer.headers.get('transfer-encoding') == 'chunked':
             parts = []
             while True:
                 size = int((await self.reader.readline()).split(b';')[0], 16)
@@ -203,6 +205,7 @@
         *,
         zone: str = 'z-a',
         slots: int = 4,
+        queue: int = 1000,
         work: Callable[..., Any] | None = None,
         work_s: tuple[float, float] = (0.01, 0.05),
         idle_close_s: float = 10.0,
@@ -215,6 +218,8 @@
         self.zone, self.slots, self.work = zone, slots, work
         self.work_s, self.idle_close_s = work_s, idle_close_s
         self.max_conns = max_conns
+        self.queue = queue
+        self.waiting = 0
         self.host, self.port, self.listen = host, port, listen
         self.server: asyncio.Server | None = None
         self.born = int(time.time() * 1000)
@@ -324,7 +329,14 @@
             writer.write(self.head(400, attempt, 0, f'{PREFIX}Not-Executed: 1'))
             await writer.drain()
             return True
+        if self.slot.locked() and self.waiting >= self.queue:
+            self.bed.note('full', endpoint=self.name, request=attempt)
+            writer.write(self.head(503, attempt, 0, f'{PREFIX}Not-Executed: 1'))
+            await writer.drain()
+            return True
+        self.waiting += 1
         async with self.slot:
+            self.waiting -= 1
             self.active += 1
             self.runs += 1
             self.bed.note('run', endpoint=self.name, request=attempt, path=path)
@@ -342,7 +354,7 @@
             return False
         writer.write(
             self.head(200, attempt, len(content), self.stamp(attempt))
-            + content
+            + (b'' if method == 'HEAD' else content)
         )
         await writer.drain()
         return True
@@ -356,7 +368,7 @@
         lines = [
             f'HTTP/1.1 {status} X',
             f'{PREFIX}Attempt-Id: {attempt}',
-            f'{PREFIX}Instance-Load: {self.active},0,{self.slots}',
+            f'{PREFIX}Instance-Load: {self.active},{self.waiting},{self.slots}',
             f'Keep-Alive: timeout={int(self.idle_close_s)}',
             *extra,
         ]
