Keep that a connection was reset when a send learns of it

The upstream had answered a long request early, without a length, and its connection was reset in the middle of the answer.

Cause: the system reports a reset once. While the gateway still sends the request, send learns of it; recv then returns what had arrived and a plain end. Only a failed recv was remembered, so the end looked orderly.

Evidence: ConnectionTest shows this order of calls on one connection.

Change: a failed send marks the connection as broken too. EPIPE does not: the system reports it for a reset that follows the orderly end of the answer, which is then whole.

--- a/goldcresthaven/http_io.py
+++ b/goldcresthaven/http_io.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Iterable
 from datetime import timedelta
+import errno
 import socket
 from typing import Any
 
@@ -50,7 +51,9 @@
     """Common parts of the server and the client side of a connection.
 
     ``bytes_written`` counts the bytes of the current exchange that the
-    operating system accepted; zero proves that nothing was sent.
+    operating system accepted; zero proves that nothing was sent. A broken
+    connection was reset or has timed out: what was received on it may not be
+    all that the other side sent.
     """
 
     _role: type[Any]
@@ -183,6 +186,10 @@
         try:
             sent = await self._sock.send(view)
         except OSError as exc:
+            # The system reports a reset once. It reports EPIPE if the other
+            # side had ended its direction before.
+            if exc.errno != errno.EPIPE:
+                self._broken = True
             raise errors.ConnectionLost(
                 f'the connection failed while sending: {exc}',
                 remedy='repeat the request if it is idempotent',
