Keep that a connection was reset when a look at it learns of it

Seen: an idle connection for grants that its upstream had reset counted as closed in order (an observation of the review). Bytes that a partition holds back are lost after a reset and arrive before an orderly close, so the bounds of provisional grants could end too early.

Change: peek and receive_nowait of aio raise what the system reports, and the connection keeps that it is broken. at_end is not needed any more.

Evidence: tests/test_upstream_pool.py, one of two tests failed before (both subtests), both pass now.

--- a/goldcresthaven/aio.py
+++ b/goldcresthaven/aio.py
@@ -192,7 +192,8 @@
     """Return the next received byte without blocking or consuming it.
 
     Returns None when no data has arrived, and empty bytes when the other
-    side has closed the connection or the connection has failed.
+    side has closed the connection. Raises OSError if the connection has
+    failed; the system reports this once, and an orderly end from then on.
     """
     raw = cast(Any, sock)._socket
     if raw is None:
@@ -201,27 +202,13 @@
         return bytes(raw.recv(1, socket.MSG_PEEK))
     except BlockingIOError:
         return None
-    except OSError:
-        return b''
-
-
-def at_end(sock: Socket) -> bool:
-    """Return whether the other side closed in order and all was received.
-
-    False if the connection was reset.
-    """
-    raw = cast(Any, sock)._socket
-    try:
-        return raw is not None and raw.recv(1, socket.MSG_PEEK) == b''
-    except OSError:
-        return False
 
 
 def receive_nowait(sock: Socket, size: int) -> bytes | None:
     """Return received data without blocking, or None if there is none.
 
-    Returns empty bytes when the other side has closed the connection or the
-    connection has failed.
+    Returns empty bytes when the other side has closed the connection, and
+    raises OSError as ``peek`` does.
     """
     raw = cast(Any, sock)._socket
     if raw is None:
@@ -230,8 +217,6 @@
         return bytes(raw.recv(size))
     except BlockingIOError:
         return None
-    except OSError:
-        return b''
 
 
 def limit_unacknowledged(sock: Socket, duration: timedelta) -> None:
--- a/goldcresthaven/http_io.py
+++ b/goldcresthaven/http_io.py
@@ -88,11 +88,27 @@
 
     def peer_closed(self) -> bool:
         """Return whether the other side is known to have closed."""
-        return self.closed or aio.peek(self._sock) == b''
+        return self.closed or self._peek() == b''
 
     def has_input(self) -> bool:
         """Return whether there is received data that was not read yet."""
-        return bool(self._buf) or bool(aio.peek(self._sock))
+        return bool(self._buf) or bool(self._peek())
+
+    def _peek(self) -> bytes | None:
+        """Return the next byte, empty at the end or after a failure."""
+        try:
+            return aio.peek(self._sock)
+        except OSError:
+            self._broken = True
+            return b''
+
+    def _receive_nowait(self) -> bytes | None:
+        """Return received data, empty at the end or after a failure."""
+        try:
+            return aio.receive_nowait(self._sock, PIECE_BYTES)
+        except OSError:
+            self._broken = True
+            return b''
 
     async def wait_for_input(self) -> bool:
         """Wait for the first byte of a message; False if the peer closed."""
@@ -239,7 +255,7 @@
         these are received first, up to ``READ_AHEAD_BYTES``.
         """
         while not self.closed and len(self._buf) < READ_AHEAD_BYTES:
-            data = aio.receive_nowait(self._sock, PIECE_BYTES)
+            data = self._receive_nowait()
             if data is None:
                 return False
             if not data:
@@ -559,11 +575,12 @@
         Data received between two exchanges would be taken for the response
         to the next request.
         """
-        return not self._buf and aio.peek(self._sock) is None
+        return not self._buf and self._peek() is None
 
     def note_end(self) -> None:
         """Record whether the upstream closed and all it sent was read."""
-        self.closed_in_order = not self._buf and aio.at_end(self._sock)
+        at_end = not self._buf and self._peek() == b''
+        self.closed_in_order = at_end and not self._broken
 
     def unsolicited_head(self) -> http_head.ResponseHead | None:
         """Return the head of a response that no request asked for, if any.
@@ -571,7 +588,7 @@
         An upstream may send one before it closes an idle connection. The
         connection cannot be used after this call.
         """
-        received = aio.receive_nowait(self._sock, PIECE_BYTES) or b''
+        received = self._receive_nowait() or b''
         parser = self._new_h11()
         parser.send(
             h11.Request(method='GET', target='/', headers=[('host', 'none')])
