Let other tasks run while a peer is always ready

Cause: curio changes tasks, and checks timeouts, only where a task has to wait. Receiving and sending do not wait while both sockets are ready, so the loop that relays a body runs alone, and no time limit can end it.

Change: a connection counts its steps and lets others run after eight of them, before it takes data off the socket or the buffer, so that a timeout there loses none. The same for accepting connections and receiving datagrams.

--- a/goldcresthaven/aio.py
+++ b/goldcresthaven/aio.py
@@ -40,6 +40,9 @@
 KEEPALIVE_INTERVAL_S = 2
 KEEPALIVE_PROBES = 2
 ACCEPT_RETRY_DELAY = timedelta(milliseconds=20)
+# Steps that a task takes at most before others run. A step relays up to 64 KiB
+# and takes about a millisecond on a small VM.
+STEPS_PER_TURN = 8
 
 
 class Socket(Protocol):
@@ -113,6 +116,24 @@
     return cast(Task, await curio.spawn(coro, daemon=True))
 
 
+class Turns:
+    """Lets other tasks run after some steps of a loop.
+
+    curio changes tasks, and checks timeouts, only where a task waits. A loop
+    whose peer is always ready never waits.
+    """
+
+    def __init__(self) -> None:
+        self._steps = 0
+
+    async def step(self) -> None:
+        """Count a step; nothing may be in flight that a timeout would lose."""
+        self._steps += 1
+        if self._steps >= STEPS_PER_TURN:
+            self._steps = 0
+            await curio.sleep(0)
+
+
 async def sleep(duration: timedelta) -> None:
     await curio.sleep(max(duration.total_seconds(), 0.0))
 
@@ -281,6 +302,7 @@
             host, port, backlog=LISTEN_BACKLOG, reuse_address=True
         )
         self._task: Task | None = None
+        self._turns = Turns()
 
     @property
     def port(self) -> int:
@@ -318,6 +340,7 @@
 
     async def _accept(self) -> None:
         while True:
+            await self._turns.step()
             try:
                 client, _ = await self._sock.accept()
             except OSError:
@@ -360,6 +383,7 @@
         raw.bind((host, port))
         self._raw = raw
         self._sock = curio_io.Socket(raw)
+        self._turns = Turns()
 
     @property
     def port(self) -> int:
@@ -375,6 +399,7 @@
 
     async def receive(self, size: int) -> tuple[bytes, str, int]:
         """Return the next datagram and the address of its sender."""
+        await self._turns.step()
         data, (host, port) = await self._sock.recvfrom(size)
         return bytes(data), str(host), int(port)
 
--- a/goldcresthaven/http_io.py
+++ b/goldcresthaven/http_io.py
@@ -67,6 +67,7 @@
         self._h11 = self._new_h11()
         self._ended = False
         self._broken = False
+        self._turns = aio.Turns()
         self.bytes_written = 0
         self.closed = False
 
@@ -113,10 +114,12 @@
     async def wait_for_input(self) -> bool:
         """Wait for the first byte of a message; False if the peer closed."""
         if self._buf:
+            await self._turns.step()
             return True
         return await self._receive()
 
     async def _receive(self) -> bool:
+        await self._turns.step()
         try:
             data = await self._sock.recv(PIECE_BYTES)
         except OSError:
@@ -159,6 +162,7 @@
 
     async def _read_piece(self) -> bytes:
         """Return the next piece of the body; empty at its end."""
+        await self._turns.step()
         self._feed_buffer()
         while True:
             event = self._h11.next_event()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -192,8 +192,12 @@
             ranges=(all_keys,), next_fence=version + 1, version=version
         )
 
+    @property
+    def port(self) -> int:
+        return self._listener.port
+
     async def connect(self) -> aio.Socket:
-        return await aio.connect(HOST, self._listener.port)
+        return await aio.connect(HOST, self.port)
 
     async def ask(
         self, *, method: str = 'GET', path: str = '/a/x', extra: str = ''
