End a response that has begun by the timeout of its route

Cause: the time limit of an attempt ended with the head of the response; the body had none but a pause of 2 s.

A caller's body of tiny chunks without end had no answer for 3.9 s. The bound is the timeout of 0.8 s plus 0.5 s.

Change: a response is relayed until 0.2 s after the route's timeout, and then cut off with a reset, so that it does not look complete. Nothing else than this end and silence, which is another case, ends it. The start of a caller's body may take until the request's deadline and not 10 s in any case; after that it is refused with 408, and was not passed on. A planned stop counts with the later end.

--- a/goldcresthaven/caller_call.py
+++ b/goldcresthaven/caller_call.py
@@ -51,16 +51,17 @@
     relayed: bool = False
     refused_on: set[int] = field(default_factory=set)
 
-    async def buffer_body(self) -> None:
+    async def buffer_body(self, timeout: timedelta) -> None:
         """Buffer the first 64 KiB of the body.
 
-        Raises the same errors as ``CallerConn.read_piece``.
+        Raises the same errors as ``CallerConn.read_piece``, and
+        DeadlineExceeded.
         """
         if not self.head.has_body:
             await self.conn.read_piece()
             return
         self.body_ended = False
-        async with aio.timeout(BODY_TIMEOUT):
+        async with aio.timeout(timeout):
             while len(self.buffered_body) < http_io.PIECE_BYTES:
                 piece = await self._read()
                 if not piece:
--- a/goldcresthaven/gateway.py
+++ b/goldcresthaven/gateway.py
@@ -178,7 +178,7 @@
             max_body=limits.body_bytes,
         )
         try:
-            await call.buffer_body()
+            await call.buffer_body(self._body_timeout(call))
         except errors.RequestRejected as exc:
             await self._responder.reject(conn, exc.status, str(exc))
             return
@@ -228,8 +228,7 @@
                 'are not loaded yet',
                 retry_after=upstream_choice.NO_OWNER_RETRY_AFTER,
             )
-        host = http_head.find(call.head.headers, 'host') or ''
-        route = cfg.match(host, call.head.target)
+        route = self._match(call)
         if route is None:
             return outcomes.NotRun(
                 reason=outcomes.Reason.NO_ROUTE,
@@ -256,6 +255,24 @@
             config_version=cfg.version,
         )
 
+    def _body_timeout(self, call: caller_call.Call) -> timedelta:
+        """Return how long the start of the body may take to arrive.
+
+        After its deadline the request could not be passed on.
+        """
+        timeout = caller_call.BODY_TIMEOUT
+        if not call.head.has_body:
+            return timeout
+        if call.meta.remaining is not None:
+            timeout = min(timeout, call.meta.remaining)
+        route = self._match(call)
+        return timeout if route is None else min(timeout, route.timeout)
+
+    def _match(self, call: caller_call.Call) -> routes.Route | None:
+        cfg = self._known_state.config
+        host = http_head.find(call.head.headers, 'host') or ''
+        return cfg.match(host, call.head.target) if cfg else None
+
     def _record_key(self, routed: upstream_choice.RoutedRequest) -> None:
         if routed.call.meta.key is not None and routed.keyed:
             requested = self._requested_keys.setdefault(routed.pool.name, [])
--- a/goldcresthaven/request_runner.py
+++ b/goldcresthaven/request_runner.py
@@ -93,7 +93,7 @@
 
     def _can_finish(self, routed: upstream_choice.RoutedRequest) -> bool:
         return self._stop.can_finish(
-            latest_end=routed.deadline + upstream_exchange.RESPONSE_SLACK,
+            latest_end=routed.deadline + upstream_exchange.DELIVERY_SLACK,
             idempotent=routed.route.kind.idempotent,
         )
 
@@ -138,7 +138,12 @@
             result = await self._exchanger.attempt(
                 routed.call,
                 upstream,
-                deadline=routed.deadline,
+                limits=upstream_exchange.TimeLimits(
+                    deadline=routed.deadline,
+                    delivery_end=routed.arrived
+                    + routed.route.timeout
+                    + upstream_exchange.DELIVERY_SLACK,
+                ),
                 connections=routed.pool.max_connections,
             )
             outcome = _attempt_outcome(result)
--- a/goldcresthaven/upstream_exchange.py
+++ b/goldcresthaven/upstream_exchange.py
@@ -39,6 +39,10 @@
 # Extra time after the deadline: the upstream knows the deadline too and
 # responds by itself when it passes.
 RESPONSE_SLACK = timedelta(milliseconds=80)
+# Extra time after the route's timeout for a response that has begun. A request
+# must have its final answer within half a second after the timeout, also on a
+# busy VM.
+DELIVERY_SLACK = timedelta(milliseconds=200)
 _SUCCESS = range(200, 300)
 _REFUSAL_STATUS = (408, 421, 429, 503)
 
@@ -47,6 +51,18 @@
     """The upstream leaves or pauses, so that nothing may be sent to it."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TimeLimits:
+    """Until when an attempt may last.
+
+    The upstream has to begin its response by ``deadline``. A response that
+    has begun is relayed until ``delivery_end``, and is cut off then.
+    """
+
+    deadline: timedelta
+    delivery_end: timedelta
+
+
 @dataclass(kw_only=True)
 class AttemptResult:
     """What is known about an attempt so far.
@@ -113,13 +129,13 @@
         call: caller_call.Call,
         upstream: registry.Upstream,
         *,
-        deadline: timedelta,
+        limits: TimeLimits,
         connections: int,
     ) -> AttemptResult:
         """Make one attempt and relay the response unless it is a refusal."""
         result = AttemptResult()
         try:
-            await self._run(call, upstream, deadline, connections, result)
+            await self._run(call, upstream, limits, connections, result)
         except errors.DeadlineExceeded:
             result.failure = retries.Failure.DEADLINE
         except errors.ConnectionFailed as exc:
@@ -144,18 +160,18 @@
         self,
         call: caller_call.Call,
         upstream: registry.Upstream,
-        deadline: timedelta,
+        limits: TimeLimits,
         connections: int,
         result: AttemptResult,
     ) -> None:
         self._check_sending(upstream)
-        async with aio.timeout(deadline - self._clock.elapsed()):
+        async with aio.timeout(limits.deadline - self._clock.elapsed()):
             conn = await self._conns.take(
                 upstream.address, limit=connections, excluded=call.refused_on
             )
         self._opened_for.setdefault(conn, upstream)
         try:
-            await self._exchange(call, upstream, deadline, conn, result)
+            await self._exchange(call, upstream, limits, conn, result)
         except BaseException:
             result.bytes_written = conn.bytes_written
             await self._conns.discard(upstream.address, conn)
@@ -167,7 +183,7 @@
         self,
         call: caller_call.Call,
         upstream: registry.Upstream,
-        deadline: timedelta,
+        limits: TimeLimits,
         conn: http_io.UpstreamConn,
         result: AttemptResult,
     ) -> None:
@@ -175,7 +191,7 @@
             raise caller_call.CallerGone(
                 'the caller disconnected before the request was sent'
             )
-        remaining = deadline - self._clock.elapsed()
+        remaining = limits.deadline - self._clock.elapsed()
         # Opening a connection may have used up the remaining time.
         if remaining <= timedelta():
             raise errors.DeadlineExceeded(
@@ -201,8 +217,8 @@
                 await _discard_body(conn)
                 return
         _check_response(head, result.meta, call)
-        # A response that has started is delivered even after the deadline.
-        await self._relay(call, conn, head, closing=not sent_whole)
+        async with aio.timeout(limits.delivery_end - self._clock.elapsed()):
+            await self._relay(call, conn, head, closing=not sent_whole)
 
     def _request(
         self,
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -1,5 +1,6 @@
 """Tests of upstreams and callers that send without end, at full speed."""
 
+from datetime import timedelta
 import time
 import unittest
 
@@ -10,6 +11,8 @@
 from tests import test_gateway
 from tools import entry_harness
 
+# Requests have to end within this time after the timeout of their route.
+LATE = timedelta(seconds=0.5)
 # The route's timeout, as the platform's file states it.
 TIMEOUT = fake_platform.route().timeout
 HEAD = (
@@ -19,6 +22,7 @@
 PIECE = b'x' * (1 << 16)
 BODIES = {
     'chunks': (CHUNKED, f'{len(PIECE):x}\r\n'.encode() + PIECE + b'\r\n'),
+    'tiny chunks': (CHUNKED, b'1\r\nx\r\n' * 4096),
     'a length': (HEAD + b'Content-Length: 99999999999\r\n\r\n', PIECE),
     'no length': (HEAD + b'\r\n', PIECE),
 }
@@ -54,6 +58,17 @@
         entry_harness.run(main)
         return replies[0], durations
 
+    def test_answer_without_end_is_passed_on_past_the_timeout(self) -> None:
+        """Guards against requests that never end while bytes arrive."""
+        for name, (start, repeated) in BODIES.items():
+            with self.subTest(name):
+                reply, _ = self.relay(start, repeated)
+                self.assertLess(
+                    reply.elapsed_s, (TIMEOUT + LATE).total_seconds()
+                )
+                self.assertTrue(reply.reset)
+                self.assertFalse(reply.end.endswith(b'\r\n0\r\n\r\n'))
+
     def test_answer_at_full_speed_stops_the_process(self) -> None:
         """Guards against a relay that lets no other request run."""
         for name, (start, repeated) in BODIES.items():
@@ -74,7 +89,7 @@
             while await sock.recv(1 << 20):
                 pass
 
-        for name in ('chunks',):
+        for name in ('chunks', 'tiny chunks'):
             _, repeated = BODIES[name]
             durations: list[float] = []
 
@@ -93,6 +108,9 @@
                     reply = await other.ask()
                     durations.append(time.monotonic() - started)
                     self.assertTrue(reply.startswith('HTTP/1.1 200'), reply)
+                self.assertLess(
+                    client.reply.elapsed_s, (TIMEOUT + LATE).total_seconds()
+                )
 
             with self.subTest(name):
                 entry_harness.run(main)
