Give up a poll without an answer in time for the read after it

Cause: after a silence of the store, all gateways lose the coordinator's reports at one moment and start to poll, into the silence. The store never answers such a poll, and it was given up after 4 s plus 0.7 s.

The users' log has the same relay-lost on all gateways at one moment.

Change: the wait of a poll is derived from the time in which its result is needed, which the deployment states (stable-window-s): waiting, noticing that there is no answer, the first pause, one read and applying it have to fit. A connection to the store that was idle for over 1 s is not used again: it may have gone silent long before, and only the poll without an answer would show it.

A process without any coordinator's reports makes up to 1 poll a second and table where it made 0.25.

--- a/goldcresthaven/gateway_process.py
+++ b/goldcresthaven/gateway_process.py
@@ -63,7 +63,9 @@
         self._clock = clock_module.SystemClock()
         self._rng = random.Random()
         self._identity = f'{cfg.vm}/{secrets.token_hex(4)}'
-        self._store = platform_store.PlatformStore(address=cfg.store)
+        self._store = platform_store.PlatformStore(
+            address=cfg.store, clock=self._clock
+        )
         self._lease_calls = leases.PlatformLeases(clock=self._clock)
         self._metrics = gateway_metrics.GatewayMetrics()
         notices = upstream_notices.UpstreamNotices(
@@ -132,6 +134,7 @@
             relay_rows=self._fleet_link.relay_rows,
             clock=self._clock,
             rng=self._rng,
+            connected_after=self._cfg.connected_after,
         )
         await tables.start()
         await aio.spawn(self._start_coordinators())
--- a/goldcresthaven/gateway_settings.py
+++ b/goldcresthaven/gateway_settings.py
@@ -15,7 +15,8 @@
     ``grace`` is the time from the stop signal until the process is killed.
     ``longest_hold`` is the longest grant of keys that an upstream accepts.
     ``drain`` is how long an upstream may get requests after it has announced
-    that it leaves.
+    that it leaves. ``connected_after`` is the time from the end of an outage
+    until the process has to know all changes.
     ``cpu_cores`` is the VM's CPU capacity in standard cores, and
     ``link_bytes_per_s`` the bandwidth of its network link. ``retry_budget``
     limits the retries of all processes together.
@@ -30,6 +31,7 @@
     grace: timedelta
     longest_hold: timedelta
     drain: timedelta
+    connected_after: timedelta
     cpu_cores: float
     link_bytes_per_s: float
     retry_budget: retries.FleetBudget
--- a/goldcresthaven/http_io.py
+++ b/goldcresthaven/http_io.py
@@ -389,10 +389,11 @@
         order in which a pool opened its connections. A ``retired``
         connection is not kept after its exchange. ``exchanges`` counts the
         calls on it, with the current one. ``closed_in_order`` is set
-        by ``note_end``.
+        by ``note_end``, and ``idle_since`` by a pool.
         """
         super().__init__(sock)
         self.number = number
+        self.idle_since: timedelta | None = None
         self._accept_unframed = accept_unframed
         self._unframed = False
         self._unacknowledged = timedelta()
--- a/goldcresthaven/platform/settings.py
+++ b/goldcresthaven/platform/settings.py
@@ -12,6 +12,7 @@
 from goldcresthaven import ids
 from goldcresthaven import members
 from goldcresthaven import retries
+from goldcresthaven import store_follower
 from goldcresthaven import upstream_notices
 from goldcresthaven.platform import names
 
@@ -52,11 +53,10 @@
         store=_address(fields, 'platform-api', 'addr'),
         grace=_bound(bounds, 'grace-s'),
         longest_hold=_bound(bounds, 'hold-max-s'),
-        # Deployments without rules on draining do not set it.
-        drain=(
-            _bound(bounds, 'drain-s')
-            if 'drain-s' in bounds
-            else upstream_notices.DEFAULT_DRAIN
+        # Deployments without rules on these do not set them.
+        drain=_bound(bounds, 'drain-s', upstream_notices.DEFAULT_DRAIN),
+        connected_after=_bound(
+            bounds, 'stable-window-s', store_follower.DEFAULT_CONNECTED_AFTER
         ),
         # The VM has a share of one core, which is ``cores`` times as fast
         # as a standard core.
@@ -77,7 +77,11 @@
     return {name: value for name, _, value in pairs}
 
 
-def _bound(bounds: Mapping[str, str], name: str) -> timedelta:
+def _bound(
+    bounds: Mapping[str, str], name: str, default: timedelta | None = None
+) -> timedelta:
+    if default is not None and name not in bounds:
+        return default
     value = _number(bounds, name)
     if not 0 < value < 3600:
         raise _problem(f'bounds: {name}', 'is out of range')
--- a/goldcresthaven/platform/store.py
+++ b/goldcresthaven/platform/store.py
@@ -17,6 +17,7 @@
 import urllib.parse
 
 from goldcresthaven import aio
+from goldcresthaven import clock as clock_module
 from goldcresthaven import decision_log
 from goldcresthaven import errors
 from goldcresthaven import http_head
@@ -26,10 +27,9 @@
 from goldcresthaven import upstream_pool
 from goldcresthaven.platform import names
 
-# A response takes 4 ms; with a slow store, 60 times as long.
-CALL_TIMEOUT = timedelta(seconds=1)
-# Extra time for the response to a long poll, after the poll has ended.
-WATCH_SLACK = timedelta(milliseconds=700)
+# Calls that follow each other use one connection. After a longer pause the
+# connection may have gone silent long before the call that would show it.
+MAX_IDLE = timedelta(seconds=1)
 MAX_RESPONSE_BYTES = 4 << 20
 MAX_CONNECTIONS = 12
 PAGE_ROWS = 500
@@ -40,9 +40,13 @@
 class PlatformStore:
     """Implements ``state_store.StateStore``."""
 
-    def __init__(self, *, address: members.Address) -> None:
+    def __init__(
+        self, *, address: members.Address, clock: clock_module.Clock
+    ) -> None:
         self._address = address
-        self._conns = upstream_pool.UpstreamPool()
+        self._conns = upstream_pool.UpstreamPool(
+            max_idle=upstream_pool.MaxIdle(duration=MAX_IDLE, clock=clock)
+        )
         self._history = state_store.FIRST_HISTORY
 
     async def close(self) -> None:
@@ -61,7 +65,7 @@
                     'from': start,
                     'limit': PAGE_ROWS,
                 },
-                CALL_TIMEOUT,
+                state_store.CALL_TIMEOUT,
             )
             page = _rows(document, history)
             rows += page
@@ -89,7 +93,7 @@
                     'after': state_store.number_of(after),
                     'wait-ms': int(wait / _MS),
                 },
-                wait + WATCH_SLACK,
+                wait + state_store.WATCH_SLACK,
             )
             if history == state_store.history_of(after):
                 return state_store.Reading(
@@ -124,7 +128,10 @@
             'remove': [],
         }
         status, history, data = await self._call(
-            'POST', '/rows-tx', json.dumps(body).encode(), CALL_TIMEOUT
+            'POST',
+            '/rows-tx',
+            json.dumps(body).encode(),
+            state_store.CALL_TIMEOUT,
         )
         if status == 412:
             return state_store.Conflict(history=history)
--- a/goldcresthaven/state_store.py
+++ b/goldcresthaven/state_store.py
@@ -22,6 +22,12 @@
 ABSENT = 0
 """The version of a row that does not exist."""
 
+# Longest duration of a read or a write. A response takes 4 ms; with a slow
+# store, 60 times as long.
+CALL_TIMEOUT = timedelta(seconds=1)
+# Longest time from the end of a poll's wait to its response.
+WATCH_SLACK = timedelta(milliseconds=700)
+
 History = NewType('History', int)
 """Counts how often the store was restored from an older copy."""
 
@@ -117,7 +123,8 @@
 class StateStore(Protocol):
     """Calls to the store.
 
-    Each call raises StoreUnavailable if no usable answer arrives in time. A
+    Each call raises StoreUnavailable if no usable answer arrives within
+    ``CALL_TIMEOUT``, or for a poll within ``WATCH_SLACK`` after its wait. A
     write may have been applied in that case, or may still be applied later
     if the expected versions match at that time.
     """
--- a/goldcresthaven/store_follower.py
+++ b/goldcresthaven/store_follower.py
@@ -28,16 +28,18 @@
 from goldcresthaven import store_retry
 from goldcresthaven import table_relay
 
-# How long a poll waits for a change. A poll that the store never answers is
-# noticed only after this time. That has to be within the 3 s after which a
-# machine without faults is checked plus the 2 s that a change may take.
-WATCH_WAIT = {
-    state_store.Table.CONFIG: timedelta(seconds=4),
-    state_store.Table.REGISTRY: timedelta(seconds=4),
-}
-# A coordinator polls more often, because its reports are used only while the
-# store's last answer to it is recent.
-RELAY_WAIT = timedelta(milliseconds=700)
+# Used if the deployment does not state the time.
+DEFAULT_CONNECTED_AFTER = timedelta(seconds=3)
+# Longest wait of a poll for a change.
+MAX_WATCH_WAIT = timedelta(seconds=1)
+# The same for a coordinator. It polls more often, because its reports are used
+# only while the store's last answer to it is recent.
+MAX_RELAY_WAIT = timedelta(milliseconds=700)
+# Shortest wait. A deployment that allows less than 2.2 s after an outage gets
+# some changes later.
+MIN_WATCH_WAIT = timedelta(milliseconds=200)
+# Time to decode and apply what a read returned, on a busy VM.
+APPLY_TIME = timedelta(milliseconds=100)
 # Pause after a change, so that a series of changes needs few calls. An
 # upstream that leaves may still get work for 2 s after it announced this.
 CHANGE_PAUSE = {
@@ -59,6 +61,10 @@
 RESTORED_READ_SPREAD = timedelta(seconds=1)
 # How often a process checks whether a call that failed is due again.
 RETRY_CHECK_INTERVAL = timedelta(milliseconds=50)
+# Longest time from the first call that fails to the next one.
+LONGEST_FIRST_PAUSE = (
+    store_retry.FIRST_PAUSE * store_retry.MAX_SPREAD + RETRY_CHECK_INTERVAL
+)
 # Entries of the registry may expire during an outage of this length.
 LAPSING_OUTAGE = timedelta(seconds=1.5)
 # How long a new process waits for a coordinator's first report before it
@@ -66,6 +72,29 @@
 FIRST_REPORT_TIMEOUT = LAPSING_OUTAGE
 
 
+def watch_wait(connected_after: timedelta) -> timedelta:
+    """Return how long a poll may wait for a change.
+
+    The store never answers a poll that began just before the end of an
+    outage. ``connected_after`` that end, all changes have to be known: until
+    then the poll has to be given up, and the table to be read.
+    """
+    after_poll = (
+        state_store.WATCH_SLACK
+        + LONGEST_FIRST_PAUSE
+        + state_store.CALL_TIMEOUT
+        + APPLY_TIME
+    )
+    return max(
+        MIN_WATCH_WAIT, min(MAX_WATCH_WAIT, connected_after - after_poll)
+    )
+
+
+def relay_wait(connected_after: timedelta) -> timedelta:
+    """Return the same for a coordinator."""
+    return min(MAX_RELAY_WAIT, watch_wait(connected_after))
+
+
 class Decoder(Protocol):
     """Decodes rows of other programs; implemented by ``platform``."""
 
@@ -82,7 +111,8 @@
     """Follows the configuration, the registry and the key maps.
 
     ``is_relay`` returns whether this process relays changes to the others,
-    and ``relay_rows`` sends them.
+    and ``relay_rows`` sends them. ``connected_after`` is the time from the
+    end of an outage until a process has to know all changes.
     """
 
     def __init__(
@@ -96,7 +126,10 @@
         relay_rows: Callable[[table_relay.RowChanges], None],
         clock: clock_module.Clock,
         rng: random.Random,
+        connected_after: timedelta = DEFAULT_CONNECTED_AFTER,
     ) -> None:
+        self._watch_wait = watch_wait(connected_after)
+        self._relay_wait = relay_wait(connected_after)
         self._store = store
         self._decoder = decoder
         self._known_state = known_state
@@ -282,7 +315,7 @@
     ) -> state_store.Reading:
         if after is None:
             return await self._store.read(table)
-        wait = RELAY_WAIT if self._is_relay() else WATCH_WAIT[table]
+        wait = self._relay_wait if self._is_relay() else self._watch_wait
         return await self._store.watch(table, after=after, wait=wait)
 
     def _record_recovery(
--- a/goldcresthaven/upstream_pool.py
+++ b/goldcresthaven/upstream_pool.py
@@ -11,6 +11,7 @@
 from datetime import timedelta
 
 from goldcresthaven import aio
+from goldcresthaven import clock as clock_module
 from goldcresthaven import errors
 from goldcresthaven import http_head
 from goldcresthaven import http_io
@@ -30,6 +31,17 @@
     open_count: int = 0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class MaxIdle:
+    """How long a connection may be idle before it is no longer used.
+
+    Connections may go silent without a reset, which only a timeout shows.
+    """
+
+    duration: timedelta
+    clock: clock_module.Clock
+
+
 class UpstreamPool:
     """Open connections by address.
 
@@ -44,7 +56,9 @@
         *,
         accept_unframed: bool = False,
         connect_timeout: timedelta = CONNECT_TIMEOUT,
+        max_idle: MaxIdle | None = None,
     ) -> None:
+        self._max_idle = max_idle
         self._connect_timeout = connect_timeout
         self._accept_unframed = accept_unframed
         self._endpoints: dict[members.Address, _Endpoint] = {}
@@ -74,7 +88,7 @@
         """
         endpoint = self._endpoints.setdefault(address, _Endpoint())
         while (conn := _pop_idle(endpoint, excluded)) is not None:
-            if conn.is_idle():
+            if conn.is_idle() and not self._is_overdue(conn):
                 conn.begin()
                 return conn
             head = conn.unsolicited_head() if self._on_unsolicited else None
@@ -164,6 +178,8 @@
         """Keep the connection if its exchange was complete, else close it."""
         endpoint = self._endpoints[address]
         if conn.is_reusable():
+            if self._max_idle is not None:
+                conn.idle_since = self._max_idle.clock.elapsed()
             endpoint.idle.append(conn)
         else:
             await self._close(endpoint, conn)
@@ -181,6 +197,13 @@
             while endpoint.idle:
                 await self._close(endpoint, endpoint.idle.pop())
 
+    def _is_overdue(self, conn: http_io.UpstreamConn) -> bool:
+        """Return whether a connection was idle for longer than allowed."""
+        allowed = self._max_idle
+        if allowed is None or conn.idle_since is None:
+            return False
+        return allowed.clock.elapsed() - conn.idle_since > allowed.duration
+
     async def _open(
         self, endpoint: _Endpoint, address: members.Address
     ) -> http_io.UpstreamConn:
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -182,7 +182,7 @@
             )
         if self.lost_answers:
             self.lost_answers -= 1
-            raise _unavailable('the answer was lost')
+            raise unavailable('the answer was lost')
         return state_store.Committed(
             version=self.version, clock=timedelta(seconds=self.clock)
         )
@@ -197,9 +197,9 @@
     async def _fail_if_set(self) -> None:
         if self.hanging:
             await aio.sleep(timedelta(milliseconds=50))
-            raise _unavailable('the store does not answer')
+            raise unavailable('the store does not answer')
         if self.down:
-            raise _unavailable('the store is down')
+            raise unavailable('the store is down')
 
     def _reading(
         self, table: state_store.Table, after: int, *, removed: bool
@@ -345,5 +345,5 @@
     return number_of(left) == number_of(right)
 
 
-def _unavailable(problem: str) -> errors.StoreUnavailable:
+def unavailable(problem: str) -> errors.StoreUnavailable:
     return errors.StoreUnavailable(problem, remedy='none, this is a test')
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -381,7 +381,9 @@
         )
 
         async def main() -> None:
-            client = store.PlatformStore(address=await scripted.start())
+            client = store.PlatformStore(
+                address=await scripted.start(), clock=clock.SystemClock()
+            )
             table = state_store.Table.REGISTRY
             reading = await client.read(table)
             self.assertEqual(reading.rows[0].value, b'text')
@@ -420,7 +422,9 @@
         scripted = ScriptedServer(reply(200, first), reply(200, second))
 
         async def main() -> None:
-            client = store.PlatformStore(address=await scripted.start())
+            client = store.PlatformStore(
+                address=await scripted.start(), clock=clock.SystemClock()
+            )
             reading = await client.read(state_store.Table.REGISTRY)
             self.assertEqual(len(reading.rows), 2)
             self.assertEqual(reading.version, 9)
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -54,7 +54,9 @@
         self.known_state = known_state_module.KnownState(
             notices=upstream_notices.UpstreamNotices(rng=random.Random(3))
         )
-        self.client = platform_store.PlatformStore(address=address)
+        self.client = platform_store.PlatformStore(
+            address=address, clock=clock.SystemClock()
+        )
         self.follower = store_follower.Follower(
             store=self.client,
             decoder=decode,
@@ -454,8 +456,12 @@
 
         async def test() -> None:
             address = await self.start_store()
-            deposed = platform_store.PlatformStore(address=address)
-            other = platform_store.PlatformStore(address=address)
+            deposed = platform_store.PlatformStore(
+                address=address, clock=clock.SystemClock()
+            )
+            other = platform_store.PlatformStore(
+                address=address, clock=clock.SystemClock()
+            )
             self.store.version = COPY_VERSION
             lost = await deposed.write(
                 expected={CLAIM: state_store.ABSENT}, puts={CLAIM: b'lost'}
@@ -486,7 +492,9 @@
 
         async def test() -> None:
             address = await self.start_store()
-            client = platform_store.PlatformStore(address=address)
+            client = platform_store.PlatformStore(
+                address=address, clock=clock.SystemClock()
+            )
             before = (await client.read(CONFIG)).version
             await self.restore()
             after = (await client.read(CONFIG)).version
@@ -504,7 +512,9 @@
 
         async def test() -> None:
             address = await self.start_store()
-            client = platform_store.PlatformStore(address=address)
+            client = platform_store.PlatformStore(
+                address=address, clock=clock.SystemClock()
+            )
             before = (await client.read(CONFIG)).version
             await self.restore()
             await self.write_config(6)
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -65,18 +65,24 @@
         return b
 
 
-class FollowerTest(unittest.TestCase):
+class FollowerCase(unittest.TestCase):
+    """A follower of a store in memory."""
+
     def setUp(self) -> None:
         self.create(random.Random(1))
 
     def create(self, rng: random.Random) -> None:
-        self.store = fake_platform.FakeStore()
+        self.rng = rng
         self.known_state = known_state_module.KnownState(
             notices=upstream_notices.UpstreamNotices(rng=random.Random(3))
         )
         self.relay = False
         self.relayed: list[table_relay.RowChanges] = []
         self.clock = clock.SystemClock()
+        self.use_store(fake_platform.FakeStore())
+
+    def use_store(self, store: fake_platform.FakeStore) -> None:
+        self.store = store
         self.follower = store_follower.Follower(
             store=self.store,
             decoder=Decoder(),
@@ -85,7 +91,7 @@
             is_relay=lambda: self.relay,
             relay_rows=self.relayed.append,
             clock=self.clock,
-            rng=rng,
+            rng=self.rng,
         )
 
     async def start(self) -> None:
@@ -137,6 +143,8 @@
             self.known_state.config.version if self.known_state.config else 0
         )
 
+
+class FollowerTest(FollowerCase):
     def test_failed_store_is_read_without_long_polls_until_it_answers(
         self,
     ) -> None:
