Relay the configuration that a coordinator reads after an outage

Cause: rows of a poll are relayed, and those of a read after a lost history, but not those of the read that follows a poll without an answer.

Change: such a read is relayed as the changes since the last known version, also if there are none. Of the registry it is not: missing entries may have expired during the outage, and each process has to start its own grace period for them.

Evidence: two tests in tests/test_store_silence.py, red before, pass now.

--- a/goldcresthaven/store_follower.py
+++ b/goldcresthaven/store_follower.py
@@ -220,11 +220,12 @@
             changed_since = (
                 answered_at if gap and answered_at is not None else now
             )
-            if full and lost_at is not None:
-                changes = self._changes_since(table, lost_at, reading)
+            since = lost_at
+            if table is state_store.Table.CONFIG and since is None:
+                since = base
+            if full and since is not None:
+                self._relay_changes_since(table, since, reading)
                 lost_at = None
-                if changes.rows:
-                    self._relay_rows(changes)
             rows = position.accept_reading(reading, now, full=full)
             if due and rows is not None:
                 position.end_full_read()
@@ -246,37 +247,38 @@
                 RELAY_CHANGE_PAUSE if relay else CHANGE_PAUSE[table]
             )
 
-    def _changes_since(
+    def _relay_changes_since(
         self,
         table: state_store.Table,
         base: int,
         reading: state_store.Reading,
-    ) -> table_relay.RowChanges:
-        """Return what a full read shows to have changed after a version."""
+    ) -> None:
+        """Relay what a full read shows to have changed after a version.
+
+        If nothing has, the others learn that they need not read the table.
+        After an outage this is done for the configuration only: missing
+        entries of the registry may have expired, so each process reads it
+        and starts its own grace period.
+        """
         found = {row.key for row in reading.rows}
         removed = self._present.get(table, set()) - found
-        return table_relay.RowChanges(
-            table=table,
-            base=base,
-            reached=reading.version,
-            rows=(
-                *(row for row in reading.rows if row.version > base),
-                *(
-                    state_store.Row(
-                        key=key, version=reading.version, value=None
-                    )
-                    for key in sorted(removed)
-                ),
+        rows = (
+            *(row for row in reading.rows if row.version > base),
+            *(
+                state_store.Row(key=key, version=reading.version, value=None)
+                for key in sorted(removed)
             ),
         )
+        self._relay_rows(
+            table_relay.RowChanges(
+                table=table, base=base, reached=reading.version, rows=rows
+            )
+        )
 
     async def _wait_while_relayed(
         self, table: state_store.Table, process_started: timedelta
-    ) -> bool:
-        """Return once this process has to poll the store for a table.
-
-        The result says whether a coordinator has relayed the table meanwhile.
-        """
+    ) -> None:
+        """Return once this process has to poll the store for a table."""
         position = self._known_state.positions[table]
         extra_grace = MISSED_CHANGE_SPREAD * self._rng.random()
         relayed = False
--- a/tests/test_store_silence.py
+++ b/tests/test_store_silence.py
@@ -21,6 +21,7 @@
 from tools import entry_harness
 
 CONFIG = state_store.Table.CONFIG
+REGISTRY = state_store.Table.REGISTRY
 CONNECTED_AFTER = timedelta(seconds=3)
 # A silence of one day on which gateways applied a configuration too late.
 SILENCE = timedelta(seconds=1.5)
@@ -86,6 +87,55 @@
 
         aio.run(main)
 
+    def test_configuration_read_after_a_silence_is_not_relayed(self) -> None:
+        """Guards against a change that each process has to read by itself.
+
+        A coordinator reads the whole table after a failed poll.
+        """
+        self.relay = True
+
+        async def main() -> None:
+            await self.start_with_version_1()
+            before = self.known_state.positions[CONFIG].reached
+            self.silent_store.silent = True
+            # The next polls begin within the wait of the current ones.
+            await aio.sleep(store_follower.MAX_RELAY_WAIT)
+            self.store.put(CONFIG, 'newest', b'2')
+            self.silent_store.silent = False
+            await test_store_follower.until(lambda: self.version() == 2)
+            await test_store_follower.until(lambda: bool(self.relayed))
+            sent = self.relayed[0]
+            self.assertEqual(sent.table, CONFIG)
+            self.assertEqual(sent.base, before)
+            self.assertEqual([row.value for row in sent.rows], [b'2'])
+
+        aio.run(main)
+
+    def test_unchanged_table_is_read_by_every_process_after_a_silence(
+        self,
+    ) -> None:
+        """Guards against calls of a whole fleet for nothing.
+
+        The coordinator's report names the version of its read, up to which
+        nothing had changed.
+        """
+        self.relay = True
+
+        async def main() -> None:
+            await self.start_with_version_1()
+            self.silent_store.silent = True
+            await aio.sleep(store_follower.MAX_RELAY_WAIT)
+            self.store.put(REGISTRY, 'new', b'fine')
+            self.silent_store.silent = False
+            await test_store_follower.until(
+                lambda: any(sent.table is CONFIG for sent in self.relayed)
+            )
+            sent = next(s for s in self.relayed if s.table is CONFIG)
+            self.assertEqual(sent.rows, ())
+            self.assertEqual(sent.reached, self.store.version)
+
+        aio.run(main)
+
 
 class LimitTest(unittest.TestCase):
     def test_unanswered_poll_and_the_read_after_it_fit_the_window(
