Keep the grace period for expired entries when a coordinator reports first

Seen in a test: after an outage of the store, upstreams whose entries had expired in it counted as gone at once, although they were running, until they had registered again, about 2 s later.

Cause: a process that called the store in vain forgot the outage when a coordinator reported again, for the reason that the store must have answered the coordinator all the while. After an outage for everybody it had not. The process then applied the removed entries without the grace period.

Change: an outage lasts from the last answer of the store that the process knows of, its own or a coordinator's, to the next one. If a coordinator's answers go on, there is no outage; otherwise its length decides, whoever reads or reports first.

Evidence: tests/test_store_silence.py, an entry that expired in an outage of 4 s, reports 0.14 s before the process's next call; the departure counted at once before, and counts after the grace period now.

--- a/goldcresthaven/store_follower.py
+++ b/goldcresthaven/store_follower.py
@@ -142,6 +142,8 @@
         self._maps = map_follower.MapFollower(
             store=store, known_state=known_state, clock=clock, rng=rng
         )
+        # The last answer to anybody, while calls of this process fail.
+        self._failed_since: dict[state_store.Table, timedelta] = {}
         # Keys of the rows that each table contains, to find removed ones.
         self._present: dict[state_store.Table, set[str]] = {}
 
@@ -156,8 +158,8 @@
         """Apply a coordinator's report on the tables that it follows."""
         for state in states:
             position = self._known_state.positions.get(state.table)
-            if position is not None:
-                position.apply_report(state, now)
+            if position is not None and position.apply_report(state, now):
+                self._end_outage(state.table, now - state.age, now)
 
     def apply_rows(
         self, changes: table_relay.RowChanges, now: timedelta
@@ -170,7 +172,6 @@
 
     async def _follow(self, table: state_store.Table) -> None:
         retry = store_retry.RetrySchedule(answers=self._answers, rng=self._rng)
-        failed_since: timedelta | None = None
         lost_at: int | None = None
         position = self._known_state.positions[table]
         process_started = self._clock.elapsed()
@@ -179,13 +180,11 @@
             # the table is therefore read without waiting for a change until
             # the store answers.
             if position.reached is not None:
-                if await self._wait_while_relayed(table, process_started):
-                    # The store answers a coordinator, so that only this
-                    # process did not reach it.
-                    failed_since = None
+                await self._wait_while_relayed(table, process_started)
             started = self._clock.elapsed()
             due = position.is_full_read_due(started)
-            full = due or position.reached is None or failed_since is not None
+            failing = table in self._failed_since
+            full = due or position.reached is None or failing
             base, answered_at = position.reached, position.answered_at
             try:
                 reading = await self._read_or_watch(
@@ -197,8 +196,8 @@
                 position.require_full_read()
                 continue
             except errors.StoreUnavailable as exc:
-                if failed_since is None:
-                    failed_since = position.answered_at or started
+                if table not in self._failed_since:
+                    self._failed_since[table] = position.answered_at or started
                     decision_log.note(
                         'store-lost', detail=f'{table.value}: {exc}'
                     )
@@ -208,9 +207,7 @@
                 continue
             now = self._clock.elapsed()
             retry.record_answer(now)
-            if failed_since is not None:
-                self._record_recovery(table, now - failed_since, now)
-                failed_since = None
+            self._end_outage(table, now, now)
             # A change that happened while no poll was waiting may have
             # happened as long ago as the previous answer.
             gap = (
@@ -294,7 +291,6 @@
             await aio.sleep(RELAY_CHECK_INTERVAL)
         if relayed:
             self._log_relay('relay-lost', table, position)
-        return relayed
 
     def _log_relay(
         self,
@@ -320,21 +316,25 @@
         wait = self._relay_wait if self._is_relay() else self._watch_wait
         return await self._store.watch(table, after=after, wait=wait)
 
-    def _record_recovery(
-        self,
-        table: state_store.Table,
-        outage_duration: timedelta,
-        now: timedelta,
+    def _end_outage(
+        self, table: state_store.Table, answered_at: timedelta, now: timedelta
     ) -> None:
+        """Record that the store answered this process or a coordinator.
+
+        If it answered a coordinator meanwhile, only this process did not
+        reach it. Otherwise entries of the registry may have expired.
+        """
+        failed_since = self._failed_since.get(table)
+        if failed_since is None or answered_at <= failed_since:
+            return
+        del self._failed_since[table]
+        duration = answered_at - failed_since
         decision_log.note(
             'store-regained',
             detail=table.value,
-            elapsed_ms=round(outage_duration.total_seconds() * 1000),
+            elapsed_ms=round(duration.total_seconds() * 1000),
         )
-        if (
-            outage_duration > LAPSING_OUTAGE
-            and table is state_store.Table.REGISTRY
-        ):
+        if duration > LAPSING_OUTAGE and table is state_store.Table.REGISTRY:
             self._known_state.registry.store_recovered(now)
 
     def _apply(
--- a/goldcresthaven/table_relay.py
+++ b/goldcresthaven/table_relay.py
@@ -122,21 +122,21 @@
             age=now - self.answered_at,
         )
 
-    def apply_report(self, state: TableState, now: timedelta) -> None:
-        """Apply a coordinator's report."""
+    def apply_report(self, state: TableState, now: timedelta) -> bool:
+        """Apply a coordinator's report; return whether it was usable."""
         if state.age > MAX_ANSWER_AGE or self.reached is None:
-            return
+            return False
         if state_store.history_of(state.reached) < state_store.history_of(
             self.reached
         ):
             # The coordinator has not seen the last restore, or its program
             # does not know of restores. The versions cannot be compared.
-            return
+            return False
         trusted = min(REPORT_TIMEOUT, MAX_ANSWER_AGE - state.age)
         self._trusted_until = max(self._trusted_until, now + trusted)
         if self.reached < state.changed:
             self._behind_since = self._behind_since or now
-            return
+            return True
         self._advance(state.reached)
         self.changed = max(self.changed, state.changed)
         answered_at = now - state.age
@@ -145,6 +145,7 @@
             if self.answered_at is None
             else max(self.answered_at, answered_at)
         )
+        return True
 
     def accept_rows(self, changes: RowChanges) -> tuple[state_store.Row, ...]:
         """Record rows that a coordinator relayed; return those to apply.
--- a/tests/test_store_silence.py
+++ b/tests/test_store_silence.py
@@ -12,9 +12,12 @@
 from goldcresthaven import clock as clock_module
 from goldcresthaven import http_head
 from goldcresthaven import http_io
+from goldcresthaven import ids
 from goldcresthaven import members
+from goldcresthaven import registry
 from goldcresthaven import state_store
 from goldcresthaven import store_follower
+from goldcresthaven import store_retry
 from goldcresthaven import upstream_pool
 from tests import fake_platform
 from tests import test_store_follower
@@ -35,8 +38,10 @@
     def __init__(self) -> None:
         super().__init__()
         self.silent = False
+        self.registry_reads = 0
 
     async def read(self, table: state_store.Table) -> state_store.Reading:
+        self.registry_reads += table is REGISTRY
         if self.silent:
             await self._time_out(state_store.CALL_TIMEOUT)
         return await super().read(table)
@@ -136,6 +141,46 @@
 
         aio.run(main)
 
+    def test_entry_that_expired_in_a_silence_is_taken_as_a_departure(
+        self,
+    ) -> None:
+        """Guards against running upstreams that get no work after an outage.
+
+        The coordinator's reports arrive before this process has read the
+        registry itself.
+        """
+
+        self.create(test_store_follower.LongPauses())
+        gone = ids.UpstreamId('expiring')
+
+        async def main() -> None:
+            self.store.put(REGISTRY, gone, b'fine')
+            await self.start_with_version_1()
+            await self.watches_while_reporting(0.1)
+            self.store.down = True
+            self.store.remove(REGISTRY, gone)
+            # By then the pauses have their full length.
+            await aio.sleep(2 * store_retry.MAX_PAUSE)
+            reads = self.silent_store.registry_reads
+            await test_store_follower.until(
+                lambda: self.silent_store.registry_reads > reads
+            )
+            pause = store_retry.MAX_PAUSE * store_retry.MAX_SPREAD
+            await aio.sleep(pause - timedelta(milliseconds=140))
+            self.store.down = False
+            position = self.known_state.positions[REGISTRY]
+            while position.reached != self.store.version:
+                self.report(changed=self.store.version)
+                await aio.sleep(timedelta(milliseconds=50))
+            now = self.clock.elapsed()
+            self.assertIsNone(self.known_state.registry.departure(gone, now))
+            later = now + registry.LAPSED_ENTRY_GRACE
+            self.assertIsNotNone(
+                self.known_state.registry.departure(gone, later)
+            )
+
+        aio.run(main)
+
 
 class LimitTest(unittest.TestCase):
     def test_unanswered_poll_and_the_read_after_it_fit_the_window(
