Let an odd entry cost that entry alone

Seen in tests: an entry of the registry that another writer left ended the poll, the page or the task that reads it, or was accepted and failed later.

Cause: deep nesting raises RecursionError, which is no ValueError; one unreadable row made the whole response unusable; and numbers, names, ids and addresses of the right type were accepted whatever they held: 10^400 slots, which no float holds, a lone surrogate, which no message can encode, an id that no header can carry, a host name, a port such as ' 8_0 '.

In the tables of the program itself, such a response is still not used: a claim must not count as missing. The decoder checks what values can be used for. The other readers of JSON take deep nesting for malformed text too.

--- a/goldcresthaven/gateway_metrics.py
+++ b/goldcresthaven/gateway_metrics.py
@@ -51,6 +51,13 @@
             registry=self._registry,
         )
 
+        self._unreadable = prom.Counter(
+            'unreadable_rows',
+            'Rows of the configuration and the registry that were ignored.',
+            namespace='goldcresthaven',
+            registry=self._registry,
+        )
+
     def request(
         self, kind: str, outcome: outcomes.Outcome, elapsed: timedelta
     ) -> None:
@@ -71,6 +78,10 @@
     def retried(self) -> None:
         self._retries.inc()
 
+    def unreadable_rows(self, count: int) -> None:
+        """Record that rows which other programs wrote were ignored."""
+        self._unreadable.inc(count)
+
     def render(self) -> bytes:
         """Return all metrics as text."""
         return bytes(prom.generate_latest(self._registry))
--- a/goldcresthaven/gateway_process.py
+++ b/goldcresthaven/gateway_process.py
@@ -135,6 +135,7 @@
             clock=self._clock,
             rng=self._rng,
             connected_after=self._cfg.connected_after,
+            count_unreadable=self._metrics.unreadable_rows,
         )
         await tables.start()
         await aio.spawn(self._start_coordinators())
--- a/goldcresthaven/key_claims.py
+++ b/goldcresthaven/key_claims.py
@@ -76,7 +76,13 @@
             acquired=int(document.get('acquired', 0)),
             proven_at=timedelta(seconds=document.get('proven', 0)),
         )
-    except (KeyError, OverflowError, TypeError, ValueError):
+    except (
+        KeyError,
+        OverflowError,
+        RecursionError,
+        TypeError,
+        ValueError,
+    ):
         decision_log.note('claim-unreadable', detail=row.key)
         return None
 
--- a/goldcresthaven/key_map.py
+++ b/goldcresthaven/key_map.py
@@ -179,7 +179,7 @@
             coordinator=str(document.get('coordinator', '')),
             history=history,
         )
-    except (KeyError, TypeError, ValueError) as exc:
+    except (KeyError, RecursionError, TypeError, ValueError) as exc:
         raise errors.ProtocolError(
             f'the stored key map is malformed: {exc!r}',
             remedy='check which other programs write to the table',
--- a/goldcresthaven/lease_client.py
+++ b/goldcresthaven/lease_client.py
@@ -66,7 +66,7 @@
 def _decode(status: int, data: bytes) -> leases.LeaseReply:
     try:
         body = json.loads(data)
-    except ValueError:
+    except (RecursionError, ValueError):
         body = None
     if status != _OK or not isinstance(body, dict):
         raise errors.ProtocolError(
--- a/goldcresthaven/map_codec.py
+++ b/goldcresthaven/map_codec.py
@@ -66,7 +66,7 @@
     """Return the map in a snapshot; raises ProtocolError or MapError."""
     try:
         value = json.loads(data)
-    except ValueError as exc:
+    except (RecursionError, ValueError) as exc:
         raise errors.ProtocolError(
             f'map snapshot is not JSON: {exc}',
             remedy='load it from another peer',
--- a/goldcresthaven/operator_client.py
+++ b/goldcresthaven/operator_client.py
@@ -175,6 +175,6 @@
     """Return whether the body is a Refusal; no view has a ``remedy``."""
     try:
         data = json.loads(body)
-    except ValueError:
+    except (RecursionError, ValueError):
         return False
     return isinstance(data, dict) and {'problem', 'remedy'} == set(data)
--- a/goldcresthaven/platform/decode.py
+++ b/goldcresthaven/platform/decode.py
@@ -6,8 +6,10 @@
 
 from collections.abc import Mapping
 from datetime import timedelta
+import ipaddress
 import json
 import math
+import re
 from typing import Any
 
 from goldcresthaven import errors
@@ -19,6 +21,17 @@
 from goldcresthaven.platform import names
 
 _MAX_PORT = 65535
+_PORT_DIGITS = 5
+# The store's own limit for keys, in bytes.
+MAX_NAME_CHARS = 200
+# An upstream's id is sent in a header.
+_HEADER_TEXT = re.compile(r'[!-~]{1,200}')
+# Larger integers are not exact in programs that count in floats.
+MAX_COUNT = 1 << 53
+# No upstream of this kind serves so many requests at once.
+MAX_SLOTS = 1 << 16
+# Upstreams are slow for seconds after their start.
+MAX_COLD = timedelta(hours=1)
 
 
 def is_config(row: state_store.Row) -> bool:
@@ -46,6 +59,7 @@
         AttributeError,
         KeyError,
         OverflowError,
+        RecursionError,
         TypeError,
         ValueError,
     ) as exc:
@@ -134,35 +148,59 @@
     info = fields['info']
     status = fields['status']
     state = status['state']
-    # Compare types exactly, because bool is a subclass of int.
-    born = fields['born']
-    slots = info['slots']
     cold = status['cold-left-s']
-    host, _, port = fields['addr'].rpartition(':')
     is_valid = (
         state in ('ready', 'draining')
-        and type(born) is int
-        and type(slots) is int
-        and slots > 0
-        and type(status['sequence']) is int
+        and _is_count(fields['born'])
+        and _is_count(status['sequence'])
+        and _is_count(info['slots'])
+        and 0 < info['slots'] <= MAX_SLOTS
+        # Compare types exactly, because bool is a subclass of int.
         and type(cold) in (int, float)
         and math.isfinite(cold)
+        and cold <= MAX_COLD.total_seconds()
+        and _HEADER_TEXT.fullmatch(key) is not None
         and all(
-            type(text) is str and text
-            for text in (info['service'], info['zone'], info['version'], host)
+            _is_name(text)
+            for text in (info['service'], info['zone'], info['version'])
         )
-        and 0 < int(port) <= _MAX_PORT
     )
-    if not is_valid:
+    address = _address(fields['addr'])
+    if not is_valid or address is None:
         return None
     return registry.Upstream(
         upstream_id=ids.UpstreamId(key),
         pool=ids.PoolName(info['service']),
-        address=members.Address(host=host, port=int(port)),
+        address=address,
         zone=ids.ZoneId(info['zone']),
-        slots=slots,
+        slots=info['slots'],
         draining=state == 'draining',
-        incarnation=registry.Incarnation(born),
+        incarnation=registry.Incarnation(fields['born']),
         cold_for=timedelta(seconds=max(0.0, cold)),
         sequence=status['sequence'],
     )
+
+
+def _is_count(value: Any) -> bool:
+    return type(value) is int and 0 <= value <= MAX_COUNT
+
+
+def _is_name(value: Any) -> bool:
+    """Return whether a value can be a name in logs, labels and messages."""
+    return (
+        type(value) is str
+        and 0 < len(value) <= MAX_NAME_CHARS
+        and value.isprintable()
+    )
+
+
+def _address(value: Any) -> members.Address | None:
+    """Decode an IP address and a port; names are not looked up."""
+    host, _, port = value.rpartition(':')
+    if not (port.isascii() and port.isdecimal() and len(port) <= _PORT_DIGITS):
+        return None
+    number = int(port)
+    ipaddress.ip_address(host)
+    if not 0 < number <= _MAX_PORT:
+        return None
+    return members.Address(host=host, port=number)
--- a/goldcresthaven/platform/store.py
+++ b/goldcresthaven/platform/store.py
@@ -35,6 +35,9 @@
 PAGE_ROWS = 500
 ERA_DIGITS = 6
 _MS = timedelta(milliseconds=1)
+_FOREIGN_TABLES = frozenset(
+    {state_store.Table.CONFIG, state_store.Table.REGISTRY}
+)
 
 
 class PlatformStore:
@@ -54,6 +57,7 @@
 
     async def read(self, table: state_store.Table) -> state_store.Reading:
         rows: list[state_store.Row] = []
+        unreadable = 0
         start = ''
         version: int | None = None
         while True:
@@ -67,18 +71,24 @@
                 },
                 state_store.CALL_TIMEOUT,
             )
-            page = _rows(document, history)
+            page, skipped = _rows(table, document, history)
             rows += page
+            unreadable += skipped
             # Each page is a separate snapshot. Changes since the first page
             # have to be read again, so its version is returned.
             if version is None:
                 version = _version(document, history)
             elif state_store.history_of(version) != history:
                 raise _unavailable('the store was restored during the read')
-            if not document.get('has-more') or not page:
+            if not document.get('has-more'):
                 return state_store.Reading(
-                    rows=tuple(rows), version=version, clock=_clock(document)
+                    rows=tuple(rows),
+                    version=version,
+                    clock=_clock(document),
+                    unreadable=unreadable,
                 )
+            if not page:
+                raise _unavailable('a page has no readable row')
             start = page[-1].key + '\0'
 
     async def watch(
@@ -96,10 +106,12 @@
                 wait + state_store.WATCH_SLACK,
             )
             if history == state_store.history_of(after):
+                rows, unreadable = _rows(table, document, history)
                 return state_store.Reading(
-                    rows=tuple(_rows(document, history)),
+                    rows=tuple(rows),
                     version=_version(document, history),
                     clock=_clock(document),
+                    unreadable=unreadable,
                 )
         raise state_store.HistoryLost(
             'the store was restored from a copy',
@@ -217,7 +229,7 @@
         raise _unavailable(f'the store responded with status {status}')
     try:
         document = json.loads(data)
-    except ValueError as exc:
+    except (RecursionError, ValueError) as exc:
         raise _unavailable(f'the response is not JSON: {exc}') from exc
     if not isinstance(document, dict):
         raise _unavailable('the response is not a JSON object')
@@ -225,22 +237,47 @@
 
 
 def _rows(
-    document: Mapping[str, Any], history: state_store.History
-) -> list[state_store.Row]:
-    try:
-        return [_row(row, history) for row in document['rows']]
-    except (AttributeError, KeyError, TypeError, ValueError) as exc:
-        raise _unavailable(f'the response has invalid rows: {exc}') from exc
+    table: state_store.Table,
+    document: Mapping[str, Any],
+    history: state_store.History,
+) -> tuple[list[state_store.Row], int]:
+    """Decode the rows of a response; return also how many are left out.
+
+    An unreadable row of a table that other programs write costs that row
+    alone. In a table of this program it may be a claim or a map, and the
+    response is not used.
+    """
+    raw = document.get('rows')
+    if not isinstance(raw, list):
+        raise _unavailable('the response has no list of rows')
+    rows: list[state_store.Row] = []
+    for entry in raw:
+        try:
+            rows.append(_row(entry, history))
+        except (AttributeError, KeyError, TypeError, ValueError) as exc:
+            if table not in _FOREIGN_TABLES:
+                raise _unavailable(f'a row is unreadable: {exc!r}') from exc
+            decision_log.note(
+                'row-unreadable', state=table.value, detail=repr(exc)[:200]
+            )
+    return rows, len(raw) - len(rows)
 
 
 def _row(
     row: Mapping[str, Any], history: state_store.History
 ) -> state_store.Row:
-    removed = row.get('deleted') or row.get('value') is None
+    """Decode a row; a value that is not base64 is passed on as empty."""
+    key, number = row['key'], row['ver']
+    if type(key) is not str or type(number) is not int:
+        raise ValueError('the key or the version has another type')
+    value: bytes | None = None
+    if not row.get('deleted') and row.get('value') is not None:
+        try:
+            value = base64.b64decode(row['value'], validate=True)
+        except (TypeError, ValueError):
+            value = b''
     return state_store.Row(
-        key=str(row['key']),
-        version=state_store.version_in(history, int(row['ver'])),
-        value=None if removed else base64.b64decode(row['value']),
+        key=key, version=state_store.version_in(history, number), value=value
     )
 
 
@@ -259,7 +296,10 @@
     value = document.get('now-s')
     if not isinstance(value, int | float):
         raise _unavailable('the response has no clock reading')
-    return timedelta(seconds=value)
+    try:
+        return timedelta(seconds=value)
+    except (OverflowError, ValueError) as exc:
+        raise _unavailable(f'the clock reading is {value}') from exc
 
 
 def _unavailable(problem: str) -> errors.StoreUnavailable:
--- a/goldcresthaven/state_store.py
+++ b/goldcresthaven/state_store.py
@@ -85,12 +85,14 @@
 class Reading:
     """Rows of a table, complete up to ``version``.
 
-    ``clock`` is the store's monotonic clock.
+    ``clock`` is the store's monotonic clock. ``unreadable`` counts rows of
+    other programs that are left out because they cannot be read.
     """
 
     rows: tuple[Row, ...]
     version: int
     clock: timedelta
+    unreadable: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/goldcresthaven/store_client.py
+++ b/goldcresthaven/store_client.py
@@ -250,7 +250,7 @@
         raise _unavailable(f'the response has status {status}')
     try:
         document = json.loads(data)
-    except ValueError as exc:
+    except (RecursionError, ValueError) as exc:
         raise _unavailable(f'the response is not JSON: {exc}') from exc
     if not isinstance(document, dict):
         raise _unavailable('the response is not a JSON object')
--- a/goldcresthaven/store_follower.py
+++ b/goldcresthaven/store_follower.py
@@ -113,6 +113,7 @@
     ``is_relay`` returns whether this process relays changes to the others,
     and ``relay_rows`` sends them. ``connected_after`` is the time from the
     end of an outage until a process has to know all changes.
+    ``count_unreadable`` counts rows that are ignored.
     """
 
     def __init__(
@@ -127,7 +128,9 @@
         clock: clock_module.Clock,
         rng: random.Random,
         connected_after: timedelta = DEFAULT_CONNECTED_AFTER,
+        count_unreadable: Callable[[int], None] = lambda rows: None,
     ) -> None:
+        self._count_unreadable = count_unreadable
         self._watch_wait = watch_wait(connected_after)
         self._relay_wait = relay_wait(connected_after)
         self._store = store
@@ -208,6 +211,8 @@
             now = self._clock.elapsed()
             retry.record_answer(now)
             self._end_outage(table, now, now)
+            if reading.unreadable:
+                self._count_unreadable(reading.unreadable)
             # A change that happened while no poll was waiting may have
             # happened as long ago as the previous answer.
             gap = (
@@ -365,6 +370,7 @@
             try:
                 cfg = self._decoder.config(row.value)
             except errors.ProtocolError as exc:
+                self._count_unreadable(1)
                 decision_log.note('config-unreadable', detail=str(exc))
                 continue
             known = self._known_state.config
@@ -388,6 +394,7 @@
         for row in rows:
             upstream = self._decoder.upstream(row)
             if upstream is None and row.value is not None:
+                self._count_unreadable(1)
                 decision_log.note('entry-unreadable', upstream=row.key[:64])
             changes[ids.UpstreamId(row.key)] = upstream
         registry = self._known_state.registry
