Do not wait for the body of a refusal, nor keep it in small pieces

Seen in tests with answers that never end: a caller waited 0.9 s, until its deadline, for a refusal whose body came in tiny chunks without end, though the head alone proves that its request was not executed. An answer of the store in tiny chunks let the process grow by 60 MB.

Cause: the body of a refusal was read, to use the connection again, for as long as the attempt may take; the pieces of an answer were kept as objects of their own, 40 bytes for each.

Change: the body of a refusal is read for 0.1 s at most, in the gateway and in the entry process, by one function. Answers to control calls are received into one buffer.

--- a/goldcresthaven/forwarding.py
+++ b/goldcresthaven/forwarding.py
@@ -25,8 +25,6 @@
 MAX_BODY_BYTES = 256 << 20
 # How often a waiting exchange checks whether its caller is still connected.
 CALLER_CHECK_INTERVAL = timedelta(milliseconds=100)
-# After a refusal with a longer body, the connection is not reused.
-MAX_REFUSAL_BYTES = 64 << 10
 
 _ONE_MS = timedelta(milliseconds=1)
 
@@ -219,7 +217,7 @@
         progress.head = head
         if refused:
             call.refused_on.add(conn.number)
-            await _discard(conn)
+            await conn.discard_body()
             return
         call.close_after = call.close_after or not sent_whole
         await self._relay(call, conn, head)
@@ -354,18 +352,6 @@
         )
 
 
-async def _discard(conn: http_io.UpstreamConn) -> None:
-    """Read a refusal's body so that the connection can be reused."""
-    size = 0
-    try:
-        while piece := await conn.read_piece():
-            size += len(piece)
-            if size > MAX_REFUSAL_BYTES:
-                return
-    except errors.ConnectionLost:
-        return
-
-
 def _build_attempt(
     call: Call,
     admitted: dispatch.Admitted,
--- a/goldcresthaven/http_io.py
+++ b/goldcresthaven/http_io.py
@@ -27,6 +27,10 @@
 
 HEAD_TIMEOUT = timedelta(seconds=5)
 BODY_PIECE_TIMEOUT = timedelta(seconds=10)
+# The body of a refusal is read only to use the connection again, and the
+# caller waits meanwhile.
+DISCARD_TIMEOUT = timedelta(milliseconds=100)
+MAX_DISCARDED_BYTES = 64 << 10
 LINGER_TIMEOUT = timedelta(seconds=1)
 LINGER_PIECES = 64
 # About one round trip between zones.
@@ -563,6 +567,21 @@
                 remedy='repeat the request if it is idempotent',
             ) from exc
 
+    async def discard_body(self) -> None:
+        """Read the body of a refusal, so that the connection can be reused.
+
+        If it is long, slow or broken, the connection is not reusable then.
+        """
+        size = 0
+        try:
+            async with aio.timeout(DISCARD_TIMEOUT):
+                while piece := await self.read_piece():
+                    size += len(piece)
+                    if size > MAX_DISCARDED_BYTES:
+                        return
+        except (errors.ConnectionLost, errors.DeadlineExceeded):
+            return
+
     def is_reusable(self) -> bool:
         """Return whether the exchange is complete, so that reuse is safe."""
         return (
@@ -631,14 +650,13 @@
     await conn.send_head(full, body)
     await conn.finish()
     response = await conn.read_head()
-    parts: list[bytes] = []
-    size = 0
+    # One buffer: a list would need 40 bytes for each byte of tiny chunks.
+    received = bytearray()
     while piece := await conn.read_piece():
-        size += len(piece)
-        if size > limit:
+        received += piece
+        if len(received) > limit:
             raise errors.ProtocolError(
                 f'the response is longer than {limit} bytes',
                 remedy='request less data at once',
             )
-        parts.append(piece)
-    return response, b''.join(parts)
+    return response, bytes(received)
--- a/goldcresthaven/upstream_exchange.py
+++ b/goldcresthaven/upstream_exchange.py
@@ -214,7 +214,7 @@
             result.first_byte = self._clock.elapsed()
             if result.meta.not_run:
                 call.refused_on.add(conn.number)
-                await _discard_body(conn)
+                await conn.discard_body()
                 return
         _check_response(head, result.meta, call)
         async with aio.timeout(limits.delivery_end - self._clock.elapsed()):
@@ -378,15 +378,3 @@
             f'status {head.status} has no proof that the request did not run',
             remedy='check the upstream',
         )
-
-
-async def _discard_body(conn: http_io.UpstreamConn) -> None:
-    """Read the body of a refusal so that the connection can be reused."""
-    size = 0
-    try:
-        while piece := await conn.read_piece():
-            size += len(piece)
-            if size > http_io.PIECE_BYTES:
-                return
-    except errors.ConnectionLost:
-        return
--- a/tests/endless_peer.py
+++ b/tests/endless_peer.py
@@ -19,12 +19,14 @@
 class EndlessServer:
     """Sends ``start`` and then ``repeated`` until its client closes.
 
-    ``sent`` counts the bytes that it has sent, ``requests`` its clients'.
+    ``sent`` counts the bytes that it has sent, ``requests`` its clients', and
+    ``active`` the connections on which it still sends.
     """
 
     def __init__(self, repeated: bytes, *, start: bytes = b'') -> None:
         self.sent = 0
         self.requests = 0
+        self.active = 0
         self._start, self._repeated = start, repeated
         self._listener = socket.create_server((HOST, 0))
         self.port = int(self._listener.getsockname()[1])
@@ -52,8 +54,12 @@
             if not sock.recv(READ_BYTES):
                 return
             self.requests += 1
-            sock.sendall(self._start)
-            self.sent += send_endlessly(sock, self._repeated)
+            self.active += 1
+            try:
+                sock.sendall(self._start)
+                self.sent += send_endlessly(sock, self._repeated)
+            finally:
+                self.active -= 1
 
 
 def send_endlessly(sock: socket.socket, data: bytes) -> int:
