--- a/goldcresthaven/platform/store.py
+++ b/goldcresthaven/platform/store.py
@@ -253,7 +253,7 @@
     rows: list[state_store.Row] = []
     for entry in raw:
         try:
-            rows.append(_row(entry, history))
+            rows.append(_row(table, entry, history))
         except (AttributeError, KeyError, TypeError, ValueError) as exc:
             if table not in _FOREIGN_TABLES:
                 raise _unavailable(f'a row is unreadable: {exc!r}') from exc
@@ -264,17 +264,26 @@
 
 
 def _row(
-    row: Mapping[str, Any], history: state_store.History
+    table: state_store.Table,
+    row: Mapping[str, Any],
+    history: state_store.History,
 ) -> state_store.Row:
-    """Decode a row; a value that is not base64 is passed on as empty."""
+    """Decode a row; raises one of several errors if it is unreadable.
+
+    Another program's value that is not base64 is passed on as empty.
+    """
     key, number = row['key'], row['ver']
     if type(key) is not str or type(number) is not int:
         raise ValueError('the key or the version has another type')
+    if not 0 < number <= state_store.MAX_NUMBER:
+        raise ValueError('the version is out of range')
     value: bytes | None = None
     if not row.get('deleted') and row.get('value') is not None:
         try:
             value = base64.b64decode(row['value'], validate=True)
         except (TypeError, ValueError):
+            if table not in _FOREIGN_TABLES:
+                raise
             value = b''
     return state_store.Row(
         key=key, version=state_store.version_in(history, number), value=value
--- a/goldcresthaven/state_store.py
+++ b/goldcresthaven/state_store.py
@@ -36,6 +36,8 @@
 
 # Leaves room for 2**23 histories in the 63 bits of a message's integers.
 _NUMBER_BITS = 40
+MAX_NUMBER = (1 << _NUMBER_BITS) - 1
+"""The highest version of its own that a store can give out."""
 
 
 def version_in(history: History, number: int) -> int:
@@ -50,7 +52,7 @@
 
 def number_of(version: int) -> int:
     """Return the store's own version, which is unique in its history."""
-    return version & ((1 << _NUMBER_BITS) - 1)
+    return version & MAX_NUMBER
 
 
 class Table(Enum):
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -189,6 +189,9 @@
         odd = (
             entry('odd', ver=float('inf')),
             entry('odd', ver=None),
+            entry('odd', ver=10**60),
+            entry('odd', ver=-1),
+            entry('odd', ver=True),
             entry(7),
             {'key': 'odd'},
             'odd',
@@ -210,10 +213,9 @@
 
     def test_odd_row_of_an_own_table_is_left_out(self) -> None:
         """Guards against a claim that counts as missing."""
-        (found,) = self.read(
-            state_store.Table.CLAIMS, page(entry('pool', ver='x'))
-        )
-        self.assertIsInstance(found, errors.StoreUnavailable)
+        replies = [page(entry('pool', ver='x')), page(entry('p', value='?'))]
+        for found in self.read(state_store.Table.CLAIMS, *replies):
+            self.assertIsInstance(found, errors.StoreUnavailable)
 
     def test_deeply_nested_response_ends_the_poll(self) -> None:
         """Guards against an error that no caller expects."""
