Count an answer of the store from when it was made, not from its arrival

Seen in a test: a coordinator whose answers from the store arrive 0.6 s late vouched in its reports for a table 0.3 s after it had changed. The others rely on such reports and do not ask the store, so they follow a change later by as much.

Cause: the age in a report counted from the arrival of the answer.

Change: a poll without a change was answered at its end, as the store waits; an answer with rows does not show how old it is and counts from the start of the poll. The next poll of a coordinator then does not wait, so that its reports are fresh again at once: one more call for each change, by the coordinator alone.

How long a report itself is on its way is still not counted.

--- a/goldcresthaven/store_follower.py
+++ b/goldcresthaven/store_follower.py
@@ -176,6 +176,7 @@
     async def _follow(self, table: state_store.Table) -> None:
         retry = store_retry.RetrySchedule(answers=self._answers, rng=self._rng)
         lost_at: int | None = None
+        confirming = False
         position = self._known_state.positions[table]
         process_started = self._clock.elapsed()
         while True:
@@ -189,9 +190,11 @@
             failing = table in self._failed_since
             full = due or position.reached is None or failing
             base, answered_at = position.reached, position.answered_at
+            wait = timedelta() if full or confirming else self._poll_wait()
+            confirming = False
             try:
                 reading = await self._read_or_watch(
-                    table, None if full else base
+                    table, None if full else base, wait
                 )
             except state_store.HistoryLost:
                 decision_log.note('history-lost', detail=table.value)
@@ -228,7 +231,13 @@
             if full and since is not None:
                 self._relay_changes_since(table, since, reading)
                 lost_at = None
-            rows = position.accept_reading(reading, now, full=full)
+            # Reports vouch for the table up to the time of the last answer.
+            # One that was late on its way must not count from its arrival.
+            made_at = min(now, started + wait) if self._is_relay() else now
+            if reading.rows and not full and self._is_relay():
+                # The rows do not show how long ago the store sent them.
+                made_at, confirming = started, True
+            rows = position.accept_reading(reading, made_at, full=full)
             if due and rows is not None:
                 position.end_full_read()
             if rows or (full and rows is not None):
@@ -313,12 +322,14 @@
             elapsed_ms=round(age.total_seconds() * 1000),
         )
 
+    def _poll_wait(self) -> timedelta:
+        return self._relay_wait if self._is_relay() else self._watch_wait
+
     async def _read_or_watch(
-        self, table: state_store.Table, after: int | None
+        self, table: state_store.Table, after: int | None, wait: timedelta
     ) -> state_store.Reading:
         if after is None:
             return await self._store.read(table)
-        wait = self._relay_wait if self._is_relay() else self._watch_wait
         return await self._store.watch(table, after=after, wait=wait)
 
     def _end_outage(
--- a/goldcresthaven/table_relay.py
+++ b/goldcresthaven/table_relay.py
@@ -55,7 +55,8 @@
 
     ``reached`` is None before the first read. ``answered_at`` is the time of
     the store's last answer, to this process or to the coordinator that
-    reported it.
+    reported it. A coordinator takes the earliest time at which the store can
+    have made it.
     """
 
     reached: int | None = None
@@ -71,14 +72,14 @@
         return self._trusted_until != _NEVER
 
     def accept_reading(
-        self, reading: state_store.Reading, now: timedelta, *, full: bool
+        self, reading: state_store.Reading, made_at: timedelta, *, full: bool
     ) -> tuple[state_store.Row, ...] | None:
-        """Record an answer of the store to this process.
+        """Record an answer that the store made for this process.
 
         Returns the rows to apply. Returns None for a full read that is older
         than the changes that a coordinator has relayed in the meantime.
         """
-        self.answered_at = now
+        self.answered_at = made_at
         reached = self.reached or 0
         if full and reading.version < reached:
             return None
